--- /dev/null
+++ b/crates/wv-access/src/answer.rs
@@ -0,0 +1,164 @@
+//! What clients are told: own returns, passed returns, and what to say after trouble.
+use crate::core::Core;
+use crate::types::{Act, Db, Fail, Verb, What};
+use wv_wire::{put_error, put_idle, Code, Pos};
+
+impl Core {
+    fn state_of(&self, id: u64) -> u8 {
+        let txn = self.clients.get(&id).and_then(|client| client.txn.as_ref());
+        txn.map_or(b'I', |txn| if txn.fail.is_some() { b'E' } else { b'T' })
+    }
+
+    pub(crate) fn own_complete(&mut self, id: u64) {
+        let state = self.state_of(id);
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.out.extend_from_slice(b"COMPLETE -\r\n");
+            put_idle(&mut client.out, state, None);
+            self.acts.push(Act::WriteClient(id));
+        }
+    }
+
+    pub(crate) fn own_error(&mut self, id: u64, code: Code, text: &str) {
+        let state = self.state_of(id);
+        if let Some(client) = self.clients.get_mut(&id) {
+            put_error(&mut client.out, code, text, state);
+            self.acts.push(Act::WriteClient(id));
+        }
+    }
+
+    pub(crate) fn own_result(&mut self, id: u64, is_kept: bool) {
+        if is_kept {
+            self.own_complete(id);
+        } else {
+            self.own_error(id, Code::Oversize, "the session holds too much");
+        }
+    }
+
+    /// An error after which the session is closed.
+    pub(crate) fn end_with(&mut self, id: u64, code: Code, text: &str) {
+        if let Some(client) = self.clients.get_mut(&id) {
+            wv_wire::put_line(&mut client.out, &[b"ERROR", code.word().as_bytes(), text.as_bytes()]);
+            client.is_closing = true;
+            self.close_client(id);
+        }
+    }
+
+    /// Ends the open ask with the database's own success.
+    pub(crate) fn pass(&mut self, id: u64, state: u8, pos: Option<Pos>) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.ask.is_open = false;
+        let verb = client.ask.verb();
+        let state = match client.txn.as_mut() {
+            None => b'I',
+            Some(_) if verb == Verb::Commit => b'I',
+            Some(txn) => {
+                txn.is_begun = true;
+                if state == b'E' {
+                    txn.fail = Some(Fail::Told);
+                }
+                state
+            }
+        };
+        if verb == Verb::Commit {
+            client.txn = None;
+        }
+        client.out.extend_from_slice(&client.ask.ret);
+        put_idle(&mut client.out, state, pos);
+        self.acts.push(Act::WriteClient(id));
+        self.after_ask(id);
+    }
+
+    /// Ends the open ask with an error; `state` as the client is to see it.
+    pub(crate) fn fail(&mut self, id: u64, code: Code, text: &str, state: u8) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.ask.is_open = false;
+        // Rows went out already: nothing but a cut says clearly that the rest does not come.
+        if client.ask.is_streamed {
+            return self.close_client(id);
+        }
+        match state {
+            b'I' => client.txn = None,
+            b'E' => client.txn.iter_mut().for_each(|txn| txn.fail = Some(Fail::Told)),
+            _ => {}
+        }
+        put_error(&mut client.out, code, text, state);
+        self.acts.push(Act::WriteClient(id));
+        self.after_ask(id);
+    }
+
+    fn after_ask(&mut self, id: u64) {
+        self.rest(id);
+        // What the client sent ahead is taken now.
+        if self.clients.get(&id).is_some_and(|client| !client.inbuf.is_empty()) {
+            self.read_on(id);
+        }
+    }
+
+    /// Nothing has run and nothing can in time: a promise, and when to come back.
+    pub(crate) fn refuse(&mut self, id: u64) {
+        let Some(client) = self.clients.get(&id) else { return };
+        let code = client.ask.last_code.filter(|code| code.is_unrun()).unwrap_or(Code::Congested);
+        let wait_ms = client.ask.lane.as_ref().map_or(100, |lane| (lane.target_us / 1000).clamp(20, 1000));
+        let state = if client.txn.is_some() { b'E' } else { b'I' };
+        self.fail(id, code, &format!("not run, retry after {wait_ms} ms"), state);
+    }
+
+    /// A connection with returns outstanding is gone: says to each client what may be said.
+    pub(crate) fn strand(&mut self, held: Db) {
+        if let Some(client) = held.holder {
+            if let Some(txn) = self.clients.get_mut(&client).and_then(|client| client.txn.as_mut()) {
+                txn.db = None;
+                // At rest: the next statement hears of it.
+                txn.fail = txn.fail.or(Some(Fail::Untold));
+            }
+        }
+        let asks = held.expects.iter().filter_map(|expect| match expect.what {
+            What::Ask { client, number } => Some((client, number)),
+            _ => None,
+        });
+        for (client, number) in asks {
+            self.strand_ask(client, number);
+        }
+    }
+
+    fn strand_ask(&mut self, id: u64, number: u64) {
+        let is_open = |client: &crate::types::Client| client.ask.is_open && client.ask.number == number;
+        let Some(client) = self.clients.get_mut(&id).filter(|client| is_open(client)) else { return };
+        client.ask.db = None;
+        client.ask.ret.clear();
+        let (verb, is_txn) = (client.ask.verb(), client.txn.is_some());
+        let may_have_written = client.txn.as_ref().is_some_and(|txn| txn.may_have_written);
+        match (verb, is_txn) {
+            // A commit that left may have happened; it is never sent again.
+            (Verb::Commit, _) if may_have_written => {
+                self.fail(id, Code::Indeterm, "the commit's return was lost", b'I')
+            }
+            // Nothing was written, so nothing is kept, whatever became of the commit.
+            (Verb::Commit, _) => self.fail(id, Code::Aborted, "the connection was lost", b'I'),
+            // The connection's end rolled the transaction back.
+            (_, true) => self.fail(id, Code::Aborted, "the connection was lost", b'E'),
+            (Verb::Write, false) => self.fail(id, Code::Indeterm, "the write's return was lost", b'I'),
+            (Verb::Read, false) => self.retry(id, None),
+        }
+    }
+
+    /// A statement is over its limit.
+    pub(crate) fn expire(&mut self, id: u64, number: u64) {
+        let Some(client) = self.clients.get(&id) else { return };
+        if !client.ask.is_open || client.ask.number != number {
+            return;
+        }
+        let Some(db) = client.ask.db else { return self.refuse(id) };
+        // Its return may still come: the connection can serve nobody else.
+        self.acts.push(Act::CloseDb(db));
+        let held = self.forget_db(db);
+        if client_is_single_read(self, id) {
+            return self.fail(id, Code::Expired, "over the lane's limit", b'I');
+        }
+        held.into_iter().for_each(|held| self.strand(held));
+    }
+}
+
+fn client_is_single_read(core: &Core, id: u64) -> bool {
+    core.clients.get(&id).is_some_and(|client| client.txn.is_none() && client.ask.verb() == Verb::Read)
+}
--- /dev/null
+++ b/crates/wv-access/src/client.rs
@@ -0,0 +1,205 @@
+//! Clients: lines in, sessions kept here, statements opened.
+use crate::core::Core;
+use crate::schedule::Schedule;
+use crate::types::{Act, Ask, Client, Fail, Verb};
+use std::rc::Rc;
+use wv_conf::Lane;
+use wv_wire::{cut_line, ClientLine, Code, Text};
+
+/// A client that does not read its returns is not read from beyond this.
+const HELD_OUT_MAX: usize = 64 << 10;
+
+impl Core {
+    pub fn client_open(&mut self, now: u64) -> u64 {
+        self.now = self.now.max(now);
+        let id = self.fresh_id();
+        let client = Client {
+            database: None,
+            inbuf: Vec::new(),
+            out: Vec::new(),
+            session: Default::default(),
+            ask: Ask::default(),
+            txn: None,
+            is_closing: false,
+            first_byte: self.now,
+        };
+        self.clients.insert(id, client);
+        let wait = self.conf.as_ref().map_or(3_000_000, |conf| conf.limits.setup_us);
+        self.schedules.put(self.now + wait, Schedule::Setup { client: id });
+        id
+    }
+
+    pub fn client_data(&mut self, id: u64, bytes: &[u8], now: u64) {
+        self.now = self.now.max(now);
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        // The first byte of whatever comes next is no later than this.
+        if client.inbuf.is_empty() {
+            client.first_byte = self.now;
+        }
+        client.inbuf.extend_from_slice(bytes);
+        self.read_on(id);
+    }
+
+    /// Whether more may be read from this client now.
+    pub fn wants_data(&self, id: u64) -> bool {
+        self.clients.get(&id).is_some_and(|client| client.inbuf.len() < wv_wire::MESSAGE_MAX && !client.is_closing)
+    }
+
+    /// Takes whole lines until one opens a statement that has to wait.
+    pub(crate) fn read_on(&mut self, id: u64) {
+        let bound = self.conf.as_ref().map_or(wv_wire::MESSAGE_MAX, |conf| conf.limits.line_bytes);
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let buf = std::mem::take(&mut client.inbuf);
+        let mut at = 0;
+        loop {
+            let Some(client) = self.clients.get(&id) else { return };
+            if client.ask.is_open || client.is_closing || client.out.len() > HELD_OUT_MAX {
+                break;
+            }
+            let Some((line, len)) = cut_line(&buf[at..]) else {
+                if buf.len() - at > bound {
+                    self.end_with(id, Code::Oversize, "a message is over the bound");
+                }
+                break;
+            };
+            at += len;
+            if line.len() > bound {
+                self.end_with(id, Code::Oversize, "a message is over the bound");
+                break;
+            }
+            self.line(id, line);
+        }
+        if let Some(client) = self.clients.get_mut(&id) {
+            // The buffer is kept for the next lines; what is done with is cut off its front.
+            let mut rest = buf;
+            rest.drain(..at);
+            client.inbuf = rest;
+        }
+    }
+
+    fn line(&mut self, id: u64, line: &[u8]) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let is_set_up = client.database.is_some();
+        match ClientLine::parse(line) {
+            ClientLine::Setup { database, .. } if !is_set_up => {
+                let database = String::from_utf8_lossy(database).into_owned();
+                let is_known = self.conf.as_ref().is_some_and(|conf| conf.lane(&database).is_some());
+                if !is_known {
+                    return self.end_with(id, Code::NoDb, "no such database");
+                }
+                client.database = Some(database);
+                wv_wire::put_idle(&mut client.out, b'I', None);
+                self.acts.push(Act::WriteClient(id));
+            }
+            ClientLine::Query { id: query, text } if is_set_up => self.query(id, query, text),
+            ClientLine::Release => self.close_client(id),
+            _ => self.end_with(id, Code::Malformed, "not understood"),
+        }
+    }
+
+    fn query(&mut self, id: u64, query: &[u8], text: &[u8]) {
+        let conf = self.conf.clone();
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        // A changed lane binds from the next transaction on: an open one keeps its own.
+        let lane = client.txn.as_ref().map(|txn| txn.lane.clone()).or_else(|| {
+            client.database.as_ref().and_then(|name| conf.as_ref().and_then(|conf| conf.lane(name).cloned()))
+        });
+        let Some(lane) = lane else { return self.end_with(id, Code::NoDb, "no such database") };
+        let text_of = Text::parse(text);
+        // After a failure inside a transaction only its end is taken.
+        if let Some(fail) = client.txn.as_ref().and_then(|txn| txn.fail) {
+            match text_of {
+                Text::Abort | Text::Commit => {}
+                _ if fail == Fail::Untold => {
+                    client.txn.iter_mut().for_each(|txn| txn.fail = Some(Fail::Told));
+                    return self.own_error(id, Code::Aborted, "the transaction was rolled back");
+                }
+                _ => return self.own_error(id, Code::Malformed, "the transaction has failed"),
+            }
+        }
+        match text_of {
+            Text::Begin { only_reads } => self.begin(id, query, lane, only_reads),
+            Text::Abort => {
+                self.end_txn(id);
+                self.own_complete(id);
+            }
+            Text::Commit => match client.txn.as_ref().map(|txn| txn.fail.is_some()) {
+                None => self.own_error(id, Code::Malformed, "no transaction is open"),
+                Some(true) => {
+                    self.end_txn(id);
+                    self.own_error(id, Code::Aborted, "the transaction was rolled back");
+                }
+                Some(false) => self.open_ask(id, query, &[text], Verb::Commit, None, &lane),
+            },
+            Text::Read => self.open_ask(id, query, &[text], Verb::Read, None, &lane),
+            Text::Write => self.open_ask(id, query, &[text], Verb::Write, None, &lane),
+            Text::Assign { name, value } => {
+                let is_kept = client.session.assign(name, value).is_ok();
+                self.own_result(id, is_kept);
+            }
+            Text::Define { name, kind, shape } => {
+                let shape = self.shapes.number(kind, shape);
+                let is_kept = shape.is_some_and(|shape| client.session.define(name, shape).is_ok());
+                self.own_result(id, is_kept);
+            }
+            Text::Undefine { name } => {
+                if client.session.undefine(name) {
+                    self.own_complete(id);
+                } else {
+                    self.own_error(id, Code::Undefined, "no such name");
+                }
+            }
+            Text::Execute { name, rest } => {
+                let Some(shape) = client.session.shape(name) else {
+                    return self.own_error(id, Code::Undefined, "no such name");
+                };
+                let verb = match self.shapes.get(shape) {
+                    Some((wv_wire::Kind::Read, _)) => Verb::Read,
+                    _ => Verb::Write,
+                };
+                let ours = format!("EXECUTE w{shape} ");
+                self.open_ask(id, query, &[ours.as_bytes(), rest], verb, Some(shape), &lane);
+            }
+            Text::Unknown => self.own_error(id, Code::Malformed, "not understood"),
+        }
+    }
+
+    fn open_ask(&mut self, id: u64, query: &[u8], text: &[&[u8]], verb: Verb, shape: Option<u32>, lane: &Rc<Lane>) {
+        let now = self.now;
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let ask = &mut client.ask;
+        ask.number += 1;
+        ask.is_open = true;
+        ask.id.clear();
+        ask.id.extend_from_slice(query);
+        ask.text.clear();
+        text.iter().for_each(|part| ask.text.extend_from_slice(part));
+        (ask.verb, ask.shape, ask.at, ask.limit) = (Some(verb), shape, now, now + lane.expiry_us);
+        (ask.tries, ask.db, ask.queued, ask.last_code, ask.is_streamed) = (0, None, None, None, false);
+        ask.lane = Some(lane.clone());
+        ask.first_byte = client.first_byte;
+        ask.refused.clear();
+        ask.ret.clear();
+        let schedule = Schedule::Expiry { client: id, number: ask.number };
+        self.schedules.put(ask.limit, schedule);
+        self.offer(id);
+    }
+
+    /// The client's connection ended.
+    pub fn client_gone(&mut self, id: u64, now: u64) {
+        self.now = self.now.max(now);
+        let Some(client) = self.clients.remove(&id) else { return };
+        let txn_db = client.txn.as_ref().and_then(|txn| txn.db);
+        // A return that is under way has nobody to go to: its connection is in doubt.
+        match client.ask.db.filter(|_| client.ask.is_open) {
+            Some(db) => self.drop_db(db),
+            None => txn_db.into_iter().for_each(|db| self.abort_db(db)),
+        }
+    }
+
+    pub(crate) fn close_client(&mut self, id: u64) {
+        let out = self.clients.get_mut(&id).map(|client| std::mem::take(&mut client.out)).unwrap_or_default();
+        self.acts.push(Act::CloseClient(id, out));
+        self.client_gone(id, self.now);
+    }
+}
--- /dev/null
+++ b/crates/wv-access/src/core.rs
@@ -0,0 +1,197 @@
+use crate::schedule::{Schedule, Schedules};
+use crate::types::{Act, Client, Db, Lost, Phase};
+use std::rc::Rc;
+use wv_check::{Checks, Spot};
+
+pub type Map<K, V> = hashbrown::HashMap<K, V, ahash::RandomState>;
+
+/// The connections to one database and who waits for one.
+#[derive(Default)]
+pub struct Pool {
+    pub idle: Vec<u64>,
+    pub all: u32,
+    pub opening: u32,
+    pub waiting: std::collections::VecDeque<u64>,
+}
+
+/// All state of an access node. Events and time go in, acts come out.
+pub struct Core {
+    pub(crate) now: u64,
+    pub(crate) zone: String,
+    pub(crate) conf: Option<Rc<wv_conf::Conf>>,
+    pub(crate) checks: Checks,
+    pub(crate) shapes: wv_pool::Shapes,
+    pub(crate) clients: Map<u64, Client>,
+    pub(crate) dbs: Map<u64, Db>,
+    pub(crate) pools: Map<Spot, Pool>,
+    pub(crate) schedules: Schedules,
+    pub(crate) acts: Vec<Act>,
+    pub(crate) follower: wv_feed::Follower,
+    pub(crate) nodes: u32,
+    pub(crate) next_id: u64,
+    pub(crate) sights_due: bool,
+    pub(crate) leaving_since: Option<u64>,
+    pub(crate) grace_us: u64,
+    /// Clients whose ask is open but with no database to go to.
+    pub(crate) stranded: Vec<u64>,
+}
+
+impl Core {
+    pub fn new(zone: &str, grace_us: u64) -> Core {
+        Core {
+            now: 0,
+            zone: zone.to_owned(),
+            conf: None,
+            checks: Checks::default(),
+            shapes: wv_pool::Shapes::default(),
+            clients: Map::default(),
+            dbs: Map::default(),
+            pools: Map::default(),
+            schedules: Schedules::default(),
+            acts: Vec::new(),
+            follower: wv_feed::Follower::default(),
+            nodes: 1,
+            next_id: 0,
+            sights_due: false,
+            leaving_since: None,
+            grace_us,
+            stranded: Vec::new(),
+        }
+    }
+
+    pub(crate) fn fresh_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    /// Whether clients may come: a configuration is held and the node is not leaving.
+    pub fn is_ready(&self) -> bool {
+        self.conf.is_some() && self.leaving_since.is_none()
+    }
+
+    pub fn take_acts(&mut self) -> Vec<Act> {
+        std::mem::take(&mut self.acts)
+    }
+
+    /// Whether sightings changed that the control side has not heard of.
+    pub fn has_sights(&self) -> bool {
+        self.sights_due
+    }
+
+    pub fn client_out(&mut self, client: u64) -> Option<&mut Vec<u8>> {
+        self.clients.get_mut(&client).map(|client| &mut client.out)
+    }
+
+    pub fn db_out(&mut self, db: u64) -> Option<&mut Vec<u8>> {
+        self.dbs.get_mut(&db).map(|db| &mut db.out)
+    }
+
+    pub fn open_clients(&self) -> usize {
+        self.clients.len()
+    }
+
+    /// When `tick` wants to be called next.
+    pub fn next_limit(&mut self) -> Option<u64> {
+        let clients = &self.clients;
+        self.schedules.next(|schedule| match schedule {
+            Schedule::Expiry { client, number } | Schedule::Offer { client, number } => {
+                clients.get(client).is_some_and(|held| held.ask.is_open && held.ask.number == *number)
+            }
+            Schedule::TxnIdle { client, .. } => clients.get(client).is_some_and(|held| held.txn.is_some()),
+            Schedule::Setup { client } => clients.get(client).is_some_and(|held| held.database.is_none()),
+        })
+    }
+
+    pub fn tick(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        while let Some(schedule) = self.schedules.due(self.now) {
+            match schedule {
+                Schedule::Expiry { client, number } => self.expire(client, number),
+                Schedule::Offer { client, number } => self.offer_again(client, number),
+                Schedule::TxnIdle { client, since } => self.txn_idle(client, since),
+                Schedule::Setup { client } => {
+                    if self.clients.get(&client).is_some_and(|held| held.database.is_none()) {
+                        self.close_client(client);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(crate) fn cap(&self, spot: Spot) -> u32 {
+        let service = self.checks.checker(spot.service).map(|checker| checker.service.as_str()).unwrap_or_default();
+        let bound =
+            self.conf.as_ref().and_then(|conf| conf.services.get(service)).map_or(16, |held| held.max_connections);
+        // A tenth stays free for the control side and for connections that die out elsewhere.
+        (bound * 9 / 10 / self.nodes.max(1)).max(1)
+    }
+
+    /// Opens one connection more to `spot` where its share allows.
+    pub(crate) fn open_db(&mut self, spot: Spot) -> bool {
+        let cap = self.cap(spot);
+        let Some(member) = self.checks.member(spot).filter(|member| !member.inst.gone) else { return false };
+        let (addr, id) = (member.inst.addr.clone(), member.inst.id.clone());
+        let pool = self.pools.entry(spot).or_default();
+        if pool.all >= cap {
+            return false;
+        }
+        pool.all += 1;
+        pool.opening += 1;
+        let db = self.fresh_id();
+        let held = Db {
+            spot,
+            id,
+            phase: Phase::Opening,
+            inbuf: Vec::new(),
+            out: Vec::new(),
+            tie: wv_pool::Tie::default(),
+            expects: Default::default(),
+            code: None,
+            begin_code: None,
+            is_doubtful: false,
+            holder: None,
+            since: self.now,
+        };
+        self.dbs.insert(db, held);
+        self.acts.push(Act::OpenDb { db, addr });
+        true
+    }
+
+    /// Closes a connection from this side and forgets it.
+    pub(crate) fn close_db(&mut self, db: u64) {
+        self.acts.push(Act::CloseDb(db));
+        self.forget_db(db);
+    }
+
+    pub(crate) fn forget_db(&mut self, db: u64) -> Option<Db> {
+        let held = self.dbs.remove(&db)?;
+        if let Some(pool) = self.pools.get_mut(&held.spot) {
+            pool.all = pool.all.saturating_sub(1);
+            if held.phase == Phase::Opening {
+                pool.opening = pool.opening.saturating_sub(1);
+            }
+            pool.idle.retain(|idle| *idle != db);
+        }
+        Some(held)
+    }
+
+    /// A connection ended or could not be opened.
+    pub fn db_lost(&mut self, db: u64, lost: Lost, now: u64) {
+        self.now = self.now.max(now);
+        let Some(held) = self.forget_db(db) else { return };
+        let sight = match lost {
+            Lost::Refused => Some(wv_inner::Sight::Refused),
+            Lost::Dark => Some(wv_inner::Sight::Dark),
+            Lost::Closed => None,
+        };
+        if let (Some(sight), Some(member)) = (sight, self.checks.member_mut(held.spot)) {
+            let is_changed = member.down(sight, self.now);
+            self.sights_due = true;
+            if is_changed {
+                self.isolate(held.spot);
+            }
+        }
+        self.strand(held);
+        self.serve_waiting_anywhere();
+    }
+}
--- /dev/null
+++ b/crates/wv-access/src/db.rs
@@ -0,0 +1,246 @@
+//! Connections to databases: their lines are matched with what was sent.
+use crate::core::Core;
+use crate::types::{Act, Expect, Phase, Verb, What};
+use wv_wire::{cut_line, put_query, Code, DbLine, Pos};
+
+/// Returns up to this size are held until complete, so that an unfinished read can be offered again.
+const HELD_RET_MAX: usize = 64 << 10;
+/// A client that reads this much too slowly is cut.
+const SLOW_OUT_MAX: usize = 4 << 20;
+
+impl Core {
+    /// The connection stands: set it up under the expected id.
+    pub fn db_opened(&mut self, db: u64, now: u64) {
+        self.now = self.now.max(now);
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        let service = self.checks.checker(held.spot.service).map(|checker| checker.service.clone()).unwrap_or_default();
+        wv_wire::put_line(&mut held.out, &[b"SETUP", service.as_bytes(), b"windvalve", held.id.as_bytes()]);
+        held.expects.push_back(Expect { what: What::Setup, sent: self.now, is_fenced: false });
+        self.acts.push(Act::WriteDb(db));
+    }
+
+    pub fn db_data(&mut self, db: u64, bytes: &[u8], now: u64) {
+        self.now = self.now.max(now);
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        let mut buf = std::mem::take(&mut held.inbuf);
+        let whole = if buf.is_empty() {
+            bytes
+        } else {
+            buf.extend_from_slice(bytes);
+            &buf[..]
+        };
+        let mut at = 0;
+        while let Some((line, len)) = cut_line(&whole[at..]) {
+            at += len;
+            self.db_line(db, line, &whole[at - len..at]);
+            if !self.dbs.contains_key(&db) {
+                return;
+            }
+        }
+        let rest = &whole[at..];
+        if rest.len() > wv_wire::MESSAGE_MAX {
+            return self.break_db(db);
+        }
+        let rest = rest.to_vec();
+        if let Some(held) = self.dbs.get_mut(&db) {
+            held.inbuf = rest;
+        }
+    }
+
+    fn db_line(&mut self, db: u64, line: &[u8], raw: &[u8]) {
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        let Some(expect) = held.expects.front().copied() else { return self.break_db(db) };
+        match (DbLine::parse(line), expect.what) {
+            (DbLine::Idle(state, pos), _) => {
+                held.expects.pop_front();
+                let code = held.code.take();
+                self.finish(db, expect, code, state, pos);
+            }
+            (DbLine::Error(code, _), What::Setup) => self.setup_refused(db, code),
+            (DbLine::Error(code, text), _) => {
+                held.code = Some(code);
+                if let What::Ask { client, .. } = expect.what {
+                    if let Some(client) = self.clients.get_mut(&client) {
+                        client.ask.ret.clear();
+                        client.ask.ret.extend_from_slice(text);
+                    }
+                }
+            }
+            (DbLine::Row(_) | DbLine::Complete(_), What::Ask { client, number }) => {
+                let Some(held) = self.clients.get_mut(&client).filter(|held| held.ask.number == number) else { return };
+                held.ask.ret.extend_from_slice(raw);
+                if held.ask.ret.len() > HELD_RET_MAX {
+                    held.ask.is_streamed = true;
+                    let ret = std::mem::take(&mut held.ask.ret);
+                    held.out.extend_from_slice(&ret);
+                    self.acts.push(Act::WriteClient(client));
+                    if held.out.len() > SLOW_OUT_MAX {
+                        self.close_client(client);
+                    }
+                }
+            }
+            (DbLine::Row(_) | DbLine::Complete(_), _) => {}
+            (DbLine::Unknown, _) => self.break_db(db),
+        }
+    }
+
+    /// What it says makes no sense: nothing on it can be trusted.
+    fn break_db(&mut self, db: u64) {
+        self.acts.push(Act::CloseDb(db));
+        self.forget_db(db).into_iter().for_each(|held| self.strand(held));
+        self.serve_waiting_anywhere();
+    }
+
+    fn setup_refused(&mut self, db: u64, code: Code) {
+        self.acts.push(Act::CloseDb(db));
+        let Some(held) = self.forget_db(db) else { return };
+        let waiting = self.pools.get_mut(&held.spot).and_then(|pool| pool.waiting.pop_front());
+        // It lives but takes no connection, or another database has its place: who waits goes elsewhere.
+        if let Some(id) = waiting {
+            if let Some(client) = self.clients.get_mut(&id).filter(|client| client.ask.queued == Some(held.spot)) {
+                client.ask.refused.push(held.spot);
+                self.retry(id, Some(code));
+            }
+        }
+        if code == Code::WrongNode {
+            if let Some(member) = self.checks.member_mut(held.spot) {
+                member.down(wv_inner::Sight::Refused, self.now);
+            }
+        }
+    }
+
+    fn finish(&mut self, db: u64, expect: Expect, code: Option<Code>, state: u8, pos: Option<Pos>) {
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        let spot = held.spot;
+        match expect.what {
+            What::Setup => {
+                if let Some(pool) = self.pools.get_mut(&spot) {
+                    pool.opening = pool.opening.saturating_sub(1);
+                }
+                let is_back = self.checks.member_mut(spot).is_some_and(|member| member.up(true, self.now));
+                if is_back {
+                    self.sights_due = true;
+                    self.serve_stranded();
+                }
+                self.free_db(db);
+            }
+            What::Sync => held.is_doubtful |= code.is_some(),
+            What::Begin => held.begin_code = code,
+            What::Abort => {
+                held.is_doubtful |= state != b'I';
+                held.begin_code = None;
+                self.free_db(db);
+            }
+            What::Ask { client, number } => {
+                let begin_code = held.begin_code.take();
+                let code = begin_code.or(code);
+                if held.is_doubtful {
+                    return self.break_db(db);
+                }
+                if code.is_none() && expect.is_fenced {
+                    if let (Some(pos), Some(checker)) = (pos, self.checks.checker_mut(spot.service)) {
+                        checker.fenced.note(expect.sent, pos);
+                    }
+                }
+                if let Some(member) = self.checks.member_mut(spot).filter(|member| member.is_suspect()) {
+                    member.up(false, self.now);
+                }
+                self.finish_ask(db, client, number, code, begin_code.is_some(), state, pos);
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn finish_ask(
+        &mut self,
+        db: u64,
+        id: u64,
+        number: u64,
+        code: Option<Code>,
+        is_unbegun: bool,
+        state: u8,
+        pos: Option<Pos>,
+    ) {
+        let (now, is_last) = (self.now, self.dbs.get(&db).is_some_and(|held| held.expects.is_empty()));
+        let spot = self.dbs.get(&db).map(|held| held.spot);
+        let Some(client) = self.clients.get_mut(&id).filter(|held| held.ask.is_open && held.ask.number == number)
+        else {
+            return self.drop_db(db);
+        };
+        let (verb, is_txn) = (client.ask.verb(), client.txn.is_some());
+        client.ask.db = None;
+        let Some(code) = code else {
+            let is_over = !is_txn || verb == Verb::Commit;
+            if is_over && is_last {
+                self.free_db(db);
+            }
+            return self.pass(id, state, pos);
+        };
+        if code == Code::ReadOnly {
+            spot.and_then(|spot| self.checks.member_mut(spot)).into_iter().for_each(|member| member.doubt(now));
+        }
+        let text = String::from_utf8_lossy(&client.ask.ret).into_owned();
+        client.ask.ret.clear();
+        client.ask.refused.extend(spot);
+        if !is_txn {
+            if is_last {
+                self.free_db(db);
+            }
+            return if code.is_unrun() { self.retry(id, Some(code)) } else { self.fail(id, code, &text, b'I') };
+        }
+        // The transaction never began, or its first statement was refused unrun: it can begin elsewhere.
+        let is_first = client.txn.as_ref().is_some_and(|txn| !txn.is_begun);
+        if verb == Verb::Commit || (code.is_unrun() && (is_unbegun || is_first)) {
+            client.txn.iter_mut().for_each(|txn| txn.db = None);
+            self.abort_db(db);
+            return match (verb, code.is_unrun()) {
+                (Verb::Commit, _) => self.fail(id, code, &text, b'I'),
+                _ => self.retry(id, Some(code)),
+            };
+        }
+        if state == b'I' {
+            client.txn.iter_mut().for_each(|txn| txn.db = None);
+            self.free_db(db);
+        }
+        self.fail(id, code, &text, state);
+    }
+
+    /// The connection stands at rest and in order: back to the pool.
+    fn free_db(&mut self, db: u64) {
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        let spot = held.spot;
+        let is_gone = self.checks.member(spot).is_none_or(|member| member.inst.gone || member.inst.id != held.id);
+        let is_over = self.pools.get(&spot).is_some_and(|pool| pool.all > self.cap(spot));
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        if held.is_doubtful || !held.expects.is_empty() || is_gone || is_over {
+            self.close_db(db);
+        } else {
+            held.phase = Phase::Idle;
+            held.holder = None;
+            held.since = self.now;
+            self.pools.entry(spot).or_default().idle.push(db);
+        }
+        self.serve_waiting(spot);
+    }
+
+    /// Rolls back what the connection holds and returns it to the pool.
+    pub(crate) fn abort_db(&mut self, db: u64) {
+        let now = self.now;
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        held.holder = None;
+        // With a return outstanding only its end is sure to roll back.
+        if held.expects.iter().any(|expect| matches!(expect.what, What::Ask { .. })) {
+            return self.drop_db(db);
+        }
+        put_query(&mut held.out, b"-", &[b"ABORT"]);
+        held.expects.push_back(Expect { what: What::Abort, sent: now, is_fenced: false });
+        self.acts.push(Act::WriteDb(db));
+    }
+
+    /// Nobody waits for what is under way on it: closed, never used again.
+    pub(crate) fn drop_db(&mut self, db: u64) {
+        let spot = self.dbs.get(&db).map(|held| held.spot);
+        self.close_db(db);
+        spot.into_iter().for_each(|spot| self.serve_waiting(spot));
+    }
+}
--- /dev/null
+++ b/crates/wv-access/src/lib.rs
@@ -0,0 +1,26 @@
+//! The access role: clients' sessions over pooled connections. Logic without sockets; `run` executes.
+mod answer;
+mod client;
+mod core;
+mod db;
+mod exec;
+mod link;
+mod news;
+mod offer;
+mod run;
+mod schedule;
+mod sock;
+mod txn;
+mod types;
+
+pub use crate::core::Core;
+pub use run::run;
+pub use types::{Act, Lost};
+
+#[derive(thiserror::Error, Debug)]
+pub enum AccessError {
+    #[error("the boot file gives this role no {0} address")]
+    NoAddress(&'static str),
+    #[error("cannot listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, std::io::Error),
+}
--- /dev/null
+++ b/crates/wv-access/src/news.rs
@@ -0,0 +1,164 @@
+//! News from the control side, sightings for it, and the small regular care of pools.
+use crate::core::Core;
+use crate::types::Phase;
+use std::rc::Rc;
+use wv_check::{Spot, State};
+use wv_inner::{Msg, News, Sighting};
+
+/// Connections kept ready to the writer and to a reader in the own zone.
+const WARM_WRITER: u32 = 2;
+const WARM_READER: u32 = 1;
+
+impl Core {
+    /// A feed message. A gap asks for the feed to be followed anew.
+    pub fn feed(&mut self, msg: Msg, now: u64) -> Result<(), wv_feed::Gap> {
+        self.now = self.now.max(now);
+        if let Msg::Snapshot { news, .. } = &msg {
+            let ids = news.iter().filter_map(|news| match news {
+                News::Inst(inst) if !inst.gone => Some(inst.id.as_str()),
+                _ => None,
+            });
+            self.checks.retain(&ids.collect());
+        }
+        let news = self.follower.take(msg)?;
+        news.into_iter().for_each(|news| self.news(news));
+        self.serve_stranded();
+        self.care();
+        Ok(())
+    }
+
+    fn news(&mut self, news: News) {
+        match news {
+            News::Conf { sequence, body } => {
+                // A node never steps back within its life.
+                if self.conf.as_ref().is_some_and(|held| held.sequence > sequence) {
+                    return;
+                }
+                // Only checked configurations enter the feed; one that cannot be read here changes nothing.
+                if let Ok(conf) = wv_conf::Conf::parse(&body) {
+                    conf.services.keys().for_each(|name| {
+                        self.checks.service(name);
+                    });
+                    self.conf = Some(Rc::new(conf));
+                }
+            }
+            News::Inst(inst) => {
+                let spot = self.checks.inst(&inst, self.now);
+                if let Some(spot) = spot.filter(|_| inst.gone || inst.draining) {
+                    self.clear_idle(spot);
+                }
+            }
+            News::Lead(lead) => self.checks.lead(&lead, self.now),
+            News::Nodes(nodes) => self.nodes = nodes.max(1),
+        }
+    }
+
+    fn clear_idle(&mut self, spot: Spot) {
+        let idle = self.pools.get_mut(&spot).map(|pool| std::mem::take(&mut pool.idle)).unwrap_or_default();
+        idle.into_iter().for_each(|db| self.close_db(db));
+    }
+
+    /// Where the feed stands here, for the next follow.
+    pub fn place(&self) -> (u64, u64) {
+        (self.follower.life, self.follower.place)
+    }
+
+    /// Sightings that changed since the last call; all of them with `is_whole`.
+    pub fn take_sights(&mut self, is_whole: bool) -> Vec<Sighting> {
+        if !std::mem::take(&mut self.sights_due) && !is_whole {
+            return Vec::new();
+        }
+        let now = self.now;
+        self.checks
+            .iter()
+            .flat_map(|(_, checker)| {
+                let fenced = checker.fenced.newest().map(|(_, pos)| pos.to_string()).unwrap_or_default();
+                checker.members().filter(|(_, member)| !member.inst.gone).map(move |(_, member)| Sighting {
+                    id: member.inst.id.clone(),
+                    sight: member.sight,
+                    since_us: now.saturating_sub(member.since),
+                    fenced: fenced.clone(),
+                })
+            })
+            .collect()
+    }
+
+    /// Regular care: warm connections, looks at isolated databases, sessions that are to end.
+    pub fn housekeep(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        self.care();
+        self.serve_stranded();
+        self.leave_on();
+    }
+
+    fn care(&mut self) {
+        if self.conf.is_none() {
+            return;
+        }
+        let now = self.now;
+        let mut wanted: Vec<(Spot, u32)> = Vec::new();
+        for (service, checker) in self.checks.iter() {
+            for (seat, member) in checker.members() {
+                let spot = Spot { service, seat };
+                let state = checker.state(seat, now);
+                let is_near = member.inst.zone == self.zone;
+                match state {
+                    State::Writer if !member.is_suspect() => wanted.push((spot, WARM_WRITER)),
+                    State::Online if is_near && !member.is_suspect() => wanted.push((spot, WARM_READER)),
+                    // One that is in doubt is looked at, one connection at a time.
+                    State::Isolated if member.next_look <= now => wanted.push((spot, 1)),
+                    State::Writer | State::Online if member.is_suspect() => wanted.push((spot, 1)),
+                    _ => {}
+                }
+            }
+        }
+        for (spot, count) in wanted {
+            let is_isolated = self.checks.member(spot).is_some_and(|member| member.is_isolated());
+            let (opening, standing) =
+                self.pools.get(&spot).map_or((0, 0), |pool| (pool.opening, pool.idle.len() as u32 + pool.opening));
+            let is_wanted = if is_isolated { opening == 0 } else { standing < count };
+            if is_wanted && self.open_db(spot) {
+                self.checks.member_mut(spot).into_iter().for_each(|member| member.looked(now));
+            }
+        }
+    }
+
+    pub fn set_grace(&mut self, grace_us: u64) {
+        self.grace_us = grace_us;
+    }
+
+    /// SIGTERM: ready no more; what is open may end.
+    pub fn leave(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        self.leaving_since.get_or_insert(self.now);
+    }
+
+    /// After `leave`: whether the node has nothing left to do or no time to do it.
+    pub fn is_done(&self) -> bool {
+        self.leaving_since.is_some_and(|since| {
+            let gone = self.now.saturating_sub(since);
+            gone > self.grace_us * 3 / 4 || (gone > self.grace_us / 2 && self.clients.is_empty())
+        })
+    }
+
+    fn leave_on(&mut self) {
+        let Some(since) = self.leaving_since else { return };
+        // The platform needs two misses before it sends no more clients here.
+        if self.now < since + self.grace_us * 2 / 5 {
+            return;
+        }
+        let resting: Vec<u64> = self
+            .clients
+            .iter()
+            .filter(|(_, client)| !client.ask.is_open && client.txn.is_none() && client.inbuf.is_empty())
+            .map(|(id, _)| *id)
+            .collect();
+        resting.into_iter().for_each(|id| self.close_client(id));
+    }
+
+    /// Counts for the log: clients, connections, busy ones.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let busy = self.dbs.values().filter(|db| db.phase == Phase::Busy).count();
+        (self.clients.len(), self.dbs.len(), busy)
+    }
+}
--- /dev/null
+++ b/crates/wv-access/src/offer.rs
@@ -0,0 +1,245 @@
+//! Offering: the decision object is asked, this side obeys.
+use crate::core::{Core, Pool};
+use crate::schedule::Schedule;
+use crate::types::{Act, Expect, Phase, Verb, What};
+use wv_check::Spot;
+use wv_lane::{decide, Decision, Question, Room};
+use wv_wire::{put_query, Code, Pos};
+
+/// An ask that is not offered within this share of its target is refused.
+const OFFER_SHARE: u64 = 4;
+/// Waiting lines are short: who stands further back is refused at once.
+const WAITING_MAX: usize = 64;
+
+impl Core {
+    /// Finds a place for the client's open ask.
+    pub(crate) fn offer(&mut self, id: u64) {
+        let Some(client) = self.clients.get(&id).filter(|client| client.ask.is_open) else { return };
+        if let Some(db) = client.txn.as_ref().and_then(|txn| txn.db) {
+            return self.send(id, db, None, false);
+        }
+        match self.decide(id) {
+            Decision::Offer { spot, minpos, is_wrapped } => self.seat_ask(id, spot, minpos, is_wrapped),
+            Decision::Wait => {
+                if !self.stranded.contains(&id) {
+                    self.stranded.push(id);
+                }
+                self.give_time(id);
+            }
+            Decision::Refuse(code) => {
+                self.clients.get_mut(&id).into_iter().for_each(|client| client.ask.last_code = Some(code));
+                self.refuse(id);
+            }
+        }
+    }
+
+    fn decide(&self, id: u64) -> Decision {
+        let Some(client) = self.clients.get(&id) else { return Decision::Refuse(Code::Congested) };
+        let ask = &client.ask;
+        let Some(lane) = ask.lane.as_ref() else { return Decision::Refuse(Code::Congested) };
+        let Some(service) = self.checks.find(&lane.service) else { return Decision::Wait };
+        let question = Question {
+            service,
+            category: lane.category,
+            is_txn: client.txn.is_some(),
+            only_reads: client.txn.as_ref().map_or(ask.verb() == Verb::Read, |txn| txn.only_reads),
+            first_byte: client.txn.as_ref().map_or(ask.first_byte, |txn| txn.at),
+            now: self.now,
+            zone: &self.zone,
+            refused: &ask.refused,
+        };
+        decide(&self.checks, &question, &|spot| self.room(spot))
+    }
+
+    fn room(&self, spot: Spot) -> Room {
+        let Some(pool) = self.pools.get(&spot) else { return Room { outstanding: 0, is_free: true } };
+        let outstanding = pool.all.saturating_sub(pool.idle.len() as u32 + pool.opening) + pool.waiting.len() as u32;
+        Room { outstanding, is_free: pool.waiting.len() < WAITING_MAX }
+    }
+
+    fn seat_ask(&mut self, id: u64, spot: Spot, minpos: Option<Pos>, is_wrapped: bool) {
+        let Some(client) = self.clients.get(&id) else { return };
+        let pool = self.pools.entry(spot).or_default();
+        // The connection that already fits is nominated first, the one used last among equals.
+        let fitting = pool
+            .idle
+            .iter()
+            .enumerate()
+            .rev()
+            .filter_map(|(at, db)| self.dbs.get(db).map(|held| (held.tie.gap(&client.session, client.ask.shape), at)))
+            .min_by_key(|(gap, _)| *gap);
+        if let Some((_, at)) = fitting {
+            let db = pool.idle.remove(at);
+            return self.send(id, db, minpos, is_wrapped);
+        }
+        if pool.waiting.len() >= WAITING_MAX {
+            return self.refuse(id);
+        }
+        pool.waiting.push_back(id);
+        let is_covered = (pool.opening as usize) >= pool.waiting.len();
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.ask.queued = Some(spot);
+        }
+        if !is_covered {
+            self.open_db(spot);
+        }
+        self.give_time(id);
+    }
+
+    /// The ask may wait until its share of the target is over.
+    fn give_time(&mut self, id: u64) {
+        if let Some(ask) = self.clients.get(&id).map(|client| &client.ask) {
+            let at = self.offer_limit(id);
+            self.schedules.put(at, Schedule::Offer { client: id, number: ask.number });
+        }
+    }
+
+    fn offer_limit(&self, id: u64) -> u64 {
+        self.clients.get(&id).map_or(0, |client| {
+            let share = client.ask.lane.as_ref().map_or(0, |lane| lane.target_us / OFFER_SHARE);
+            client.ask.at + share.saturating_sub(share / 8)
+        })
+    }
+
+    /// The time for waiting is over.
+    pub(crate) fn offer_again(&mut self, id: u64, number: u64) {
+        let is_waiting = self
+            .clients
+            .get(&id)
+            .is_some_and(|client| client.ask.is_open && client.ask.number == number && client.ask.db.is_none());
+        if is_waiting && self.now >= self.offer_limit(id) {
+            self.refuse(id);
+        }
+    }
+
+    /// An ask that was refused unrun, or a read whose return was lost, goes elsewhere or ends.
+    pub(crate) fn retry(&mut self, id: u64, code: Option<Code>) {
+        let now = self.now;
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let ask = &mut client.ask;
+        (ask.db, ask.queued, ask.last_code) = (None, None, code.or(ask.last_code));
+        ask.tries += 1;
+        let bound = ask.lane.as_ref().map_or(1, |lane| lane.max_attempts) + 1;
+        // A place in line may have passed while it was away; then the promise is the better return.
+        if ask.tries > bound || now >= ask.limit {
+            return self.refuse(id);
+        }
+        self.offer(id);
+    }
+
+    /// A connection came free, or one more may be opened: the first in line with the highest precedence gets it.
+    pub(crate) fn serve_waiting(&mut self, spot: Spot) {
+        loop {
+            let Some(pool) = self.pools.get_mut(&spot) else { return };
+            let clients = &self.clients;
+            pool.waiting.retain(|id| {
+                clients.get(id).is_some_and(|client| client.ask.is_open && client.ask.queued == Some(spot))
+            });
+            if pool.waiting.is_empty() {
+                return;
+            }
+            if pool.idle.is_empty() {
+                let is_short = (pool.opening as usize) < pool.waiting.len();
+                if is_short && self.open_db(spot) {
+                    continue;
+                }
+                return;
+            }
+            let precedence =
+                |id: &u64| clients.get(id).and_then(|client| client.ask.lane.as_ref()).map(|l| l.precedence);
+            let first = pool.waiting.iter().enumerate().min_by_key(|(at, id)| (precedence(id), *at)).map(|(at, _)| at);
+            let Some(id) = first.and_then(|at| pool.waiting.remove(at)) else { return };
+            self.clients.get_mut(&id).into_iter().for_each(|client| client.ask.queued = None);
+            // Decided anew: what was nominated may have changed while it waited.
+            self.offer(id);
+        }
+    }
+
+    pub(crate) fn serve_waiting_anywhere(&mut self) {
+        let spots: Vec<Spot> =
+            self.pools.iter().filter(|(_, pool)| !pool.waiting.is_empty()).map(|(spot, _)| *spot).collect();
+        spots.into_iter().for_each(|spot| self.serve_waiting(spot));
+    }
+
+    /// Routing state changed: asks that had nowhere to go are offered anew.
+    pub(crate) fn serve_stranded(&mut self) {
+        let stranded = std::mem::take(&mut self.stranded);
+        for id in stranded {
+            let is_waiting = self
+                .clients
+                .get(&id)
+                .is_some_and(|client| client.ask.is_open && client.ask.db.is_none() && client.ask.queued.is_none());
+            if is_waiting {
+                self.offer(id);
+            }
+        }
+    }
+
+    /// Asks waiting for a database that was isolated are offered elsewhere.
+    pub(crate) fn isolate(&mut self, spot: Spot) {
+        let pool: Option<&mut Pool> = self.pools.get_mut(&spot);
+        let waiting = pool.map(|pool| std::mem::take(&mut pool.waiting)).unwrap_or_default();
+        for id in waiting {
+            if let Some(client) = self.clients.get_mut(&id).filter(|client| client.ask.queued == Some(spot)) {
+                client.ask.queued = None;
+                self.offer(id);
+            }
+        }
+    }
+
+    fn send(&mut self, id: u64, db: u64, minpos: Option<Pos>, is_wrapped: bool) {
+        let now = self.now;
+        let (Some(client), Some(held)) = (self.clients.get_mut(&id), self.dbs.get_mut(&db)) else { return };
+        let ask = &mut client.ask;
+        (ask.db, ask.queued) = (Some(db), None);
+        ask.ret.clear();
+        held.phase = Phase::Busy;
+        held.since = now;
+        let count = wv_pool::sync(&mut held.out, &mut held.tie, &client.session, ask.shape, &self.shapes);
+        let mut expect = |what, is_fenced| held.expects.push_back(Expect { what, sent: now, is_fenced });
+        (0..count).for_each(|_| expect(What::Sync, false));
+        let mark = minpos.map(|pos| format!("MINPOS {pos} ")).unwrap_or_default();
+        let what = What::Ask { client: id, number: ask.number };
+        let is_plain = match client.txn.as_mut() {
+            Some(txn) => {
+                // Read-only transactions are not fenced by the database: on primary lanes they run as plain ones.
+                let is_plain = minpos.is_none();
+                if txn.db.is_none() {
+                    if is_plain {
+                        put_query(&mut held.out, b"-", &[b"BEGIN"]);
+                    } else {
+                        put_query(&mut held.out, &txn.begin_id, &[&[mark.as_bytes(), b"BEGIN READ"].concat()]);
+                    }
+                    expect(What::Begin, is_plain);
+                    txn.db = Some(db);
+                    held.holder = Some(id);
+                }
+                txn.may_have_written |= ask.verb() == Verb::Write;
+                put_query(&mut held.out, &ask.id, &[&ask.text]);
+                is_plain || !txn.only_reads
+            }
+            None if is_wrapped => {
+                put_query(&mut held.out, b"-", &[b"BEGIN"]);
+                expect(What::Begin, true);
+                put_query(&mut held.out, &ask.id, &[&ask.text]);
+                true
+            }
+            None => {
+                put_query(&mut held.out, &ask.id, &[&[mark.as_bytes(), &ask.text[..]].concat()]);
+                false
+            }
+        };
+        // Only what a deposed primary would have refused tells where the log really stands.
+        let is_fenced = match ask.verb() {
+            Verb::Read => is_plain,
+            Verb::Write => true,
+            Verb::Commit => client.txn.as_ref().is_some_and(|txn| txn.may_have_written),
+        };
+        expect(what, is_fenced);
+        if is_wrapped && client.txn.is_none() {
+            put_query(&mut held.out, b"-", &[b"ABORT"]);
+            expect(What::Abort, false);
+        }
+        self.acts.push(Act::WriteDb(db));
+    }
+}
--- /dev/null
+++ b/crates/wv-access/src/schedule.rs
@@ -0,0 +1,51 @@
+use std::cmp::Reverse;
+
+/// What is to be looked at when its time comes.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Schedule {
+    /// A statement's own limit.
+    Expiry {
+        client: u64,
+        number: u64,
+    },
+    /// An ask that waits is offered again or refused.
+    Offer {
+        client: u64,
+        number: u64,
+    },
+    TxnIdle {
+        client: u64,
+        since: u64,
+    },
+    Setup {
+        client: u64,
+    },
+}
+
+/// Schedules by time. Those overtaken by events are dropped when they come to the front.
+#[derive(Default)]
+pub struct Schedules {
+    heap: std::collections::BinaryHeap<Reverse<(u64, Schedule)>>,
+}
+
+impl Schedules {
+    pub fn put(&mut self, at: u64, schedule: Schedule) {
+        self.heap.push(Reverse((at, schedule)));
+    }
+
+    /// The time of the first schedule that still matters.
+    pub fn next(&mut self, is_live: impl Fn(&Schedule) -> bool) -> Option<u64> {
+        while let Some(Reverse((at, schedule))) = self.heap.peek() {
+            if is_live(schedule) {
+                return Some(*at);
+            }
+            self.heap.pop();
+        }
+        None
+    }
+
+    pub fn due(&mut self, now: u64) -> Option<Schedule> {
+        let is_due = self.heap.peek().is_some_and(|Reverse((at, _))| *at <= now);
+        is_due.then(|| self.heap.pop()).flatten().map(|Reverse((_, schedule))| schedule)
+    }
+}
--- /dev/null
+++ b/crates/wv-access/src/txn.rs
@@ -0,0 +1,60 @@
+//! A client's transaction from its `BEGIN` to its end.
+use crate::core::Core;
+use crate::schedule::Schedule;
+use crate::types::{Fail, Txn};
+use std::rc::Rc;
+use wv_conf::Lane;
+use wv_wire::Code;
+
+impl Core {
+    pub(crate) fn begin(&mut self, id: u64, query: &[u8], lane: Rc<Lane>, only_reads: bool) {
+        let now = self.now;
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if client.txn.is_some() {
+            return self.own_error(id, Code::Malformed, "a transaction is open");
+        }
+        let at = client.first_byte;
+        client.txn = Some(Txn {
+            lane,
+            begin_id: query.to_vec(),
+            only_reads,
+            at,
+            db: None,
+            is_begun: false,
+            may_have_written: false,
+            fail: None,
+            rests_since: now,
+        });
+        self.own_complete(id);
+        self.rest(id);
+    }
+
+    /// Lets go of the client's transaction: its connection rolls back and returns to the pool.
+    pub(crate) fn end_txn(&mut self, id: u64) {
+        let txn = self.clients.get_mut(&id).and_then(|client| client.txn.take());
+        if let Some(db) = txn.and_then(|txn| txn.db) {
+            self.abort_db(db);
+        }
+    }
+
+    /// A transaction that rests too long is rolled back behind; the client hears of it with its next statement.
+    pub(crate) fn txn_idle(&mut self, id: u64, since: u64) {
+        let Some(client) = self.clients.get_mut(&id).filter(|client| !client.ask.is_open) else { return };
+        let Some(txn) = client.txn.as_mut().filter(|txn| txn.rests_since == since && txn.fail.is_none()) else {
+            return;
+        };
+        txn.fail = Some(Fail::Untold);
+        if let Some(db) = txn.db.take() {
+            self.abort_db(db);
+        }
+    }
+
+    /// The session goes back to rest inside its transaction.
+    pub(crate) fn rest(&mut self, id: u64) {
+        let (now, wait) = (self.now, self.conf.as_ref().map_or(3_000_000, |conf| conf.limits.txn_idle_us));
+        if let Some(txn) = self.clients.get_mut(&id).and_then(|client| client.txn.as_mut()) {
+            txn.rests_since = now;
+            self.schedules.put(now + wait, Schedule::TxnIdle { client: id, since: now });
+        }
+    }
+}
--- /dev/null
+++ b/crates/wv-access/src/types.rs
@@ -0,0 +1,145 @@
+use std::rc::Rc;
+use wv_check::Spot;
+use wv_conf::Lane;
+use wv_wire::Code;
+
+/// What the executor is told to do.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Act {
+    WriteClient(u64),
+    WriteDb(u64),
+    /// Closes once these last bytes went out.
+    CloseClient(u64, Vec<u8>),
+    CloseDb(u64),
+    OpenDb {
+        db: u64,
+        addr: String,
+    },
+}
+
+/// How a connection to a database came to its end.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Lost {
+    Refused,
+    /// Nothing came back at all: the far end or the way there is dark.
+    Dark,
+    Closed,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Verb {
+    Read,
+    Write,
+    Commit,
+}
+
+/// The statement that a client waits for; its buffers are kept from one to the next.
+#[derive(Default)]
+pub struct Ask {
+    pub is_open: bool,
+    /// Counts the session's statements, so that old schedules and returns are known as such.
+    pub number: u64,
+    pub id: Vec<u8>,
+    /// The text as sent to databases: prepared names are already ours.
+    pub text: Vec<u8>,
+    pub verb: Option<Verb>,
+    pub shape: Option<u32>,
+    pub at: u64,
+    pub limit: u64,
+    pub tries: u32,
+    pub refused: Vec<Spot>,
+    /// The connection it was sent on.
+    pub db: Option<u64>,
+    /// In the waiting line of this pool.
+    pub queued: Option<Spot>,
+    pub last_code: Option<Code>,
+    pub lane: Option<Rc<Lane>>,
+    pub first_byte: u64,
+    pub ret: Vec<u8>,
+    pub is_streamed: bool,
+}
+
+impl Ask {
+    pub fn verb(&self) -> Verb {
+        self.verb.unwrap_or(Verb::Write)
+    }
+}
+
+/// A failed transaction, and whether its client has heard so.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Fail {
+    Untold,
+    Told,
+}
+
+/// A client's open transaction.
+pub struct Txn {
+    pub lane: Rc<Lane>,
+    pub begin_id: Vec<u8>,
+    pub only_reads: bool,
+    /// When its first byte came.
+    pub at: u64,
+    pub db: Option<u64>,
+    /// A statement of it has succeeded: it can no longer begin elsewhere.
+    pub is_begun: bool,
+    /// A statement that may have written was sent.
+    pub may_have_written: bool,
+    pub fail: Option<Fail>,
+    pub rests_since: u64,
+}
+
+pub struct Client {
+    pub database: Option<String>,
+    pub inbuf: Vec<u8>,
+    pub out: Vec<u8>,
+    pub session: wv_pool::Session,
+    pub ask: Ask,
+    pub txn: Option<Txn>,
+    pub is_closing: bool,
+    pub first_byte: u64,
+}
+
+/// What the next lines of a database answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum What {
+    Setup,
+    Sync,
+    Begin,
+    Abort,
+    Ask { client: u64, number: u64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Expect {
+    pub what: What,
+    pub sent: u64,
+    /// Runs inside a plain transaction, so that only a database that leads can have run it.
+    pub is_fenced: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    Opening,
+    Idle,
+    Busy,
+}
+
+/// A connection to a database.
+pub struct Db {
+    pub spot: Spot,
+    pub id: String,
+    pub phase: Phase,
+    pub inbuf: Vec<u8>,
+    pub out: Vec<u8>,
+    pub tie: wv_pool::Tie,
+    pub expects: std::collections::VecDeque<Expect>,
+    /// The error of what is being read, if one came.
+    pub code: Option<Code>,
+    /// `BEGIN` was refused: what follows in the same write fails for its reason.
+    pub begin_code: Option<Code>,
+    /// Own statements did not go as they must, or nobody waits any more: close, never use again.
+    pub is_doubtful: bool,
+    /// The client whose transaction holds it.
+    pub holder: Option<u64>,
+    pub since: u64,
+}
--- /dev/null
+++ b/crates/wv-boot/src/lib.rs
@@ -0,0 +1,145 @@
+//! The boot file: what the platform tells a process at its start. Unknown fields are skipped.
+
+#[derive(thiserror::Error, Debug)]
+pub enum BootError {
+    #[error("WINDVALVE_BOOT is not set and no --boot was given")]
+    Unnamed,
+    #[error("boot file {0}: {1}")]
+    Read(String, std::io::Error),
+    #[error("boot file {0} is not readable as YAML: {1}")]
+    Yaml(String, serde_yaml_ng::Error),
+    #[error("boot file {0}: {1}")]
+    Field(String, wv_conf::PathError),
+    #[error("boot file {0}: {1} is not an address (IP:PORT): {2:?}")]
+    Address(String, &'static str, String),
+    #[error("boot file {0}: {1}")]
+    Value(String, &'static str),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Platform {
+    pub addr: std::net::SocketAddr,
+    pub duty_rate: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Boot {
+    pub node: String,
+    pub zone: String,
+    pub ip: std::net::IpAddr,
+    pub front: Option<std::net::SocketAddr>,
+    pub readiness: Option<std::net::SocketAddr>,
+    pub control: Option<std::net::SocketAddr>,
+    pub inner_port: u16,
+    pub seeds: Vec<std::net::SocketAddr>,
+    pub initial_start: bool,
+    pub data_dir: Option<std::path::PathBuf>,
+    pub heartbeat_us: u64,
+    pub contact_us: u64,
+    pub grace_us: u64,
+    pub drain_us: u64,
+    pub tolerate_machines: u64,
+    pub max_fds: u64,
+    pub platform: Option<Platform>,
+}
+
+fn addr(file: &str, name: &'static str, text: &str) -> Result<std::net::SocketAddr, BootError> {
+    text.parse().map_err(|_| BootError::Address(file.to_owned(), name, text.to_owned()))
+}
+
+impl Boot {
+    /// The path in force: the flag first, else `WINDVALVE_BOOT`.
+    pub fn path(flag: Option<&str>) -> Result<String, BootError> {
+        flag.map(str::to_owned).or_else(|| std::env::var("WINDVALVE_BOOT").ok()).ok_or(BootError::Unnamed)
+    }
+
+    pub fn load(path: &str) -> Result<Boot, BootError> {
+        std::fs::read_to_string(path)
+            .map_err(|error| BootError::Read(path.to_owned(), error))
+            .and_then(|text| Boot::parse(path, &text))
+    }
+
+    pub fn parse(file: &str, text: &str) -> Result<Boot, BootError> {
+        let value: serde_json::Value =
+            serde_yaml_ng::from_str(text).map_err(|error| BootError::Yaml(file.to_owned(), error))?;
+        let reader = wv_conf::Reader::new(&value);
+        let field = |error| BootError::Field(file.to_owned(), error);
+        let ip_text = reader.text("ip").map_err(field)?;
+        let ip = ip_text.parse().map_err(|_| BootError::Address(file.to_owned(), "ip", ip_text.to_owned()))?;
+        let listen = |name: &'static str, path: &str| {
+            reader
+                .has(path)
+                .then(|| reader.text(path).map_err(field).and_then(|text| addr(file, name, text)))
+                .transpose()
+        };
+        let ports = reader.list("internalPorts").map_err(field)?;
+        let inner_port = ports
+            .first()
+            .ok_or(BootError::Value(file.to_owned(), "internalPorts is empty"))?
+            .itself_whole()
+            .map_err(field)?;
+        let inner_port = u16::try_from(inner_port)
+            .ok()
+            .filter(|port| *port > 0)
+            .ok_or(BootError::Value(file.to_owned(), "internalPorts[0] is not a port"))?;
+        let seeds = reader
+            .list("seeds")
+            .map_err(field)?
+            .iter()
+            .map(|seed| seed.itself().map_err(field).and_then(|text| addr(file, "seeds", text)))
+            .collect::<Result<Vec<_>, _>>()?;
+        let us = |path: &str, default_ms: f64, unit: f64| {
+            if reader.has(path) { reader.number(path).map_err(field) } else { Ok(default_ms) }
+                .map(|number| (number * unit) as u64)
+        };
+        let platform = reader
+            .has("platformApi.address")
+            .then(|| {
+                let place = reader.text("platformApi.address").map_err(field)?;
+                let duty_rate = if reader.has("platformApi.dutyRateS") {
+                    reader.number("platformApi.dutyRateS").map_err(field)?
+                } else {
+                    1.0
+                };
+                addr(file, "platformApi.address", place).map(|addr| Platform { addr, duty_rate })
+            })
+            .transpose()?;
+        Ok(Boot {
+            node: reader.text("nodeName").map_err(field)?.to_owned(),
+            zone: reader.text("zone").map_err(field)?.to_owned(),
+            ip,
+            front: listen("listenAddrs.front", "listenAddrs.front")?,
+            readiness: listen("listenAddrs.readiness", "listenAddrs.readiness")?,
+            control: listen("listenAddrs.control", "listenAddrs.control")?,
+            inner_port,
+            seeds,
+            initial_start: if reader.has("initialStart") { reader.flag("initialStart").map_err(field)? } else { false },
+            data_dir: if reader.has("dataDir") {
+                Some(std::path::PathBuf::from(reader.text("dataDir").map_err(field)?))
+            } else {
+                None
+            },
+            heartbeat_us: us("heartbeatMs", 1000.0, 1e3)?,
+            contact_us: us("timers.contactMs", 4000.0, 1e3)?,
+            grace_us: us("timers.graceS", 6.0, 1e6)?,
+            drain_us: us("timers.drainMs", 7000.0, 1e3)?,
+            tolerate_machines: if reader.has("faultTolerance.machines") {
+                reader.whole("faultTolerance.machines").map_err(field)?
+            } else {
+                0
+            },
+            max_fds: reader.whole_or("limits.maxFds", 1024).map_err(field)?,
+            platform,
+        })
+    }
+
+    /// How many clients a node takes: descriptors are left for databases, links and files.
+    pub fn clients_max(&self) -> usize {
+        (self.max_fds as usize).saturating_sub(400).max(64) * 3 / 4
+    }
+
+    /// Where the control node at `control` listens for the system's own links.
+    pub fn inner_addr(&self, control: std::net::SocketAddr) -> std::net::SocketAddr {
+        std::net::SocketAddr::new(control.ip(), self.inner_port)
+    }
+}
--- /dev/null
+++ b/crates/wv-check/src/fenced.rs
@@ -0,0 +1,39 @@
+use wv_wire::Pos;
+
+/// Sightings closer together than this are folded into one.
+const GAP_US: u64 = 40_000;
+const KEPT: usize = 128;
+
+/// Fenced sightings of a primary: a log place and the moment just before the statement that showed it was sent.
+/// Each covers every commit that was acknowledged before its moment.
+#[derive(Default)]
+pub struct Fenced {
+    seen: std::collections::VecDeque<(u64, Pos)>,
+}
+
+impl Fenced {
+    pub fn note(&mut self, sent: u64, pos: Pos) {
+        // A statement overtaken by a later one tells nothing that is worth a slot of its own.
+        if self.seen.back().is_some_and(|(last, held)| sent < last + GAP_US && pos.term <= held.term) {
+            return;
+        }
+        // A newer term may have cut back what the older one's places name: replicas could wait for them in vain.
+        if self.seen.back().is_some_and(|(_, last)| last.term < pos.term) {
+            self.seen.clear();
+        }
+        if self.seen.len() == KEPT {
+            self.seen.pop_front();
+        }
+        self.seen.push_back((sent, pos));
+    }
+
+    /// The oldest place that still covers all commits acknowledged before `since`: the easiest one to have reached.
+    pub fn covering(&self, since: u64) -> Option<Pos> {
+        let at = self.seen.partition_point(|(sent, _)| *sent < since);
+        self.seen.get(at).map(|(_, pos)| *pos)
+    }
+
+    pub fn newest(&self) -> Option<(u64, Pos)> {
+        self.seen.back().copied()
+    }
+}
--- /dev/null
+++ b/crates/wv-check/src/lib.rs
@@ -0,0 +1,93 @@
+//! One checker per service: routing states from the configuration, the beats and the node's own sightings.
+mod checker;
+mod fenced;
+
+pub use checker::{Checker, Member, State};
+pub use fenced::Fenced;
+
+/// A database's seat in this node: its service's checker and its seat there.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
+pub struct Spot {
+    pub service: u16,
+    pub seat: u16,
+}
+
+/// All checkers of a node.
+#[derive(Default)]
+pub struct Checks {
+    checkers: Vec<Checker>,
+    names: hashbrown::HashMap<String, u16, ahash::RandomState>,
+    spots: hashbrown::HashMap<String, Spot, ahash::RandomState>,
+}
+
+impl Checks {
+    pub fn service(&mut self, name: &str) -> u16 {
+        if let Some(at) = self.names.get(name) {
+            return *at;
+        }
+        let at = self.checkers.len() as u16;
+        self.checkers.push(Checker::new(name));
+        self.names.insert(name.to_owned(), at);
+        at
+    }
+
+    pub fn find(&self, name: &str) -> Option<u16> {
+        self.names.get(name).copied()
+    }
+
+    pub fn checker(&self, service: u16) -> Option<&Checker> {
+        self.checkers.get(service as usize)
+    }
+
+    pub fn checker_mut(&mut self, service: u16) -> Option<&mut Checker> {
+        self.checkers.get_mut(service as usize)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (u16, &Checker)> {
+        self.checkers.iter().enumerate().map(|(at, checker)| (at as u16, checker))
+    }
+
+    pub fn member(&self, spot: Spot) -> Option<&Member> {
+        self.checker(spot.service)?.member(spot.seat)
+    }
+
+    pub fn member_mut(&mut self, spot: Spot) -> Option<&mut Member> {
+        self.checker_mut(spot.service)?.member_mut(spot.seat)
+    }
+
+    pub fn spot(&self, id: &str) -> Option<Spot> {
+        self.spots.get(id).copied()
+    }
+
+    /// Takes what the feed says of a database.
+    pub fn inst(&mut self, inst: &wv_inner::Inst, now: u64) -> Option<Spot> {
+        let service = self.service(&inst.service);
+        let known = self.spot(&inst.id).filter(|spot| spot.service == service);
+        // One that is gone and was never known here needs no seat.
+        if known.is_none() && inst.gone {
+            return None;
+        }
+        let checker = self.checkers.get_mut(service as usize)?;
+        let (seat, freed) = checker.seat(known.map(|spot| spot.seat), inst, now)?;
+        if let Some(id) = freed {
+            self.spots.remove(&id);
+        }
+        let spot = Spot { service, seat };
+        self.spots.insert(inst.id.clone(), spot);
+        Some(spot)
+    }
+
+    pub fn lead(&mut self, lead: &wv_inner::Lead, now: u64) {
+        let service = self.service(&lead.service);
+        if let Some(checker) = self.checkers.get_mut(service as usize) {
+            checker.lead(lead, now);
+        }
+    }
+
+    /// A snapshot names every database there is: the ones it leaves out are gone.
+    pub fn retain(&mut self, ids: &hashbrown::HashSet<&str>) {
+        for member in self.checkers.iter_mut().flat_map(Checker::members_mut) {
+            member.inst.gone |= !ids.contains(member.inst.id.as_str());
+        }
+    }
+}
--- /dev/null
+++ b/crates/wv-conf/src/lib.rs
@@ -0,0 +1,162 @@
+//! The operator's configuration: read whole, checked, and kept as sent.
+mod path;
+
+pub use path::{PathError, Reader};
+
+/// Bounds on what a configuration may hold.
+pub const BODY_MAX: usize = 1 << 20;
+pub const ENTRIES_MAX: usize = 10_000;
+
+#[derive(thiserror::Error, Debug)]
+pub enum ConfError {
+    #[error("not readable as JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error(transparent)]
+    Path(#[from] PathError),
+    #[error("lane {0} names the unknown service {1}")]
+    UnknownService(String, String),
+    #[error("two lanes share host {0} and prefix {1}")]
+    SamePlace(String, String),
+    #[error("lane {0} has an expiryMs of 0")]
+    NoLimit(String),
+    #[error("service {0} stands twice")]
+    SameService(String),
+    #[error("more than {ENTRIES_MAX} entries")]
+    TooMany,
+}
+
+/// Which databases may run a lane's reads.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Category {
+    Primary,
+    Bounded { stale_us: u64 },
+}
+
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Lane {
+    pub label: String,
+    pub host: String,
+    pub category: Category,
+    pub expiry_us: u64,
+    pub target_us: u64,
+    pub precedence: u32,
+    pub service: String,
+    pub max_attempts: u32,
+}
+
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Service {
+    pub label: String,
+    pub max_connections: u32,
+    pub sync_replicas: u32,
+}
+
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Limits {
+    pub line_bytes: usize,
+    pub setup_us: u64,
+    pub txn_idle_us: u64,
+}
+
+/// One whole configuration under its sequence.
+#[derive(Clone, Debug)]
+pub struct Conf {
+    pub sequence: u64,
+    pub lanes: Vec<std::rc::Rc<Lane>>,
+    pub services: hashbrown::HashMap<String, Service, ahash::RandomState>,
+    pub limits: Limits,
+    hosts: hashbrown::HashMap<String, usize, ahash::RandomState>,
+}
+
+fn ms(reader: &Reader<'_>, path: &str) -> Result<u64, PathError> {
+    reader.number(path).map(|ms| (ms * 1000.0) as u64)
+}
+
+fn ms_or(reader: &Reader<'_>, path: &str, default: u64) -> Result<u64, PathError> {
+    if reader.has(path) {
+        ms(reader, path)
+    } else {
+        Ok(default)
+    }
+}
+
+fn read_lane(reader: &Reader<'_>) -> Result<(Lane, String), ConfError> {
+    let label = reader.text("label")?.to_owned();
+    let expiry_us = ms(reader, "expiryMs")?;
+    // A statement that may take no time could never be served: the operator meant something else.
+    if expiry_us == 0 {
+        return Err(ConfError::NoLimit(label));
+    }
+    // An unknown category is the strictest one, so that a newer word never weakens a promise.
+    let category = match reader.text("category").unwrap_or("primary") {
+        "bounded_staleness" => Category::Bounded { stale_us: ms_or(reader, "maxStalenessMs", 0)? },
+        _ => Category::Primary,
+    };
+    let prefix = if reader.has("pathPrefix") { reader.text("pathPrefix")?.to_owned() } else { "/".to_owned() };
+    let lane = Lane {
+        host: reader.text("host")?.to_owned(),
+        category,
+        expiry_us,
+        target_us: ms_or(reader, "targetMs", expiry_us)?.max(1000),
+        precedence: reader.whole_or("precedence", 1)?.min(255) as u32,
+        service: reader.text("destination")?.to_owned(),
+        max_attempts: reader.whole_or("maxAttempts", 1)?.clamp(1, 16) as u32,
+        label,
+    };
+    Ok((lane, prefix))
+}
+
+fn read_service(reader: &Reader<'_>) -> Result<Service, ConfError> {
+    Ok(Service {
+        label: reader.text("label")?.to_owned(),
+        max_connections: reader.whole_or("maxConnections", 64)?.clamp(1, 100_000) as u32,
+        sync_replicas: reader.whole_or("syncReplicas", 0)?.min(1000) as u32,
+    })
+}
+
+impl Conf {
+    pub fn parse(body: &[u8]) -> Result<Conf, ConfError> {
+        let value: serde_json::Value = serde_json::from_slice(body)?;
+        let reader = Reader::new(&value);
+        let sequence = reader.whole("issue")?;
+        let mut services = hashbrown::HashMap::default();
+        let (service_list, lane_list) = (reader.list("services")?, reader.list("routing")?);
+        if service_list.len() > ENTRIES_MAX || lane_list.len() > ENTRIES_MAX {
+            return Err(ConfError::TooMany);
+        }
+        for entry in service_list {
+            let service = read_service(&entry)?;
+            let label = service.label.clone();
+            if services.insert(label.clone(), service).is_some() {
+                return Err(ConfError::SameService(label));
+            }
+        }
+        let mut places = hashbrown::HashSet::new();
+        let (mut lanes, mut hosts) = (Vec::new(), hashbrown::HashMap::default());
+        for entry in lane_list {
+            let (lane, prefix) = read_lane(&entry)?;
+            if !services.contains_key(&lane.service) {
+                return Err(ConfError::UnknownService(lane.label, lane.service));
+            }
+            if !places.insert((lane.host.clone(), prefix.clone())) {
+                return Err(ConfError::SamePlace(lane.host, prefix));
+            }
+            // The wire has no paths: of several lanes with one host the first one counts.
+            hosts.entry(lane.host.clone()).or_insert(lanes.len());
+            lanes.push(std::rc::Rc::new(lane));
+        }
+        let limits = Limits {
+            line_bytes: (reader.whole_or("limits.headerBytes", 16_384)? as usize)
+                .saturating_add(reader.whole_or("limits.bodyBytes", 262_144)? as usize)
+                .clamp(1024, 1 << 20),
+            setup_us: ms_or(&reader, "limits.headerTimerMs", 3_000_000)?,
+            txn_idle_us: ms_or(&reader, "limits.txnIdleMs", 3_000_000)?,
+        };
+        Ok(Conf { sequence, lanes, services, limits, hosts })
+    }
+
+    /// The lane whose host is this database name.
+    pub fn lane(&self, database: &str) -> Option<&std::rc::Rc<Lane>> {
+        self.hosts.get(database).and_then(|at| self.lanes.get(*at))
+    }
+}
--- /dev/null
+++ b/crates/wv-control/src/conf.rs
@@ -0,0 +1,88 @@
+//! The operator's calls: configurations go onto a majority of disks before anyone hears of them.
+use crate::core::{Core, Waiting, CONF};
+use wv_inner::{Msg, News};
+use wv_reg::{Done, Outcome};
+
+impl Core {
+    /// A call of the operator or of a database; the return comes as an act under `token`.
+    pub fn call(&mut self, token: u64, method: &str, path: &str, body: Option<&[u8]>, now: u64) {
+        self.now = self.now.max(now);
+        let steps: Vec<&str> = path.split('?').next().unwrap_or(path).trim_matches('/').split('/').collect();
+        match (method, &steps[..]) {
+            ("PUT", ["configuration"]) => self.put_conf(token, body),
+            ("GET", ["configuration"]) => {
+                self.waiting.insert(token, Waiting::Get);
+                self.quorum.start(token, CONF, None, self.now);
+                self.run_quorum();
+            }
+            ("PUT", ["instances", id]) if !id.is_empty() => self.put_inst(token, id, body),
+            ("DELETE", ["instances", id]) if !id.is_empty() => self.delete_inst(token, id),
+            ("GET", ["instances"]) => self.list_insts(token),
+            (_, ["configuration"] | ["instances"] | ["instances", _]) => {
+                self.ret(token, 405, "{\"cause\":\"this method is not served here\"}")
+            }
+            _ => self.ret(token, 404, "{\"cause\":\"no such path\"}"),
+        }
+    }
+
+    fn put_conf(&mut self, token: u64, body: Option<&[u8]>) {
+        let Some(body) = body.filter(|body| body.len() <= crate::core::BODY_MAX) else {
+            return self.ret(token, 413, "{\"cause\":\"the configuration is over the bound\"}");
+        };
+        // Checked also when its sequence is old: an invalid one is never acknowledged.
+        let conf = match wv_conf::Conf::parse(body) {
+            Ok(conf) => conf,
+            Err(error) => return self.ret(token, 400, cause(&error.to_string())),
+        };
+        self.waiting.insert(token, Waiting::Put);
+        self.quorum.start(token, CONF, Some(wv_reg::cell(conf.sequence, body.to_vec())), self.now);
+        self.run_quorum();
+    }
+
+    /// Reads the register to learn what stands in force.
+    pub(crate) fn sync_conf(&mut self) {
+        if !std::mem::replace(&mut self.is_syncing, true) {
+            let token = self.fresh_id();
+            self.waiting.insert(token, Waiting::Sync);
+            self.quorum.start(token, CONF, None, self.now);
+            self.run_quorum();
+        }
+    }
+
+    pub(crate) fn quorum_done(&mut self, done: Done) {
+        let Some(waiting) = self.waiting.remove(&done.token) else { return };
+        if done.key == CONF {
+            if let Outcome::Read(cell) | Outcome::Written(cell) | Outcome::Held(cell) = &done.outcome {
+                let is_news = cell.sequence > self.published;
+                self.in_force(cell);
+                if is_news && matches!(waiting, Waiting::Put) {
+                    self.send_peers(&Msg::Committed { key: CONF.to_owned(), cell: cell.clone() });
+                }
+            }
+        }
+        match (waiting, done.outcome) {
+            (Waiting::Put, Outcome::Written(_) | Outcome::Held(_)) => self.ret(done.token, 200, "{}"),
+            (Waiting::Get, Outcome::Read(cell)) if cell.sequence == 0 && cell.value.is_empty() => {
+                self.ret(done.token, 404, "{\"cause\":\"no configuration has been taken yet\"}")
+            }
+            (Waiting::Get, Outcome::Read(cell)) => self.ret(done.token, 200, cell.value),
+            (Waiting::Sync, outcome) => {
+                self.is_syncing = false;
+                self.is_caught_up |= matches!(outcome, Outcome::Read(_));
+            }
+            (_, _) => self.ret(done.token, 503, "{\"cause\":\"no majority of the voters answers\"}"),
+        }
+    }
+
+    /// A configuration that is known to stand on a majority enters the feed, never an older one.
+    pub(crate) fn in_force(&mut self, cell: &wv_inner::Cell) {
+        if cell.sequence > self.published && !cell.value.is_empty() {
+            self.published = cell.sequence;
+            self.publish(News::Conf { sequence: cell.sequence, body: cell.value.clone() });
+        }
+    }
+}
+
+pub(crate) fn cause(text: &str) -> Vec<u8> {
+    serde_json::json!({ "cause": text }).to_string().into_bytes()
+}
--- /dev/null
+++ b/crates/wv-control/src/core.rs
@@ -0,0 +1,195 @@
+use std::collections::BTreeMap;
+use wv_feed::{Feed, Table};
+use wv_inner::{Cell, Msg, News};
+use wv_reg::{Quorum, Store};
+use wv_roster::Roster;
+
+pub const CONF: &str = "conf";
+/// The configuration's body is read up to this bound.
+pub const BODY_MAX: usize = wv_conf::BODY_MAX;
+/// A majority heard within this is fresh contact.
+pub const FRESH_US: u64 = 1_300_000;
+
+/// What the executor is told to do.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Act {
+    Send { link: u64, msg: Msg },
+    Close { link: u64 },
+    Dial { link: u64, addr: String },
+    Return { token: u64, status: u16, body: Vec<u8> },
+}
+
+/// What a control node is started with.
+pub struct Start {
+    pub me: String,
+    pub node: String,
+    pub life: u64,
+    pub seeds: Vec<String>,
+    pub is_first: bool,
+}
+
+pub(crate) struct Link {
+    /// The control address of a control node, once it said hello.
+    pub peer: Option<String>,
+    /// The name of an access node, once it follows.
+    pub node: Option<String>,
+    pub is_follower: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Peer {
+    /// The link this side dialled.
+    pub link: Option<u64>,
+    pub is_up: bool,
+    pub dialed: u64,
+    pub ponged: u64,
+    pub is_mended: bool,
+}
+
+pub(crate) enum Waiting {
+    Put,
+    Get,
+    Sync,
+}
+
+pub(crate) struct Hold {
+    pub token: u64,
+    pub ask: u64,
+    pub wanted: usize,
+    pub got: usize,
+    pub limit: u64,
+}
+
+/// All state of a control node.
+pub struct Core {
+    pub(crate) now: u64,
+    pub(crate) me: String,
+    pub(crate) node: String,
+    pub(crate) life: u64,
+    pub(crate) seeds: Vec<String>,
+    pub(crate) store: Store,
+    pub(crate) is_mended: bool,
+    pub(crate) mends: BTreeMap<String, Vec<(String, Cell)>>,
+    pub(crate) quorum: Quorum,
+    pub(crate) feed: Feed,
+    pub(crate) table: Table,
+    pub(crate) roster: Roster,
+    pub(crate) links: BTreeMap<u64, Link>,
+    pub(crate) peers: BTreeMap<String, Peer>,
+    pub(crate) waiting: BTreeMap<u64, Waiting>,
+    pub(crate) holds: Vec<Hold>,
+    pub(crate) acts: Vec<Act>,
+    pub(crate) next_id: u64,
+    /// The newest configuration sequence known to stand on a majority.
+    pub(crate) published: u64,
+    pub(crate) is_caught_up: bool,
+    pub(crate) is_syncing: bool,
+    pub(crate) nodes_told: u32,
+    pub(crate) pinged: u64,
+    pub(crate) repaired: u64,
+    pub(crate) is_leaving: bool,
+}
+
+impl Core {
+    pub fn new(start: Start, mut store: Store) -> Result<Core, wv_reg::RegError> {
+        // The voters are the seeds of the first start; the disk remembers them, whatever later boots say.
+        if store.state().is_none() && start.is_first {
+            let state = wv_reg::State { me: start.me.clone(), voters: start.seeds.clone(), cells: Vec::new() };
+            store.reset(state)?;
+        }
+        let mut quorum = Quorum::default();
+        let is_mended = store.state().is_some();
+        store.state().into_iter().for_each(|state| quorum.set_voters(state.voters.clone()));
+        let mut peers = BTreeMap::new();
+        for addr in start.seeds.iter().chain(quorum.voters()).filter(|addr| **addr != start.me) {
+            peers.insert(addr.clone(), Peer::default());
+        }
+        Ok(Core {
+            now: 0,
+            roster: Roster::new(&start.me),
+            feed: Feed::new(start.life),
+            me: start.me,
+            node: start.node,
+            life: start.life,
+            seeds: start.seeds,
+            store,
+            is_mended,
+            mends: BTreeMap::new(),
+            quorum,
+            table: Table::default(),
+            links: BTreeMap::new(),
+            peers,
+            waiting: BTreeMap::new(),
+            holds: Vec::new(),
+            acts: Vec::new(),
+            next_id: 0,
+            published: 0,
+            is_caught_up: false,
+            is_syncing: false,
+            nodes_told: 0,
+            pinged: 0,
+            repaired: 0,
+            is_leaving: false,
+        })
+    }
+
+    pub fn take_acts(&mut self) -> Vec<Act> {
+        std::mem::take(&mut self.acts)
+    }
+
+    pub fn fresh_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    pub(crate) fn is_voter(&self) -> bool {
+        self.quorum.voters().contains(&self.me)
+    }
+
+    /// Whether a majority of voters is in fresh contact, this node counted where it votes.
+    pub fn is_fresh(&self) -> bool {
+        let own = usize::from(self.is_voter() && self.is_mended);
+        let others = self.quorum.voters().iter().filter_map(|voter| self.peers.get(voter));
+        let heard = others.filter(|peer| peer.is_up && peer.is_mended && peer.ponged + FRESH_US > self.now).count();
+        !self.quorum.voters().is_empty() && own + heard >= self.quorum.majority()
+    }
+
+    pub(crate) fn send(&mut self, link: u64, msg: Msg) {
+        self.acts.push(Act::Send { link, msg });
+    }
+
+    pub(crate) fn send_peer(&mut self, addr: &str, msg: Msg) -> bool {
+        let link = self.peers.get(addr).filter(|peer| peer.is_up).and_then(|peer| peer.link);
+        link.into_iter().for_each(|link| self.send(link, msg.clone()));
+        link.is_some()
+    }
+
+    pub(crate) fn send_peers(&mut self, msg: &Msg) -> usize {
+        let addrs: Vec<String> = self.peers.keys().cloned().collect();
+        addrs.iter().filter(|addr| self.send_peer(addr, msg.clone())).count()
+    }
+
+    pub(crate) fn publish(&mut self, news: News) {
+        let msg = self.feed.publish(news);
+        let followers: Vec<u64> = self.links.iter().filter(|(_, link)| link.is_follower).map(|(id, _)| *id).collect();
+        followers.into_iter().for_each(|link| self.send(link, msg.clone()));
+    }
+
+    pub(crate) fn ret(&mut self, token: u64, status: u16, body: impl Into<Vec<u8>>) {
+        self.acts.push(Act::Return { token, status, body: body.into() });
+    }
+
+    /// SIGTERM: sessions are sent elsewhere; calls are served on until the end.
+    pub fn leave(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        self.is_leaving = true;
+        self.beat_followers();
+    }
+
+    pub fn set_seeds(&mut self, seeds: Vec<String>) {
+        for addr in seeds.iter().filter(|addr| **addr != self.me) {
+            self.peers.entry(addr.clone()).or_default();
+        }
+        self.seeds = seeds;
+    }
+}
--- /dev/null
+++ b/crates/wv-control/src/exec.rs
@@ -0,0 +1,170 @@
+//! The executor of a control node: links, calls and time go into the core, its acts come out.
+use crate::core::{Act, Core};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::{mpsc, oneshot};
+use wv_inner::Msg;
+
+const CONNECT: std::time::Duration = std::time::Duration::from_millis(700);
+const SILENT: std::time::Duration = std::time::Duration::from_millis(1500);
+/// A link whose far end takes nothing is cut when this many messages wait.
+const QUEUE_MAX: usize = 4096;
+const LINKS_MAX: usize = 1024;
+
+type Queues = HashMap<u64, mpsc::Sender<Msg>>;
+
+/// Shared by all tasks. Lock order: `core`, then `links`, then `returns`; none is held over an await.
+#[derive(Clone)]
+pub struct Node {
+    pub core: Rc<RefCell<Core>>,
+    links: Rc<RefCell<Queues>>,
+    returns: Rc<RefCell<HashMap<u64, oneshot::Sender<wv_http::Return>>>>,
+    inner_port: u16,
+    epoch: std::time::Instant,
+}
+
+impl Node {
+    pub fn new(core: Core, inner_port: u16) -> Node {
+        Node {
+            core: Rc::new(RefCell::new(core)),
+            links: Default::default(),
+            returns: Default::default(),
+            inner_port,
+            epoch: std::time::Instant::now(),
+        }
+    }
+
+    pub fn now(&self) -> u64 {
+        self.epoch.elapsed().as_micros() as u64 + 1
+    }
+
+    pub fn with<T>(&self, event: impl FnOnce(&mut Core, u64) -> T) -> T {
+        let (ret, acts) = {
+            let mut core = self.core.borrow_mut();
+            let ret = event(&mut core, self.now());
+            (ret, core.take_acts())
+        };
+        acts.into_iter().for_each(|act| self.act(act));
+        ret
+    }
+
+    fn act(&self, act: Act) {
+        match act {
+            Act::Send { link, msg } => {
+                let is_stuck = self.links.borrow().get(&link).is_some_and(|queue| queue.try_send(msg).is_err());
+                if is_stuck {
+                    self.links.borrow_mut().remove(&link);
+                }
+            }
+            Act::Close { link } => {
+                self.links.borrow_mut().remove(&link);
+            }
+            Act::Dial { link, addr } => {
+                tokio::task::spawn_local(self.clone().dial(link, addr));
+            }
+            Act::Return { token, status, body } => {
+                let ret = self.returns.borrow_mut().remove(&token);
+                ret.into_iter().for_each(|sender| {
+                    let _ = sender.send(wv_http::Return::new(status, body.clone()));
+                });
+            }
+        }
+    }
+
+    async fn dial(self, link: u64, addr: String) {
+        let inner = addr.parse::<SocketAddr>().map(|addr| SocketAddr::new(addr.ip(), self.inner_port));
+        if let Ok(inner) = inner {
+            if let Ok(stream) = wv_http::connect(inner, CONNECT).await {
+                let receiver = self.enter(link);
+                self.with(|core, now| core.link_up(link, now));
+                self.carry(link, stream, receiver).await;
+            }
+        }
+        self.with(|core, now| core.link_down(link, now));
+    }
+
+    fn enter(&self, link: u64) -> mpsc::Receiver<Msg> {
+        let (sender, receiver) = mpsc::channel(QUEUE_MAX);
+        self.links.borrow_mut().insert(link, sender);
+        receiver
+    }
+
+    /// Takes in links for ever.
+    pub async fn accept(self, listener: tokio::net::TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                continue;
+            };
+            if self.links.borrow().len() >= LINKS_MAX {
+                continue;
+            }
+            let link = self.core.borrow_mut().link_in(self.now());
+            let receiver = self.enter(link);
+            let node = self.clone();
+            tokio::task::spawn_local(async move {
+                node.carry(link, stream, receiver).await;
+                node.with(|core, now| core.link_down(link, now));
+            });
+        }
+    }
+
+    /// Carries one link until either side ends it or it falls silent.
+    async fn carry(&self, link: u64, mut stream: tokio::net::TcpStream, mut receiver: mpsc::Receiver<Msg>) {
+        wv_http::tune(&stream, SILENT);
+        let (mut buf, mut out) = (Vec::new(), Vec::new());
+        loop {
+            tokio::select! {
+                msg = receiver.recv() => {
+                    let Some(msg) = msg else { break };
+                    wv_inner::put_frame(&mut out, &msg);
+                    while let Ok(msg) = receiver.try_recv() {
+                        wv_inner::put_frame(&mut out, &msg);
+                    }
+                    match tokio::time::timeout(SILENT, stream.write_all(&out)).await {
+                        Ok(Ok(())) => out.clear(),
+                        _ => break,
+                    }
+                }
+                read = tokio::time::timeout(SILENT, stream.read_buf(&mut buf)) => match read {
+                    Ok(Ok(len)) if len > 0 => {
+                        if !self.take_frames(link, &mut buf) {
+                            break;
+                        }
+                    }
+                    _ => break,
+                },
+            }
+        }
+        self.links.borrow_mut().remove(&link);
+    }
+
+    fn take_frames(&self, link: u64, buf: &mut Vec<u8>) -> bool {
+        loop {
+            match wv_inner::cut_frame(buf) {
+                Ok(None) => return true,
+                Ok(Some((msg, len))) => {
+                    buf.drain(..len);
+                    self.with(|core, now| core.msg(link, msg, now));
+                }
+                Err(error) => {
+                    log::warn!("link closed: {error}");
+                    return false;
+                }
+            }
+        }
+    }
+
+    pub async fn call(self, call: wv_http::Call) -> wv_http::Return {
+        let (sender, receiver) = oneshot::channel();
+        self.with(|core, now| {
+            let token = core.fresh_id();
+            self.returns.borrow_mut().insert(token, sender);
+            core.call(token, &call.method, &call.path, call.body.as_deref(), now);
+        });
+        receiver.await.unwrap_or_else(|_| wv_http::Return::new(503, "{}"))
+    }
+}
--- /dev/null
+++ b/crates/wv-control/src/lib.rs
@@ -0,0 +1,22 @@
+//! The control role: register, configuration, beats, feed and duties. Logic without sockets; `run` executes.
+mod beats;
+mod conf;
+mod core;
+mod exec;
+mod peers;
+mod run;
+mod tick;
+mod voter;
+
+pub use crate::core::{Act, Core, Start};
+pub use run::run;
+
+#[derive(thiserror::Error, Debug)]
+pub enum ControlError {
+    #[error("the boot file gives this role no control address")]
+    NoAddress,
+    #[error("cannot listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, std::io::Error),
+    #[error(transparent)]
+    Reg(#[from] wv_reg::RegError),
+}
--- /dev/null
+++ b/crates/wv-control/src/peers.rs
@@ -0,0 +1,168 @@
+//! Messages on the links: from access nodes and from other control nodes.
+use crate::core::{Core, Link};
+use wv_inner::{Inst, Msg};
+
+impl Core {
+    /// A link came in.
+    pub fn link_in(&mut self, now: u64) -> u64 {
+        self.now = self.now.max(now);
+        let link = self.fresh_id();
+        self.links.insert(link, Link { peer: None, node: None, is_follower: false });
+        link
+    }
+
+    /// A link this side dialled stands.
+    pub fn link_up(&mut self, link: u64, now: u64) {
+        self.now = self.now.max(now);
+        let Some(addr) = self.links.get(&link).and_then(|held| held.peer.clone()) else { return };
+        self.peers.get_mut(&addr).into_iter().for_each(|peer| peer.is_up = true);
+        self.send(link, Msg::Hello { node: self.node.clone(), control: self.me.clone(), life: self.life });
+        self.send(link, self.peers_msg());
+        let ask = self.quorum.next_ask();
+        self.send(link, Msg::Ping { ask });
+        self.send(link, Msg::Digests { ranges: self.table.digests() });
+        self.mend();
+    }
+
+    pub fn link_down(&mut self, link: u64, now: u64) {
+        self.now = self.now.max(now);
+        let Some(held) = self.links.remove(&link) else { return };
+        if let Some(peer) = held.peer.and_then(|addr| self.peers.get_mut(&addr)).filter(|peer| peer.link == Some(link))
+        {
+            (peer.link, peer.is_up) = (None, false);
+        }
+        let is_elsewhere = |node: &str| self.links.values().any(|link| link.node.as_deref() == Some(node));
+        if let Some(node) = held.node.filter(|node| !is_elsewhere(node)) {
+            self.roster.leave(&node);
+            self.tell_nodes();
+        }
+    }
+
+    fn peers_msg(&self) -> Msg {
+        let addrs = self.peers.keys().cloned().chain([self.me.clone()]).collect();
+        Msg::Peers { addrs, voters: self.quorum.voters().to_vec() }
+    }
+
+    pub fn msg(&mut self, link: u64, msg: Msg, now: u64) {
+        self.now = self.now.max(now);
+        let Some(held) = self.links.get(&link) else { return };
+        let (peer, node) = (held.peer.clone(), held.node.clone());
+        if let Some(addr) = &peer {
+            self.roster.peer(addr, self.now);
+        }
+        match (msg, peer, node) {
+            (Msg::Hello { node, control, .. }, _, _) => self.hello(link, node, control),
+            (msg, Some(addr), _) => self.peer_msg(link, &addr, msg),
+            (msg, None, Some(node)) => self.node_msg(link, &node, msg),
+            (_, None, None) => self.acts.push(crate::Act::Close { link }),
+        }
+        self.run_quorum();
+    }
+
+    fn hello(&mut self, link: u64, node: String, control: String) {
+        let is_control = !control.is_empty();
+        if is_control {
+            if control != self.me {
+                self.peers.entry(control.clone()).or_default();
+            }
+            self.links.insert(link, Link { peer: Some(control), node: None, is_follower: false });
+        } else {
+            self.roster.beat(&node, self.now);
+            self.links.insert(link, Link { peer: None, node: Some(node), is_follower: false });
+            self.tell_nodes();
+        }
+        self.send(link, self.peers_msg());
+    }
+
+    fn node_msg(&mut self, link: u64, node: &str, msg: Msg) {
+        match msg {
+            Msg::Here => {
+                self.roster.beat(node, self.now);
+            }
+            Msg::Follow { life, place } => {
+                // Without a majority in contact what is known here may be old: the node asks elsewhere.
+                if !self.is_fresh() || !self.is_caught_up || self.is_leaving {
+                    return self.send(link, Msg::Beat { fresh: false });
+                }
+                self.links.get_mut(&link).into_iter().for_each(|held| held.is_follower = true);
+                let msgs = self.feed.since(life, place, &self.table);
+                msgs.into_iter().for_each(|msg| self.send(link, msg));
+            }
+            Msg::Sights(_) => {}
+            _ => self.acts.push(crate::Act::Close { link }),
+        }
+    }
+
+    fn peer_msg(&mut self, link: u64, addr: &str, msg: Msg) {
+        match msg {
+            Msg::Peers { addrs, voters } => {
+                for addr in addrs.into_iter().filter(|addr| *addr != self.me) {
+                    self.peers.entry(addr).or_default();
+                }
+                self.learn_voters(voters);
+            }
+            Msg::Sessions { nodes } => {
+                self.roster.peer_sessions(addr, nodes, self.now);
+                self.tell_nodes();
+            }
+            Msg::Ping { ask } => {
+                let conf = self.store.get(crate::core::CONF).map_or(0, |cell| cell.sequence);
+                self.send(link, Msg::Pong { ask, conf, mended: self.is_mended });
+            }
+            Msg::Pong { conf, mended, .. } => {
+                if let Some(peer) = self.peers.get_mut(addr) {
+                    (peer.ponged, peer.is_mended) = (self.now, mended);
+                }
+                // A voter holds something newer than what is in force here: settle it and learn it.
+                if conf > self.published && self.is_fresh() {
+                    self.sync_conf();
+                }
+            }
+            Msg::Get { ask, key } => {
+                let (cell, mended) = self.local_get(&key);
+                self.send(link, Msg::Got { ask, cell, mended });
+            }
+            Msg::Got { ask, cell, mended } => self.quorum.got(addr, ask, cell, mended),
+            // An unmended voter stays silent: a refusal would only make the writer read again.
+            Msg::Put { ask, key, cell } if self.is_mended => {
+                let ok = self.local_put(&key, &cell);
+                self.send(link, Msg::PutDone { ask, ok, sequence: cell.sequence });
+            }
+            Msg::PutDone { ask, ok, .. } => self.quorum.put_done(addr, ask, ok),
+            Msg::GetAll { ask } if self.is_mended && self.is_voter() => {
+                let cells = self.store.state().map(|state| state.cells.clone()).unwrap_or_default();
+                self.send(link, Msg::GotAll { ask, cells, mended: true });
+            }
+            Msg::GotAll { cells, mended: true, .. } => self.mended_by(addr, cells),
+            Msg::Committed { key, cell } if key == crate::core::CONF => self.in_force(&cell),
+            Msg::Inst { ask, inst } => {
+                self.inst_from_peer(inst);
+                if ask > 0 {
+                    self.send(link, Msg::InstHeld { ask });
+                }
+            }
+            Msg::InstHeld { ask } => self.inst_held(ask),
+            Msg::Digests { ranges } => self.compare(link, &ranges),
+            Msg::Range { insts, .. } => self.mend_range(insts),
+            _ => {}
+        }
+    }
+
+    /// Sends what stands here in the ranges whose digests differ.
+    fn compare(&mut self, link: u64, theirs: &[u64]) {
+        let ours = self.table.digests();
+        for (range, sum) in ours.iter().enumerate() {
+            if theirs.get(range).is_some_and(|their| their != sum) {
+                let insts = self.table.range(range);
+                self.send(link, Msg::Range { range: range as u32, insts });
+            }
+        }
+    }
+
+    fn mend_range(&mut self, insts: Vec<Inst>) {
+        for inst in insts {
+            let changed = self.table.offer(inst);
+            self.announce(&changed, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wv-control/src/run.rs
@@ -0,0 +1,132 @@
+//! The control process: the actor that owns the node, its listeners and its signals.
+use crate::exec::Node;
+use crate::{ControlError, Core, Start};
+use actix::prelude::*;
+
+const TICK: std::time::Duration = std::time::Duration::from_millis(100);
+const BOOT_EVERY: u32 = 10;
+
+struct Control {
+    node: Node,
+    boot_path: String,
+    boot_seen: Option<std::time::SystemTime>,
+    rounds: u32,
+    leave_us: u64,
+    leaving_since: Option<u64>,
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+enum Signal {
+    Leave,
+    Reread,
+}
+
+fn changed(path: &str) -> Option<std::time::SystemTime> {
+    std::fs::metadata(path).and_then(|meta| meta.modified()).ok()
+}
+
+impl Control {
+    fn reread(&mut self) {
+        self.boot_seen = changed(&self.boot_path);
+        match wv_boot::Boot::load(&self.boot_path) {
+            Ok(boot) => {
+                let seeds = boot.seeds.iter().map(|seed| seed.to_string()).collect();
+                self.node.core.borrow_mut().set_seeds(seeds);
+                self.leave_us = boot.grace_us / 4;
+                log::info!("boot file read again");
+            }
+            Err(error) => log::warn!("boot file not taken, the old settings stay: {error}"),
+        }
+    }
+}
+
+impl Actor for Control {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Context<Self>) {
+        ctx.run_interval(TICK, |control, _| {
+            control.rounds += 1;
+            if control.rounds % BOOT_EVERY == 0 && changed(&control.boot_path) != control.boot_seen {
+                control.reread();
+            }
+            control.node.with(|core, now| core.tick(now));
+            if control.leaving_since.is_some_and(|since| control.node.now() > since + control.leave_us) {
+                System::current().stop();
+            }
+        });
+    }
+}
+
+impl Handler<Signal> for Control {
+    type Result = ();
+
+    fn handle(&mut self, signal: Signal, _: &mut Context<Self>) {
+        match signal {
+            Signal::Leave => {
+                self.leaving_since.get_or_insert(self.node.now());
+                self.node.with(|core, now| core.leave(now));
+            }
+            Signal::Reread => self.reread(),
+        }
+    }
+}
+
+async fn watch_signals(control: Addr<Control>) -> std::io::Result<()> {
+    use tokio::signal::unix::{signal, SignalKind};
+    let (mut term, mut hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
+    loop {
+        let signal = tokio::select! {
+            _ = term.recv() => Signal::Leave,
+            _ = hup.recv() => Signal::Reread,
+        };
+        control.do_send(signal);
+    }
+}
+
+fn open_store(boot: &wv_boot::Boot) -> Result<wv_reg::Store, wv_reg::RegError> {
+    let files: Box<dyn wv_reg::Files> = match &boot.data_dir {
+        Some(dir) => Box::new(wv_reg::DirFiles::open(dir)?),
+        // Without a disk nothing outlives the process; such a node only serves.
+        None => Box::new(wv_reg::MemFiles::default()),
+    };
+    wv_reg::Store::open(files)
+}
+
+/// Runs until the platform ends the process.
+pub fn run(boot: wv_boot::Boot, boot_path: &str) -> Result<(), ControlError> {
+    let addr = boot.control.ok_or(ControlError::NoAddress)?;
+    let life =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(1, |since| since.as_micros() as u64);
+    let seeds: Vec<String> = boot.seeds.iter().map(|seed| seed.to_string()).collect();
+    if boot.initial_start && boot.tolerate_machines as usize > seeds.len().saturating_sub(1) / 2 {
+        log::error!("{} voters do not bear the loss of {} machines", seeds.len(), boot.tolerate_machines);
+    }
+    let store = open_store(&boot)?;
+    let start = Start { me: addr.to_string(), node: boot.node.clone(), life, seeds, is_first: boot.initial_start };
+    let core = Core::new(start, store)?;
+    let system = System::new();
+    system.block_on(async {
+        let listener = wv_http::listen(addr).map_err(|error| ControlError::Listen(addr, error))?;
+        let inner = boot.inner_addr(addr);
+        let inner_listener = wv_http::listen(inner).map_err(|error| ControlError::Listen(inner, error))?;
+        let node = Node::new(core, boot.inner_port);
+        let called = node.clone();
+        tokio::task::spawn_local(wv_http::serve(listener, crate::core::BODY_MAX, move |call| {
+            called.clone().call(call)
+        }));
+        tokio::task::spawn_local(node.clone().accept(inner_listener));
+        let control = Control {
+            node,
+            boot_path: boot_path.to_owned(),
+            boot_seen: changed(boot_path),
+            rounds: 0,
+            leave_us: boot.grace_us / 4,
+            leaving_since: None,
+        };
+        tokio::task::spawn_local(watch_signals(control.start()));
+        log::info!("control node {} serves {addr}", boot.node);
+        Ok::<(), ControlError>(())
+    })?;
+    system.run().map_err(|error| ControlError::Listen(addr, error))
+}
--- /dev/null
+++ b/crates/wv-control/src/tick.rs
@@ -0,0 +1,70 @@
+//! Regular work of a control node.
+use crate::core::{Act, Core, Link};
+use wv_inner::{Msg, News};
+
+const PING_US: u64 = 400_000;
+const REPAIR_US: u64 = 2_000_000;
+const DIAL_US: u64 = 500_000;
+
+impl Core {
+    /// Regular work, ten times a second.
+    pub fn tick(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        self.dial();
+        if self.pinged + PING_US <= self.now {
+            self.pinged = self.now;
+            let ask = self.quorum.next_ask();
+            self.send_peers(&Msg::Ping { ask });
+            let nodes = self.roster.sessions();
+            self.send_peers(&Msg::Sessions { nodes });
+            self.beat_followers();
+            self.mend();
+        }
+        if self.repaired + REPAIR_US <= self.now {
+            self.repaired = self.now;
+            let ranges = self.table.digests();
+            self.send_peers(&Msg::Digests { ranges });
+        }
+        if !self.is_caught_up && self.is_fresh() {
+            self.sync_conf();
+        }
+        self.roster.tick(self.now);
+        self.tell_nodes();
+        self.quorum.tick(self.now);
+        self.run_quorum();
+        self.end_holds();
+    }
+
+    fn dial(&mut self) {
+        let now = self.now;
+        let due: Vec<String> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.link.is_none() && (peer.dialed == 0 || peer.dialed + DIAL_US <= now))
+            .map(|(addr, _)| addr.clone())
+            .collect();
+        for addr in due {
+            let link = self.fresh_id();
+            if let Some(peer) = self.peers.get_mut(&addr) {
+                (peer.link, peer.dialed, peer.is_up) = (Some(link), now.max(1), false);
+            }
+            self.links.insert(link, Link { peer: Some(addr.clone()), node: None, is_follower: false });
+            self.acts.push(Act::Dial { link, addr });
+        }
+    }
+
+    pub(crate) fn beat_followers(&mut self) {
+        let fresh = self.is_fresh() && self.is_caught_up && !self.is_leaving;
+        let followers: Vec<u64> =
+            self.links.iter().filter(|(_, link)| link.node.is_some()).map(|(id, _)| *id).collect();
+        followers.into_iter().for_each(|link| self.send(link, Msg::Beat { fresh }));
+    }
+
+    pub(crate) fn tell_nodes(&mut self) {
+        let nodes = self.roster.nodes().len() as u32;
+        if nodes != self.nodes_told && nodes > 0 {
+            self.nodes_told = nodes;
+            self.publish(News::Nodes(nodes));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wv-feed/src/follow.rs
@@ -0,0 +1,92 @@
+use wv_inner::{Lead, Msg, News};
+
+/// Changes kept for followers that come back; those further behind take a snapshot.
+const KEPT: usize = 1024;
+
+/// The publishing side: the newest state and the last changes of this life.
+pub struct Feed {
+    life: u64,
+    place: u64,
+    conf: Option<News>,
+    nodes: u32,
+    leads: std::collections::BTreeMap<String, Lead>,
+    changes: std::collections::VecDeque<(u64, News)>,
+}
+
+impl Feed {
+    pub fn new(life: u64) -> Feed {
+        Feed { life, place: 0, conf: None, nodes: 0, leads: Default::default(), changes: Default::default() }
+    }
+
+    /// Numbers a change; the caller sends the message to its followers.
+    pub fn publish(&mut self, news: News) -> Msg {
+        match &news {
+            News::Conf { .. } => self.conf = Some(news.clone()),
+            News::Nodes(nodes) => self.nodes = *nodes,
+            News::Lead(lead) => {
+                self.leads.insert(lead.service.clone(), lead.clone());
+            }
+            News::Inst(_) => {}
+        }
+        self.place += 1;
+        if self.changes.len() == KEPT {
+            self.changes.pop_front();
+        }
+        self.changes.push_back((self.place, news.clone()));
+        Msg::Change { place: self.place, news }
+    }
+
+    pub fn lead(&self, service: &str) -> Option<&Lead> {
+        self.leads.get(service)
+    }
+
+    /// What a follower at `place` of `life` needs: the changes since, or a snapshot.
+    pub fn since(&self, life: u64, place: u64, table: &crate::Table) -> Vec<Msg> {
+        let is_within = self.changes.front().is_some_and(|(first, _)| place + 1 >= *first) && place <= self.place;
+        if life == self.life && is_within {
+            return self
+                .changes
+                .iter()
+                .filter(|(at, _)| *at > place)
+                .map(|(place, news)| Msg::Change { place: *place, news: news.clone() })
+                .collect();
+        }
+        let mut news: Vec<News> = self.conf.iter().cloned().collect();
+        news.extend(table.iter().cloned().map(News::Inst));
+        news.extend(self.leads.values().cloned().map(News::Lead));
+        news.push(News::Nodes(self.nodes));
+        vec![Msg::Snapshot { life: self.life, place: self.place, news }]
+    }
+}
+
+/// A change is missing between what is held and what came: the feed is to be followed anew.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Gap;
+
+/// The following side: where it stands and whether a change fits on.
+#[derive(Default)]
+pub struct Follower {
+    pub life: u64,
+    pub place: u64,
+}
+
+impl Follower {
+    /// Takes a feed message; a gap asks for a new follow.
+    pub fn take(&mut self, msg: Msg) -> Result<Vec<News>, Gap> {
+        match msg {
+            Msg::Snapshot { life, place, news } => {
+                (self.life, self.place) = (life, place);
+                Ok(news)
+            }
+            Msg::Change { place, news } if place == self.place + 1 => {
+                self.place = place;
+                Ok(vec![news])
+            }
+            Msg::Change { place, .. } if place <= self.place => Ok(Vec::new()),
+            _ => {
+                (self.life, self.place) = (0, 0);
+                Err(Gap)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wv-feed/src/table.rs
@@ -0,0 +1,93 @@
+use wv_inner::Inst;
+
+/// Repair compares the table in this many ranges of hashed ids.
+pub const RANGES: usize = 16;
+/// The table never holds more; a fleet has a few databases a service.
+const INSTS_MAX: usize = 20_000;
+
+fn fnv(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
+}
+
+fn range(id: &str) -> usize {
+    (fnv(id.as_bytes()) >> 32) as usize % RANGES
+}
+
+/// All databases that beats have told of, newest sequence first.
+#[derive(Default)]
+pub struct Table {
+    insts: std::collections::BTreeMap<String, Inst>,
+}
+
+impl Table {
+    pub fn iter(&self) -> impl Iterator<Item = &Inst> {
+        self.insts.values()
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Inst> {
+        self.insts.get(id)
+    }
+
+    /// Takes a beat or a copy from a peer. Returns the entries that changed in more than their sequence.
+    pub fn offer(&mut self, inst: Inst) -> Vec<Inst> {
+        let is_new = !self.insts.contains_key(&inst.id);
+        if is_new && self.insts.len() >= INSTS_MAX {
+            return Vec::new();
+        }
+        let changed = match self.insts.get(&inst.id) {
+            // Who left stays gone: a late beat must not bring its place back.
+            Some(held) if held.gone => return Vec::new(),
+            Some(held) if inst.gone => {
+                let mut gone = held.clone();
+                gone.gone = true;
+                gone.sequence = gone.sequence.max(inst.sequence);
+                Some(gone)
+            }
+            Some(held) if inst.sequence <= held.sequence => None,
+            Some(held) => {
+                let mut same = inst.clone();
+                (same.sequence, same.cold_us) = (held.sequence, held.cold_us);
+                let is_same = same == *held;
+                self.insts.insert(inst.id.clone(), inst.clone());
+                if is_same {
+                    return Vec::new();
+                }
+                Some(inst)
+            }
+            None => Some(inst),
+        };
+        let Some(inst) = changed else { return Vec::new() };
+        let mut news = Vec::new();
+        // A place belongs to one database at a time: the one first heard of later has taken it.
+        if is_new && !inst.gone {
+            for other in self.insts.values_mut() {
+                if other.addr == inst.addr && other.id != inst.id && !other.gone {
+                    other.gone = true;
+                    news.push(other.clone());
+                }
+            }
+        }
+        self.insts.insert(inst.id.clone(), inst.clone());
+        news.push(inst);
+        news
+    }
+
+    /// One digest per range over what matters of each entry.
+    pub fn digests(&self) -> Vec<u64> {
+        let mut sums = vec![0u64; RANGES];
+        for inst in self.insts.values() {
+            let text = format!("{}|{}|{}|{}|{}", inst.id, inst.addr, inst.draining, inst.primary, inst.gone);
+            sums[range(&inst.id)] ^= fnv(text.as_bytes());
+        }
+        sums
+    }
+
+    pub fn range(&self, wanted: usize) -> Vec<Inst> {
+        self.insts.values().filter(|inst| range(&inst.id) == wanted).cloned().collect()
+    }
+
+    /// Drops the entries of databases that left, once nobody could still speak of them.
+    pub fn forget(&mut self, id: &str) {
+        self.insts.remove(id);
+    }
+}
--- /dev/null
+++ b/crates/wv-http/src/lib.rs
@@ -0,0 +1,120 @@
+//! HTTP for the ready probe, the operator, the beats and the platform; the library does the protocol.
+mod sock;
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response};
+pub use sock::{connect, listen, tune};
+
+/// Connections served at once per listener.
+const CONNECTIONS_MAX: usize = 512;
+const IDLE: std::time::Duration = std::time::Duration::from_secs(30);
+
+#[derive(thiserror::Error, Debug)]
+pub enum HttpError {
+    #[error("connect: {0}")]
+    Connect(std::io::Error),
+    #[error("http: {0}")]
+    Http(#[from] hyper::Error),
+    #[error("the call could not be built")]
+    Build,
+    #[error("no return in time")]
+    Late,
+}
+
+/// A call as the handlers see it, its body read whole.
+pub struct Call {
+    pub method: String,
+    pub path: String,
+    /// `None` where the body went over the bound.
+    pub body: Option<Bytes>,
+}
+
+/// A return: status, body, whether the body is JSON.
+pub struct Return {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
+impl Return {
+    pub fn new(status: u16, body: impl Into<Vec<u8>>) -> Return {
+        Return { status, body: body.into() }
+    }
+}
+
+fn respond(ret: Return) -> Response<Full<Bytes>> {
+    Response::builder()
+        .status(ret.status)
+        .header("Content-Type", "application/json")
+        .body(Full::new(Bytes::from(ret.body)))
+        .unwrap_or_default()
+}
+
+/// Serves `listener` for ever; each call goes to `handle`.
+pub async fn serve<H, F>(listener: tokio::net::TcpListener, body_max: usize, handle: H)
+where
+    H: Fn(Call) -> F + Clone + 'static,
+    F: std::future::Future<Output = Return> + 'static,
+{
+    let open = std::rc::Rc::new(std::cell::Cell::new(0usize));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of descriptors: a pause lets others close.
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            continue;
+        };
+        if open.get() >= CONNECTIONS_MAX {
+            continue;
+        }
+        tune(&stream, std::time::Duration::from_secs(3));
+        open.set(open.get() + 1);
+        let (open, handle) = (open.clone(), handle.clone());
+        tokio::task::spawn_local(async move {
+            let service = hyper::service::service_fn(move |ask: Request<Incoming>| {
+                let handle = handle.clone();
+                async move {
+                    let (head, body) = ask.into_parts();
+                    let body = Limited::new(body, body_max).collect().await.ok().map(|body| body.to_bytes());
+                    let call = Call { method: head.method.to_string(), path: head.uri.path().to_owned(), body };
+                    Ok::<_, std::convert::Infallible>(respond(handle(call).await))
+                }
+            });
+            let io = hyper_util::rt::TokioIo::new(stream);
+            let serving =
+                hyper::server::conn::http1::Builder::new().max_buf_size(64 << 10).serve_connection(io, service);
+            // A caller that stays silent holds no place for ever.
+            let _ = tokio::time::timeout(IDLE, serving).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+/// Makes one call and returns its status.
+pub async fn call(
+    addr: std::net::SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, String)],
+    body: Vec<u8>,
+    limit: std::time::Duration,
+) -> Result<u16, HttpError> {
+    let calling = async {
+        let stream = connect(addr, limit).await.map_err(HttpError::Connect)?;
+        let (mut sender, conn) = hyper::client::conn::http1::handshake(hyper_util::rt::TokioIo::new(stream)).await?;
+        let driver = tokio::task::spawn_local(async move {
+            let _ = conn.await;
+        });
+        let mut ask = Request::builder().method(method).uri(path).header("Host", addr.to_string());
+        for (name, value) in headers {
+            ask = ask.header(*name, value);
+        }
+        let ask = ask
+            .header("Content-Type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| HttpError::Build)?;
+        let ret = sender.send_request(ask).await;
+        driver.abort();
+        Ok(ret?.status().as_u16())
+    };
+    tokio::time::timeout(limit, calling).await.unwrap_or(Err(HttpError::Late))
+}
--- /dev/null
+++ b/crates/wv-inner/src/lib.rs
@@ -0,0 +1,195 @@
+//! What windvalve's own processes say to each other: nanoserde binary in length-prefixed frames.
+use nanoserde::{DeBin, SerBin};
+
+/// No frame is ever longer than this.
+pub const FRAME_MAX: usize = 2 << 20;
+
+#[derive(thiserror::Error, Debug, PartialEq, Eq)]
+pub enum InnerError {
+    #[error("a frame of {0} bytes is over the bound")]
+    Oversize(usize),
+    #[error("a frame could not be read")]
+    Malformed,
+}
+
+/// A database as its beats describe it.
+#[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
+pub struct Inst {
+    pub id: String,
+    pub service: String,
+    pub addr: String,
+    pub zone: String,
+    pub capacity: u32,
+    pub draining: bool,
+    pub cold_us: u64,
+    pub primary: bool,
+    pub sequence: u64,
+    pub gone: bool,
+}
+
+/// Who leads a service, as far as the control side knows; `term` 0 where only beats told it.
+#[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
+pub struct Lead {
+    pub service: String,
+    pub id: String,
+    pub term: u64,
+}
+
+/// How a database looks from one node.
+#[derive(SerBin, DeBin, Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Sight {
+    Up,
+    Refused,
+    Dark,
+}
+
+/// One node's word on one database; `since_us` says how long the sighting has stood.
+#[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug)]
+pub struct Sighting {
+    pub id: String,
+    pub sight: Sight,
+    pub since_us: u64,
+    /// The newest place in a primary's log this node saw under a fence, as `TERM.NUMBER`.
+    pub fenced: String,
+}
+
+/// One change that the feed carries.
+#[derive(SerBin, DeBin, Clone, PartialEq, Debug)]
+pub enum News {
+    Conf {
+        sequence: u64,
+        body: Vec<u8>,
+    },
+    Inst(Inst),
+    Lead(Lead),
+    /// How many access nodes are live; pools share the connection bounds by it.
+    Nodes(u32),
+}
+
+/// A register's value: the highest sequence wins, the tie word settles equal ones.
+#[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
+pub struct Cell {
+    pub sequence: u64,
+    pub tie: u32,
+    pub value: Vec<u8>,
+}
+
+#[derive(SerBin, DeBin, Clone, PartialEq, Debug)]
+pub enum Msg {
+    /// First on each link: who speaks. `control` is its control address, empty for access nodes.
+    Hello {
+        node: String,
+        control: String,
+        life: u64,
+    },
+    /// An access node follows the feed of `life` from `place` on.
+    Follow {
+        life: u64,
+        place: u64,
+    },
+    Snapshot {
+        life: u64,
+        place: u64,
+        news: Vec<News>,
+    },
+    Change {
+        place: u64,
+        news: News,
+    },
+    /// Session beat of a control node: whether a majority of voters is in fresh contact.
+    Beat {
+        fresh: bool,
+    },
+    /// Session beat of an access node.
+    Here,
+    Sights(Vec<Sighting>),
+    /// Control nodes tell each other: known control addresses, voters, sessions.
+    Peers {
+        addrs: Vec<String>,
+        voters: Vec<String>,
+    },
+    Sessions {
+        nodes: Vec<String>,
+    },
+    PeerSights {
+        node: String,
+        sights: Vec<Sighting>,
+    },
+    Ping {
+        ask: u64,
+    },
+    Pong {
+        ask: u64,
+        conf: u64,
+        mended: bool,
+    },
+    Get {
+        ask: u64,
+        key: String,
+    },
+    Got {
+        ask: u64,
+        cell: Cell,
+        mended: bool,
+    },
+    Put {
+        ask: u64,
+        key: String,
+        cell: Cell,
+    },
+    /// `ok` false where the copy here is newer or the voter is not mended.
+    PutDone {
+        ask: u64,
+        ok: bool,
+        sequence: u64,
+    },
+    /// All registers, for a voter whose disk was lost.
+    GetAll {
+        ask: u64,
+    },
+    GotAll {
+        ask: u64,
+        cells: Vec<(String, Cell)>,
+        mended: bool,
+    },
+    Committed {
+        key: String,
+        cell: Cell,
+    },
+    Inst {
+        ask: u64,
+        inst: Inst,
+    },
+    InstHeld {
+        ask: u64,
+    },
+    /// Repair: digests of the instance table over ranges of keys.
+    Digests {
+        ranges: Vec<u64>,
+    },
+    Range {
+        range: u32,
+        insts: Vec<Inst>,
+    },
+    Lead(Lead),
+}
+
+/// Appends `msg` as one frame.
+pub fn put_frame(out: &mut Vec<u8>, msg: &Msg) {
+    let body = nanoserde::SerBin::serialize_bin(msg);
+    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    out.extend_from_slice(&body);
+}
+
+/// Cuts one frame off `buf`; `None` while it is not whole.
+pub fn cut_frame(buf: &[u8]) -> Result<Option<(Msg, usize)>, InnerError> {
+    let Some(head) = buf.first_chunk::<4>() else { return Ok(None) };
+    let len = u32::from_le_bytes(*head) as usize;
+    // A length beyond the bound is a foreign or broken speaker: the link is closed, nothing is read on.
+    if len > FRAME_MAX {
+        return Err(InnerError::Oversize(len));
+    }
+    buf.get(4..4 + len)
+        .map(|body| DeBin::deserialize_bin(body).map(|msg| (msg, 4 + len)).map_err(|_| InnerError::Malformed))
+        .transpose()
+}
--- /dev/null
+++ b/crates/wv-reg/src/lib.rs
@@ -0,0 +1,30 @@
+//! The control state: a register written to and read from a majority of disks, highest sequence wins.
+mod files;
+mod quorum;
+mod store;
+
+pub use files::{DirFiles, Files, MemFiles};
+pub use quorum::{Done, Outcome, Quorum};
+pub use store::{State, Store};
+
+#[derive(thiserror::Error, Debug)]
+pub enum RegError {
+    #[error("disk: {0}")]
+    Disk(#[from] std::io::Error),
+    #[error("the value of {0} bytes does not fit the store")]
+    Oversize(usize),
+}
+
+/// No store grows over this; far under the smallest data folder.
+pub const STORE_MAX: usize = 8 << 20;
+
+/// The order of two copies of one register.
+pub fn newer(left: &wv_inner::Cell, right: &wv_inner::Cell) -> bool {
+    (left.sequence, left.tie) > (right.sequence, right.tie)
+}
+
+/// A cell whose tie word is drawn from its bytes, so that two writers of one sequence settle alike everywhere.
+pub fn cell(sequence: u64, value: Vec<u8>) -> wv_inner::Cell {
+    let tie = crc32fast::hash(&value);
+    wv_inner::Cell { sequence, tie, value }
+}
--- /dev/null
+++ b/crates/wv-reg/src/quorum.rs
@@ -0,0 +1,178 @@
+use crate::newer;
+use wv_inner::{Cell, Msg};
+
+/// How long one quorum operation may take; callers of the operator wait a second.
+const LIMIT_US: u64 = 900_000;
+const RESEND_US: u64 = 250_000;
+/// No node runs more operations than this at once.
+const OPS_MAX: usize = 256;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// The newest cell, confirmed on a majority.
+    Read(Cell),
+    /// Ours is now on a majority.
+    Written(Cell),
+    /// A copy that is not older was there; it is confirmed on a majority.
+    Held(Cell),
+    /// No majority answered in time: the write may be there or not.
+    Unsure,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Done {
+    pub token: u64,
+    pub key: String,
+    pub outcome: Outcome,
+}
+
+enum Phase {
+    Reading { acks: Vec<(String, Cell)> },
+    Writing { cell: Cell, acks: Vec<String>, is_ours: bool },
+}
+
+struct Op {
+    ask: u64,
+    token: u64,
+    key: String,
+    wanted: Option<Cell>,
+    phase: Phase,
+    limit: u64,
+    resend: u64,
+}
+
+/// Runs reads and writes over the voters; the caller carries the messages.
+#[derive(Default)]
+pub struct Quorum {
+    voters: Vec<String>,
+    next_ask: u64,
+    ops: Vec<Op>,
+    out: Vec<(String, Msg)>,
+    done: Vec<Done>,
+}
+
+impl Quorum {
+    pub fn set_voters(&mut self, voters: Vec<String>) {
+        self.voters = voters;
+    }
+
+    pub fn voters(&self) -> &[String] {
+        &self.voters
+    }
+
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    pub fn next_ask(&mut self) -> u64 {
+        self.next_ask += 1;
+        self.next_ask
+    }
+
+    /// Reads `key`; with `wanted`, writes it where nothing newer is found.
+    pub fn start(&mut self, token: u64, key: &str, wanted: Option<Cell>, now: u64) {
+        if self.voters.is_empty() || self.ops.len() >= OPS_MAX {
+            self.done.push(Done { token, key: key.to_owned(), outcome: Outcome::Unsure });
+            return;
+        }
+        let ask = self.next_ask();
+        let phase = Phase::Reading { acks: Vec::new() };
+        self.ops.push(Op { ask, token, key: key.to_owned(), wanted, phase, limit: now + LIMIT_US, resend: now });
+        self.tick(now);
+    }
+
+    pub fn got(&mut self, voter: &str, ask: u64, cell: Cell, mended: bool) {
+        let (majority, next_ask) = (self.majority(), self.next_ask + 1);
+        let Some(op) = self.ops.iter_mut().find(|op| op.ask == ask) else { return };
+        let Phase::Reading { acks } = &mut op.phase else { return };
+        // A voter whose disk is not mended may have forgotten what it acknowledged: it does not count.
+        if !mended || acks.iter().any(|(known, _)| known == voter) {
+            return;
+        }
+        acks.push((voter.to_owned(), cell));
+        if acks.len() < majority {
+            return;
+        }
+        let best = acks.iter().map(|(_, cell)| cell).fold(Cell::default(), |best, cell| {
+            if newer(cell, &best) {
+                cell.clone()
+            } else {
+                best
+            }
+        });
+        let is_agreed = acks.iter().all(|(_, cell)| *cell == best);
+        let ours = op.wanted.clone().filter(|wanted| wanted.sequence > best.sequence);
+        // Nothing is shown before a majority holds it, else a later reader could miss it.
+        if ours.is_none() && is_agreed {
+            let outcome = if op.wanted.is_some() { Outcome::Held(best) } else { Outcome::Read(best) };
+            self.finish(ask, outcome);
+            return;
+        }
+        let is_ours = ours.is_some();
+        op.phase = Phase::Writing { cell: ours.unwrap_or(best), acks: Vec::new(), is_ours };
+        op.ask = next_ask;
+        op.resend = 0;
+        self.next_ask = next_ask;
+    }
+
+    pub fn put_done(&mut self, voter: &str, ask: u64, ok: bool) {
+        let (majority, next_ask) = (self.majority(), self.next_ask + 1);
+        let Some(op) = self.ops.iter_mut().find(|op| op.ask == ask) else { return };
+        let Phase::Writing { cell, acks, is_ours } = &mut op.phase else { return };
+        if !ok {
+            // A newer copy came in between: look again and settle on what is there.
+            op.phase = Phase::Reading { acks: Vec::new() };
+            (op.ask, op.resend) = (next_ask, 0);
+            self.next_ask = next_ask;
+            return;
+        }
+        if !acks.iter().any(|known| known == voter) {
+            acks.push(voter.to_owned());
+        }
+        if acks.len() >= majority {
+            let cell = std::mem::take(cell);
+            let outcome = match (*is_ours, op.wanted.is_some()) {
+                (true, _) => Outcome::Written(cell),
+                (false, true) => Outcome::Held(cell),
+                (false, false) => Outcome::Read(cell),
+            };
+            self.finish(ask, outcome);
+        }
+    }
+
+    fn finish(&mut self, ask: u64, outcome: Outcome) {
+        if let Some(at) = self.ops.iter().position(|op| op.ask == ask) {
+            let op = self.ops.swap_remove(at);
+            self.done.push(Done { token: op.token, key: op.key, outcome });
+        }
+    }
+
+    /// Sends what is due and gives up what is over its limit.
+    pub fn tick(&mut self, now: u64) {
+        let over: Vec<u64> = self.ops.iter().filter(|op| op.limit <= now).map(|op| op.ask).collect();
+        over.into_iter().for_each(|ask| self.finish(ask, Outcome::Unsure));
+        for op in self.ops.iter_mut().filter(|op| op.resend <= now) {
+            op.resend = now + RESEND_US;
+            for voter in &self.voters {
+                let msg = match &op.phase {
+                    Phase::Reading { acks } if !acks.iter().any(|(known, _)| known == voter) => {
+                        Msg::Get { ask: op.ask, key: op.key.clone() }
+                    }
+                    Phase::Writing { cell, acks, .. } if !acks.contains(voter) => {
+                        Msg::Put { ask: op.ask, key: op.key.clone(), cell: cell.clone() }
+                    }
+                    _ => continue,
+                };
+                self.out.push((voter.clone(), msg));
+            }
+        }
+    }
+
+    pub fn take_out(&mut self) -> Vec<(String, Msg)> {
+        std::mem::take(&mut self.out)
+    }
+
+    pub fn take_done(&mut self) -> Vec<Done> {
+        std::mem::take(&mut self.done)
+    }
+}
--- /dev/null
+++ b/crates/wv-roster/src/lib.rs
@@ -0,0 +1,83 @@
+//! Sessions, beats and duties: a node is a member while its session with a control node stands.
+
+/// A session with no beat for this long has ended.
+pub const SILENT_US: u64 = 1_300_000;
+
+struct Session {
+    heard: u64,
+}
+
+struct Peer {
+    heard: u64,
+    nodes: Vec<String>,
+}
+
+/// The members as one control node knows them: its own sessions and those its peers tell.
+pub struct Roster {
+    me: String,
+    sessions: std::collections::BTreeMap<String, Session>,
+    peers: std::collections::BTreeMap<String, Peer>,
+}
+
+fn weight(key: &str, node: &str) -> u64 {
+    key.bytes().chain([0]).chain(node.bytes()).fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
+        let hash = (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3);
+        hash ^ (hash >> 29)
+    })
+}
+
+impl Roster {
+    pub fn new(me: &str) -> Roster {
+        Roster { me: me.to_owned(), sessions: Default::default(), peers: Default::default() }
+    }
+
+    /// A beat of an access node here. Returns whether the members changed.
+    pub fn beat(&mut self, node: &str, now: u64) -> bool {
+        self.sessions.insert(node.to_owned(), Session { heard: now }).is_none()
+    }
+
+    pub fn leave(&mut self, node: &str) -> bool {
+        self.sessions.remove(node).is_some()
+    }
+
+    /// Anything heard from the control node at `addr`.
+    pub fn peer(&mut self, addr: &str, now: u64) {
+        self.peers.entry(addr.to_owned()).or_insert(Peer { heard: now, nodes: Vec::new() }).heard = now;
+    }
+
+    pub fn peer_sessions(&mut self, addr: &str, nodes: Vec<String>, now: u64) {
+        self.peers.insert(addr.to_owned(), Peer { heard: now, nodes });
+    }
+
+    pub fn sessions(&self) -> Vec<String> {
+        self.sessions.keys().cloned().collect()
+    }
+
+    /// Ends the sessions that fell silent. Returns whether the members changed.
+    pub fn tick(&mut self, now: u64) -> bool {
+        let before = (self.sessions.len(), self.peers.len());
+        self.sessions.retain(|_, session| session.heard + SILENT_US > now);
+        self.peers.retain(|_, peer| peer.heard + SILENT_US > now);
+        before != (self.sessions.len(), self.peers.len())
+    }
+
+    /// All live access nodes, whoever holds their session.
+    pub fn nodes(&self) -> std::collections::BTreeSet<&str> {
+        let theirs = self.peers.values().flat_map(|peer| peer.nodes.iter());
+        self.sessions.keys().chain(theirs).map(String::as_str).collect()
+    }
+
+    pub fn live_peers(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// The live control node that holds the duty `key`: the one with the greatest weight for it.
+    pub fn holder(&self, key: &str) -> &str {
+        let nodes = self.peers.keys().map(String::as_str).chain([self.me.as_str()]);
+        nodes.max_by_key(|node| (weight(key, node), *node)).unwrap_or(&self.me)
+    }
+
+    pub fn is_holder(&self, key: &str) -> bool {
+        self.holder(key) == self.me
+    }
+}
