--- a/crates/wv-access/src/answer.rs
+++ b/crates/wv-access/src/answer.rs
@@ -105,6 +105,19 @@
 
     /// A connection with returns outstanding is gone: says to each client what may be said.
     pub(crate) fn strand(&mut self, held: Db) {
+        let begun = held.expects.iter().find_map(|expect| match expect.what {
+            What::Begin { client, number } => Some((client, number)),
+            _ => None,
+        });
+        // Only a BEGIN was on its way: nothing of the client's was sent, it can begin elsewhere.
+        if let Some((id, number)) = begun {
+            let is_waiting = |client: &&mut crate::types::Client| client.ask.is_open && client.ask.number == number;
+            if let Some(client) = self.clients.get_mut(&id).filter(is_waiting) {
+                client.txn.iter_mut().for_each(|txn| txn.db = None);
+                self.retry(id, None);
+            }
+            return;
+        }
         if let Some(client) = held.holder {
             if let Some(txn) = self.clients.get_mut(&client).and_then(|client| client.txn.as_mut()) {
                 txn.db = None;
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -147,7 +147,6 @@
             tie: wv_pool::Tie::default(),
             expects: Default::default(),
             code: None,
-            begin_code: None,
             is_doubtful: false,
             holder: None,
             since: self.now,
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -85,7 +85,7 @@
     }
 
     /// What it says makes no sense: nothing on it can be trusted.
-    fn break_db(&mut self, db: u64) {
+    pub(crate) fn break_db(&mut self, db: u64) {
         self.acts.push(Act::CloseDb(db));
         self.forget_db(db).into_iter().for_each(|held| self.strand(held));
         self.serve_waiting_anywhere();
@@ -125,15 +125,12 @@
                 self.free_db(db);
             }
             What::Sync => held.is_doubtful |= code.is_some(),
-            What::Begin => held.begin_code = code,
+            What::Begin { client, number } => self.begun(db, client, number, code, state),
             What::Abort => {
                 held.is_doubtful |= state != b'I';
-                held.begin_code = None;
                 self.free_db(db);
             }
             What::Ask { client, number } => {
-                let begin_code = held.begin_code.take();
-                let code = begin_code.or(code);
                 if held.is_doubtful {
                     return self.break_db(db);
                 }
@@ -145,22 +142,12 @@
                 if let Some(member) = self.checks.member_mut(spot).filter(|member| member.is_suspect()) {
                     member.up(false, self.now);
                 }
-                self.finish_ask(db, client, number, code, begin_code.is_some(), state, pos);
+                self.finish_ask(db, (client, number), code, state, pos);
             }
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn finish_ask(
-        &mut self,
-        db: u64,
-        id: u64,
-        number: u64,
-        code: Option<Code>,
-        is_unbegun: bool,
-        state: u8,
-        pos: Option<Pos>,
-    ) {
+    fn finish_ask(&mut self, db: u64, (id, number): (u64, u64), code: Option<Code>, state: u8, pos: Option<Pos>) {
         let (now, is_last) = (self.now, self.dbs.get(&db).is_some_and(|held| held.expects.is_empty()));
         let spot = self.dbs.get(&db).map(|held| held.spot);
         let Some(client) = self.clients.get_mut(&id).filter(|held| held.ask.is_open && held.ask.number == number)
@@ -190,7 +177,7 @@
         }
         // The transaction never began, or its first statement was refused unrun: it can begin elsewhere.
         let is_first = client.txn.as_ref().is_some_and(|txn| !txn.is_begun);
-        if verb == Verb::Commit || (code.is_unrun() && (is_unbegun || is_first)) {
+        if verb == Verb::Commit || (code.is_unrun() && is_first) {
             client.txn.iter_mut().for_each(|txn| txn.db = None);
             self.abort_db(db);
             return match (verb, code.is_unrun()) {
@@ -206,7 +193,7 @@
     }
 
     /// The connection stands at rest and in order: back to the pool.
-    fn free_db(&mut self, db: u64) {
+    pub(crate) fn free_db(&mut self, db: u64) {
         let Some(held) = self.dbs.get_mut(&db) else { return };
         let spot = held.spot;
         let is_gone = self.checks.member(spot).is_none_or(|member| member.inst.gone || member.inst.id != held.id);
--- a/crates/wv-access/src/lib.rs
+++ b/crates/wv-access/src/lib.rs
@@ -9,6 +9,7 @@
 mod offer;
 mod run;
 mod schedule;
+mod send;
 mod sock;
 mod txn;
 mod types;
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -68,19 +68,26 @@
         if !std::mem::take(&mut self.sights_due) && !is_whole {
             return Vec::new();
         }
-        let now = self.now;
-        self.checks
-            .iter()
-            .flat_map(|(_, checker)| {
-                let fenced = checker.fenced.newest().map(|(_, pos)| pos.to_string()).unwrap_or_default();
-                checker.members().filter(|(_, member)| !member.inst.gone).map(move |(_, member)| Sighting {
+        let (now, pools) = (self.now, &self.pools);
+        let mut sights = Vec::new();
+        for (service, checker) in self.checks.iter() {
+            let fenced = checker.fenced.newest();
+            for (seat, member) in checker.members().filter(|(_, member)| !member.inst.gone) {
+                let is_standing = pools.get(&Spot { service, seat }).is_some_and(|pool| pool.all > pool.opening);
+                // Only what was seen is told: down once it is agreed on, up where a connection stands.
+                if !member.is_isolated() && !is_standing {
+                    continue;
+                }
+                sights.push(Sighting {
                     id: member.inst.id.clone(),
-                    sight: member.sight,
+                    sight: if member.is_isolated() { member.sight } else { wv_inner::Sight::Up },
                     since_us: now.saturating_sub(member.since),
-                    fenced: fenced.clone(),
-                })
-            })
-            .collect()
+                    fenced: fenced.map(|(_, pos)| pos.to_string()).unwrap_or_default(),
+                    fenced_ago_us: fenced.map_or(0, |(sent, _)| now.saturating_sub(sent)),
+                });
+            }
+        }
+        sights
     }
 
     /// Regular care: warm connections, looks at isolated databases, sessions that are to end.
--- a/crates/wv-access/src/offer.rs
+++ b/crates/wv-access/src/offer.rs
@@ -1,10 +1,10 @@
 //! Offering: the decision object is asked, this side obeys.
 use crate::core::{Core, Pool};
 use crate::schedule::Schedule;
-use crate::types::{Act, Expect, Phase, Verb, What};
+use crate::types::Verb;
 use wv_check::Spot;
 use wv_lane::{decide, Decision, Question, Room};
-use wv_wire::{put_query, Code, Pos};
+use wv_wire::{Code, Pos};
 
 /// An ask that is not offered within this share of its target is refused.
 const OFFER_SHARE: u64 = 4;
@@ -186,60 +186,4 @@
             }
         }
     }
-
-    fn send(&mut self, id: u64, db: u64, minpos: Option<Pos>, is_wrapped: bool) {
-        let now = self.now;
-        let (Some(client), Some(held)) = (self.clients.get_mut(&id), self.dbs.get_mut(&db)) else { return };
-        let ask = &mut client.ask;
-        (ask.db, ask.queued) = (Some(db), None);
-        ask.ret.clear();
-        held.phase = Phase::Busy;
-        held.since = now;
-        let count = wv_pool::sync(&mut held.out, &mut held.tie, &client.session, ask.shape, &self.shapes);
-        let mut expect = |what, is_fenced| held.expects.push_back(Expect { what, sent: now, is_fenced });
-        (0..count).for_each(|_| expect(What::Sync, false));
-        let mark = minpos.map(|pos| format!("MINPOS {pos} ")).unwrap_or_default();
-        let what = What::Ask { client: id, number: ask.number };
-        let is_plain = match client.txn.as_mut() {
-            Some(txn) => {
-                // Read-only transactions are not fenced by the database: on primary lanes they run as plain ones.
-                let is_plain = minpos.is_none();
-                if txn.db.is_none() {
-                    if is_plain {
-                        put_query(&mut held.out, b"-", &[b"BEGIN"]);
-                    } else {
-                        put_query(&mut held.out, &txn.begin_id, &[&[mark.as_bytes(), b"BEGIN READ"].concat()]);
-                    }
-                    expect(What::Begin, is_plain);
-                    txn.db = Some(db);
-                    held.holder = Some(id);
-                }
-                txn.may_have_written |= ask.verb() == Verb::Write;
-                put_query(&mut held.out, &ask.id, &[&ask.text]);
-                is_plain || !txn.only_reads
-            }
-            None if is_wrapped => {
-                put_query(&mut held.out, b"-", &[b"BEGIN"]);
-                expect(What::Begin, true);
-                put_query(&mut held.out, &ask.id, &[&ask.text]);
-                true
-            }
-            None => {
-                put_query(&mut held.out, &ask.id, &[&[mark.as_bytes(), &ask.text[..]].concat()]);
-                false
-            }
-        };
-        // Only what a deposed primary would have refused tells where the log really stands.
-        let is_fenced = match ask.verb() {
-            Verb::Read => is_plain,
-            Verb::Write => true,
-            Verb::Commit => client.txn.as_ref().is_some_and(|txn| txn.may_have_written),
-        };
-        expect(what, is_fenced);
-        if is_wrapped && client.txn.is_none() {
-            put_query(&mut held.out, b"-", &[b"ABORT"]);
-            expect(What::Abort, false);
-        }
-        self.acts.push(Act::WriteDb(db));
-    }
 }
--- /dev/null
+++ b/crates/wv-access/src/send.rs
@@ -0,0 +1,117 @@
+//! Sending: what goes out on a connection, and what is then expected back.
+use crate::core::Core;
+use crate::types::{Act, Expect, Phase, Verb, What};
+use wv_wire::{put_query, Code, Pos};
+
+impl Core {
+    /// Brings the connection in line with the session and sends the open ask, or first what begins around it.
+    pub(crate) fn send(&mut self, id: u64, db: u64, minpos: Option<Pos>, is_wrapped: bool) {
+        let now = self.now;
+        let (Some(client), Some(held)) = (self.clients.get_mut(&id), self.dbs.get_mut(&db)) else { return };
+        let ask = &mut client.ask;
+        (ask.db, ask.queued, ask.is_wrapped) = (Some(db), None, is_wrapped);
+        ask.ret.clear();
+        held.phase = Phase::Busy;
+        held.since = now;
+        let count = wv_pool::sync(&mut held.out, &mut held.tie, &client.session, ask.shape, &self.shapes);
+        let sync = Expect { what: What::Sync, sent: now, is_fenced: false };
+        held.expects.extend(std::iter::repeat_n(sync, count));
+        let begin =
+            |is_plain| Expect { what: What::Begin { client: id, number: ask.number }, sent: now, is_fenced: is_plain };
+        let mark = minpos.map(|pos| format!("MINPOS {pos} ")).unwrap_or_default();
+        // A refused BEGIN leaves the connection outside: what is sent behind it unseen would run on its own.
+        // So the statement waits until the transaction stands.
+        match client.txn.as_mut() {
+            Some(txn) if txn.db.is_none() => {
+                // Read-only transactions are not fenced by the database: on primary lanes they run as plain ones.
+                txn.is_plain = minpos.is_none();
+                if txn.is_plain {
+                    put_query(&mut held.out, b"-", &[b"BEGIN"]);
+                } else {
+                    put_query(&mut held.out, &txn.begin_id, &[&[mark.as_bytes(), b"BEGIN READ"].concat()]);
+                }
+                held.expects.push_back(begin(txn.is_plain));
+                txn.db = Some(db);
+                held.holder = Some(id);
+                self.acts.push(Act::WriteDb(db));
+            }
+            None if is_wrapped => {
+                put_query(&mut held.out, b"-", &[b"BEGIN"]);
+                held.expects.push_back(begin(true));
+                self.acts.push(Act::WriteDb(db));
+            }
+            _ => self.send_text(id, db, &mark),
+        }
+    }
+
+    fn send_text(&mut self, id: u64, db: u64, mark: &str) {
+        let now = self.now;
+        let (Some(client), Some(held)) = (self.clients.get_mut(&id), self.dbs.get_mut(&db)) else { return };
+        let ask = &client.ask;
+        if mark.is_empty() {
+            put_query(&mut held.out, &ask.id, &[&ask.text]);
+        } else {
+            put_query(&mut held.out, &ask.id, &[&[mark.as_bytes(), &ask.text[..]].concat()]);
+        }
+        // Only what a deposed primary would have refused tells where the log really stands.
+        let is_fenced = match (ask.verb(), client.txn.as_mut()) {
+            (Verb::Commit, txn) => txn.is_some_and(|txn| txn.may_have_written),
+            (verb, Some(txn)) => {
+                txn.may_have_written |= verb == Verb::Write;
+                txn.is_plain
+            }
+            (Verb::Write, None) => true,
+            (Verb::Read, None) => ask.is_wrapped,
+        };
+        let what = What::Ask { client: id, number: ask.number };
+        held.expects.push_back(Expect { what, sent: now, is_fenced });
+        if ask.is_wrapped && client.txn.is_none() {
+            put_query(&mut held.out, b"-", &[b"ABORT"]);
+            held.expects.push_back(Expect { what: What::Abort, sent: now, is_fenced: false });
+        }
+        self.acts.push(Act::WriteDb(db));
+    }
+
+    /// `BEGIN` returned: the statement follows, or goes elsewhere unrun.
+    pub(crate) fn begun(&mut self, db: u64, id: u64, number: u64, code: Option<Code>, state: u8) {
+        let Some(held) = self.dbs.get(&db) else { return };
+        let (spot, is_clean) = (held.spot, !held.is_doubtful);
+        let is_open = self
+            .clients
+            .get(&id)
+            .is_some_and(|client| client.ask.is_open && client.ask.number == number && client.ask.db == Some(db));
+        if !is_open {
+            // Its client left meanwhile; an end may already be on its way.
+            if held.expects.is_empty() {
+                self.abort_db(db);
+            }
+            return;
+        }
+        if code.is_none() && state == b'T' && is_clean {
+            return self.send_text(id, db, "");
+        }
+        if !is_clean {
+            return self.break_db(db);
+        }
+        self.refused_unrun(id, spot, code.unwrap_or(Code::Failed));
+        if state == b'I' {
+            self.free_db(db);
+        } else {
+            self.abort_db(db);
+        }
+        self.retry(id, code);
+    }
+
+    /// Notes that this database did not run the ask.
+    pub(crate) fn refused_unrun(&mut self, id: u64, spot: wv_check::Spot, code: Code) {
+        let now = self.now;
+        if code == Code::ReadOnly {
+            self.checks.member_mut(spot).into_iter().for_each(|member| member.doubt(now));
+        }
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.ask.db = None;
+            client.ask.refused.push(spot);
+            client.txn.iter_mut().for_each(|txn| txn.db = None);
+        }
+    }
+}
--- a/crates/wv-access/src/txn.rs
+++ b/crates/wv-access/src/txn.rs
@@ -18,6 +18,7 @@
             lane,
             begin_id: query.to_vec(),
             only_reads,
+            is_plain: true,
             at,
             db: None,
             is_begun: false,
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -57,6 +57,8 @@
     pub first_byte: u64,
     pub ret: Vec<u8>,
     pub is_streamed: bool,
+    /// A single read inside a transaction of our own.
+    pub is_wrapped: bool,
 }
 
 impl Ask {
@@ -77,6 +79,8 @@
     pub lane: Rc<Lane>,
     pub begin_id: Vec<u8>,
     pub only_reads: bool,
+    /// Begun as a plain one, which only a database that leads goes on with.
+    pub is_plain: bool,
     /// When its first byte came.
     pub at: u64,
     pub db: Option<u64>,
@@ -104,7 +108,7 @@
 pub enum What {
     Setup,
     Sync,
-    Begin,
+    Begin { client: u64, number: u64 },
     Abort,
     Ask { client: u64, number: u64 },
 }
@@ -135,8 +139,6 @@
     pub expects: std::collections::VecDeque<Expect>,
     /// The error of what is being read, if one came.
     pub code: Option<Code>,
-    /// `BEGIN` was refused: what follows in the same write fails for its reason.
-    pub begin_code: Option<Code>,
     /// Own statements did not go as they must, or nobody waits any more: close, never use again.
     pub is_doubtful: bool,
     /// The client whose transaction holds it.
--- /dev/null
+++ b/crates/wv-control/src/ask.rs
@@ -0,0 +1,85 @@
+//! Calls this side makes: rows of databases and promotions at the platform.
+use crate::exec::Node;
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use wv_wire::{cut_line, parse_status, DbLine, Status};
+
+const ASK: std::time::Duration = std::time::Duration::from_millis(400);
+const POST: std::time::Duration = std::time::Duration::from_millis(1200);
+const RETURN_MAX: usize = 16 << 10;
+
+/// Reads lines until `IDLE`; the row that came before it, if any. `None` for anything but a clean return.
+async fn read_row(stream: &mut tokio::net::TcpStream, buf: &mut Vec<u8>) -> Option<Option<Status>> {
+    let mut row = None;
+    loop {
+        while let Some((line, len)) = cut_line(buf) {
+            let parsed = DbLine::parse(line);
+            let is_over = match parsed {
+                DbLine::Row(text) => {
+                    row = parse_status(text);
+                    Some(false)
+                }
+                DbLine::Complete(_) => Some(false),
+                DbLine::Idle(..) => Some(true),
+                DbLine::Error(..) | DbLine::Unknown => None,
+            };
+            buf.drain(..len);
+            if is_over? {
+                return Some(row);
+            }
+        }
+        let len = stream.read_buf(buf).await.ok()?;
+        if len == 0 || buf.len() > RETURN_MAX {
+            return None;
+        }
+    }
+}
+
+async fn ask(addr: SocketAddr, service: &str, id: &str, text: &str) -> Option<Status> {
+    let mut stream = wv_http::connect(addr, ASK).await.ok()?;
+    let mut out = Vec::new();
+    // The expected id goes along: another database may have taken the place.
+    wv_wire::put_line(&mut out, &[b"SETUP", service.as_bytes(), b"windvalve", id.as_bytes()]);
+    wv_wire::put_query(&mut out, b"-", &[text.as_bytes()]);
+    stream.write_all(&out).await.ok()?;
+    let mut buf = Vec::new();
+    read_row(&mut stream, &mut buf).await?;
+    let row = read_row(&mut stream, &mut buf).await?;
+    let _ = stream.write_all(b"RELEASE\r\n").await;
+    row
+}
+
+impl Node {
+    pub(crate) async fn ask_db(self, service: String, id: String, addr: String, text: String) {
+        let status = match addr.parse() {
+            Ok(addr) => tokio::time::timeout(ASK, ask(addr, &service, &id, &text)).await.unwrap_or(None),
+            Err(_) => None,
+        };
+        self.with(|core, now| core.row(&service, &id, status, now));
+    }
+
+    pub(crate) async fn post(self, service: String, id: String, fence: u64) {
+        let Some(platform) = self.platform.clone() else { return };
+        let pause = self.pace.borrow_mut().turn(self.now());
+        tokio::time::sleep(std::time::Duration::from_micros(pause)).await;
+        let headers = [("X-Duty-Holder", self.name.clone()), ("X-Fence-Number", fence.to_string())];
+        let body = serde_json::json!({ "destination": service, "id": id }).to_string().into_bytes();
+        let code = wv_http::call(platform.addr, "POST", "/promotion", &headers, body, POST).await.ok();
+        self.with(|core, now| core.posted(&service, code, now));
+    }
+}
+
+/// Spaces the calls to the platform: all nodes together stay within its rate.
+pub(crate) struct Pace {
+    pub gap_us: u64,
+    pub next: u64,
+}
+
+impl Pace {
+    /// How long the next call has to wait.
+    fn turn(&mut self, now: u64) -> u64 {
+        let at = self.next.max(now);
+        self.next = at + self.gap_us;
+        at - now
+    }
+}
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -51,6 +51,12 @@
 
     pub(crate) fn quorum_done(&mut self, done: Done) {
         let Some(waiting) = self.waiting.remove(&done.token) else { return };
+        let waiting = match waiting {
+            Waiting::Seen(service) => return self.duty_seen(service, done.outcome),
+            Waiting::Claim(service) => return self.duty_claimed(service, done.outcome),
+            Waiting::Confirm(service) => return self.duty_confirmed(service, done.outcome),
+            waiting => waiting,
+        };
         if done.key == CONF {
             if let Outcome::Read(cell) | Outcome::Written(cell) | Outcome::Held(cell) = &done.outcome {
                 let is_news = cell.sequence > self.published;
@@ -78,6 +84,7 @@
     pub(crate) fn in_force(&mut self, cell: &wv_inner::Cell) {
         if cell.sequence > self.published && !cell.value.is_empty() {
             self.published = cell.sequence;
+            self.conf = wv_conf::Conf::parse(&cell.value).ok();
             self.publish(News::Conf { sequence: cell.sequence, body: cell.value.clone() });
         }
     }
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -13,10 +13,35 @@
 /// What the executor is told to do.
 #[derive(Clone, PartialEq, Debug)]
 pub enum Act {
-    Send { link: u64, msg: Msg },
-    Close { link: u64 },
-    Dial { link: u64, addr: String },
-    Return { token: u64, status: u16, body: Vec<u8> },
+    Send {
+        link: u64,
+        msg: Msg,
+    },
+    Close {
+        link: u64,
+    },
+    Dial {
+        link: u64,
+        addr: String,
+    },
+    Return {
+        token: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
+    /// Ask a database of `service` something of the control side; the row comes back as an event.
+    Ask {
+        service: String,
+        id: String,
+        addr: String,
+        text: String,
+    },
+    /// `POST /promotion` under the fence; its return comes back as an event.
+    Post {
+        service: String,
+        id: String,
+        fence: u64,
+    },
 }
 
 /// What a control node is started with.
@@ -50,6 +75,10 @@
     Put,
     Get,
     Sync,
+    /// Reading the duty's register before it is claimed.
+    Seen(String),
+    Claim(String),
+    Confirm(String),
 }
 
 pub(crate) struct Hold {
@@ -85,6 +114,11 @@
     pub(crate) is_caught_up: bool,
     pub(crate) is_syncing: bool,
     pub(crate) nodes_told: u32,
+    pub(crate) conf: Option<wv_conf::Conf>,
+    pub(crate) duties: BTreeMap<String, wv_promo::Duty>,
+    pub(crate) fences: BTreeMap<String, u64>,
+    pub(crate) sights: BTreeMap<String, (u64, Vec<wv_inner::Sighting>)>,
+    pub(crate) born: u64,
     pub(crate) pinged: u64,
     pub(crate) repaired: u64,
     pub(crate) is_leaving: bool,
@@ -127,6 +161,11 @@
             is_caught_up: false,
             is_syncing: false,
             nodes_told: 0,
+            conf: None,
+            duties: BTreeMap::new(),
+            fences: BTreeMap::new(),
+            sights: BTreeMap::new(),
+            born: 0,
             pinged: 0,
             repaired: 0,
             is_leaving: false,
--- /dev/null
+++ b/crates/wv-control/src/duties.rs
@@ -0,0 +1,179 @@
+//! The duties this node holds: what the promotion machines read, and what they order.
+use crate::core::{Act, Core, Waiting};
+use wv_inner::{Lead, Msg, News, Sight, Sighting};
+use wv_promo::{Event, Order, Seat, View};
+use wv_reg::Outcome;
+use wv_wire::{Pos, Status};
+
+/// Sightings older than this count no more.
+const SIGHT_US: u64 = 3_500_000;
+/// A node that has just started first hears who is there.
+const SETTLE_US: u64 = 2_000_000;
+
+fn key(service: &str) -> String {
+    format!("duty/{service}")
+}
+
+impl Core {
+    pub(crate) fn take_sights(&mut self, node: &str, sights: Vec<Sighting>) {
+        let is_bad = sights.iter().any(|sight| sight.sight != Sight::Up);
+        self.sights.insert(node.to_owned(), (self.now, sights));
+        // Bad news is acted on at once rather than at the next turn.
+        if is_bad {
+            self.run_duties();
+        }
+    }
+
+    /// Each node's word on `id`: the sighting and how old it is.
+    fn words<'a>(&'a self, id: &'a str) -> impl Iterator<Item = (&'a Sighting, u64)> {
+        let now = self.now;
+        self.sights
+            .values()
+            .filter(move |(at, _)| at + SIGHT_US > now)
+            .flat_map(move |(at, sights)| sights.iter().map(move |sight| (sight, now - at)))
+            .filter(move |(sight, _)| sight.id == id)
+    }
+
+    /// Several nodes agree, though not all need to: one cut link is no reason, one blind node no hindrance.
+    fn is_down(&self, id: &str) -> bool {
+        let down = self.words(id).filter(|(sight, _)| sight.sight != Sight::Up).count();
+        let nodes = self.roster.nodes().len();
+        down >= nodes.div_ceil(4).clamp(2, 8).min(nodes.max(1))
+    }
+
+    fn refused_us(&self, id: &str) -> Option<u64> {
+        let is_refused = |sight: &Sighting| sight.sight == Sight::Refused;
+        self.words(id).all(|(sight, _)| is_refused(sight)).then_some(())?;
+        let lasting = self.words(id).map(|(sight, ago)| sight.since_us + ago);
+        (self.words(id).count() >= 2.min(self.roster.nodes().len())).then(|| lasting.min()).flatten()
+    }
+
+    fn fenced(&self, id: &str) -> Option<(u64, Pos)> {
+        self.words(id)
+            .filter_map(|(sight, ago)| Some((sight.fenced_ago_us + ago, Pos::parse(sight.fenced.as_bytes())?)))
+            .min_by_key(|(ago, _)| *ago)
+    }
+
+    fn with_duty(&mut self, service: &str, turn: impl FnOnce(&mut wv_promo::Duty, &View<'_>)) {
+        let Some(mut duty) = self.duties.remove(service) else { return };
+        let lead = self.feed.lead(service).map(|lead| lead.id.clone());
+        let seats: Vec<Seat> = self
+            .table
+            .iter()
+            .filter(|inst| inst.service == service && !inst.gone)
+            .map(|inst| Seat { id: inst.id.clone(), is_draining: inst.draining, refused_us: self.refused_us(&inst.id) })
+            .collect();
+        let service_conf = self.conf.as_ref().and_then(|conf| conf.services.get(service));
+        let view = View {
+            now: self.now,
+            is_holder: self.roster.is_holder(service) && self.is_fresh() && self.born + SETTLE_US <= self.now,
+            lead: lead.as_deref(),
+            sync_replicas: service_conf.map_or(1, |held| held.sync_replicas),
+            seats: &seats,
+            is_lead_down: lead.as_deref().is_some_and(|lead| self.is_down(lead)),
+            fenced: lead.as_deref().and_then(|lead| self.fenced(lead)),
+        };
+        turn(&mut duty, &view);
+        let orders = duty.take_orders();
+        self.duties.insert(service.to_owned(), duty);
+        orders.into_iter().for_each(|order| self.obey(service, order));
+    }
+
+    pub(crate) fn run_duties(&mut self) {
+        if self.born == 0 {
+            self.born = self.now;
+        }
+        let services: Vec<String> =
+            self.conf.iter().flat_map(|conf| conf.services.keys().cloned()).collect::<Vec<String>>();
+        for service in &services {
+            self.duties.entry(service.clone()).or_default();
+            self.with_duty(service, |duty, view| duty.tick(view));
+        }
+        self.duties.retain(|service, _| services.contains(service));
+    }
+
+    pub(crate) fn duty_event(&mut self, service: &str, event: Event) {
+        self.with_duty(service, |duty, view| duty.event(event, view));
+    }
+
+    fn obey(&mut self, service: &str, order: Order) {
+        log::info!("duty {service}: {order:?}");
+        match order {
+            Order::Claim => self.ask_register(service, Waiting::Seen(service.to_owned()), None),
+            Order::Confirm => self.ask_register(service, Waiting::Confirm(service.to_owned()), None),
+            Order::Look { id } => self.ask_db(service, id, "ENQUIRY".to_owned()),
+            Order::Suspend { id, term } => self.ask_db(service, id, format!("SUSPEND {term}")),
+            Order::Continue { id } => self.ask_db(service, id, "CONTINUE".to_owned()),
+            Order::Yield { id, term } => self.ask_db(service, id, format!("YIELD {term}")),
+            Order::Post { id, fence } => self.acts.push(Act::Post { service: service.to_owned(), id, fence }),
+            Order::Led { id, term } => {
+                let lead = Lead { service: service.to_owned(), id, term };
+                self.send_peers(&Msg::Lead(lead.clone()));
+                self.lead_told(lead);
+            }
+        }
+    }
+
+    pub(crate) fn lead_told(&mut self, lead: Lead) {
+        let held = self.feed.lead(&lead.service);
+        // A term already known to be over is old news; the same word again is none.
+        if held.is_none_or(|held| held.term < lead.term && !(held.id == lead.id && held.term == lead.term)) {
+            self.publish(News::Lead(lead));
+        }
+    }
+
+    fn ask_db(&mut self, service: &str, id: String, text: String) {
+        match self.table.get(&id).map(|inst| inst.addr.clone()) {
+            Some(addr) => self.acts.push(Act::Ask { service: service.to_owned(), id, addr, text }),
+            None => self.duty_event(service, Event::Row { id, status: None }),
+        }
+    }
+
+    /// A database's row came, or did not.
+    pub fn row(&mut self, service: &str, id: &str, status: Option<Status>, now: u64) {
+        self.now = self.now.max(now);
+        log::info!("duty {service}: row of {id}: {status:?}");
+        self.duty_event(service, Event::Row { id: id.to_owned(), status });
+        self.run_quorum();
+    }
+
+    /// The platform's return came, or did not.
+    pub fn posted(&mut self, service: &str, code: Option<u16>, now: u64) {
+        self.now = self.now.max(now);
+        log::info!("duty {service}: platform returned {code:?}");
+        self.duty_event(service, Event::Posted(code));
+        self.run_quorum();
+    }
+
+    fn ask_register(&mut self, service: &str, waiting: Waiting, wanted: Option<wv_inner::Cell>) {
+        let token = self.fresh_id();
+        self.waiting.insert(token, waiting);
+        self.quorum.start(token, &key(service), wanted, self.now);
+    }
+
+    /// The duty's register was read: claim it with a number above, ending in what is this node's own.
+    pub(crate) fn duty_seen(&mut self, service: String, outcome: Outcome) {
+        let Outcome::Read(held) = outcome else { return self.duty_event(&service, Event::Claimed(None)) };
+        let own = self.me.bytes().fold(0u64, |sum, byte| (sum * 31 + u64::from(byte)) & 0xffff);
+        let fence = (((held.sequence >> 16) + 1) << 16) | own;
+        let is_succession = !held.value.is_empty() && held.value != self.me.as_bytes();
+        self.fences.insert(service.clone(), if is_succession { fence | 1 << 63 } else { fence });
+        let cell = wv_reg::cell(fence, self.me.clone().into_bytes());
+        self.ask_register(&service, Waiting::Claim(service.clone()), Some(cell));
+    }
+
+    pub(crate) fn duty_claimed(&mut self, service: String, outcome: Outcome) {
+        let noted = self.fences.get(&service).copied().unwrap_or(0);
+        let (fence, is_succession) = (noted & !(1 << 63), noted >> 63 == 1);
+        let is_ours = matches!(outcome, Outcome::Written(cell) if cell.sequence == fence);
+        self.fences.insert(service.clone(), fence);
+        self.duty_event(&service, Event::Claimed(is_ours.then_some((fence, is_succession))));
+    }
+
+    pub(crate) fn duty_confirmed(&mut self, service: String, outcome: Outcome) {
+        let fence = self.fences.get(&service).copied();
+        let is_ours = matches!(&outcome, Outcome::Read(cell)
+            if Some(cell.sequence) == fence && cell.value == self.me.as_bytes());
+        self.duty_event(&service, Event::Confirmed(is_ours));
+    }
+}
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -1,7 +1,9 @@
 //! The control role: register, configuration, beats, feed and duties. Logic without sockets; `run` executes.
+mod ask;
 mod beats;
 mod conf;
 mod core;
+mod duties;
 mod exec;
 mod peers;
 mod run;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -88,7 +88,10 @@
                 let msgs = self.feed.since(life, place, &self.table);
                 msgs.into_iter().for_each(|msg| self.send(link, msg));
             }
-            Msg::Sights(_) => {}
+            Msg::Sights(sights) => {
+                self.send_peers(&Msg::PeerSights { node: node.to_owned(), sights: sights.clone() });
+                self.take_sights(node, sights);
+            }
             _ => self.acts.push(crate::Act::Close { link }),
         }
     }
@@ -142,6 +145,8 @@
                 }
             }
             Msg::InstHeld { ask } => self.inst_held(ask),
+            Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
+            Msg::Lead(lead) => self.lead_told(lead),
             Msg::Digests { ranges } => self.compare(link, &ranges),
             Msg::Range { insts, .. } => self.mend_range(insts),
             _ => {}
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -110,7 +110,7 @@
         let listener = wv_http::listen(addr).map_err(|error| ControlError::Listen(addr, error))?;
         let inner = boot.inner_addr(addr);
         let inner_listener = wv_http::listen(inner).map_err(|error| ControlError::Listen(inner, error))?;
-        let node = Node::new(core, boot.inner_port);
+        let node = Node::new(core, &boot);
         let called = node.clone();
         tokio::task::spawn_local(wv_http::serve(listener, crate::core::BODY_MAX, move |call| {
             called.clone().call(call)
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -29,6 +29,7 @@
             self.sync_conf();
         }
         self.roster.tick(self.now);
+        self.run_duties();
         self.tell_nodes();
         self.quorum.tick(self.now);
         self.run_quorum();
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -51,6 +51,8 @@
     pub since_us: u64,
     /// The newest place in a primary's log this node saw under a fence, as `TERM.NUMBER`.
     pub fenced: String,
+    /// How long ago the statement that showed it was sent.
+    pub fenced_ago_us: u64,
 }
 
 /// One change that the feed carries.
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -1,1 +1,78 @@
+//! The duty of promotion, one machine per service: events and time in, orders out.
+mod choice;
+mod duty;
+mod steps;
 
+pub use choice::{nominate, Verdict};
+pub use duty::Duty;
+
+use wv_wire::{Pos, Status};
+
+/// A database of the service as the duty sees it.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Seat {
+    pub id: String,
+    pub is_draining: bool,
+    /// All who look say its connections are refused, and have said so for this long.
+    pub refused_us: Option<u64>,
+}
+
+/// What the duty reads at each turn.
+pub struct View<'a> {
+    pub now: u64,
+    pub is_holder: bool,
+    pub lead: Option<&'a str>,
+    pub sync_replicas: u32,
+    pub seats: &'a [Seat],
+    /// Agreeing sightings of several nodes say the lead is down.
+    pub is_lead_down: bool,
+    /// The newest fenced sighting of the lead: how long ago, and its place.
+    pub fenced: Option<(u64, Pos)>,
+}
+
+/// What the duty wants done; each but `Led` comes back as an event.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Order {
+    /// Take the fence in the register.
+    Claim,
+    /// Make sure at a majority that the fence is still ours.
+    Confirm,
+    Look {
+        id: String,
+    },
+    Suspend {
+        id: String,
+        term: u64,
+    },
+    Continue {
+        id: String,
+    },
+    Yield {
+        id: String,
+        term: u64,
+    },
+    Post {
+        id: String,
+        fence: u64,
+    },
+    /// Tell all who leads now.
+    Led {
+        id: String,
+        term: u64,
+    },
+}
+
+/// What came of an order.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Event {
+    /// The fence, and whether another node held the duty before.
+    Claimed(Option<(u64, bool)>),
+    Confirmed(bool),
+    /// A row of `Look` or `Suspend`; `None` where the database could not be asked.
+    Row {
+        id: String,
+        status: Option<Status>,
+    },
+    /// The platform's return; `None` for silence.
+    Posted(Option<u16>),
+}
--- /dev/null
+++ b/crates/wv-promo/src/steps.rs
@@ -0,0 +1,124 @@
+//! Events of a promotion under way.
+use crate::duty::{replicas, Step, CLAIM_US, POST_US, ROWS_US};
+use crate::{nominate, Duty, Event, Order, Verdict, View};
+
+impl Duty {
+    pub fn event(&mut self, event: Event, view: &View<'_>) {
+        let now = view.now;
+        match (self.step.clone(), event) {
+            (Step::Probing { .. }, Event::Row { id, status }) if Some(id.as_str()) == view.lead => match status {
+                Some(status) if status.is_primary => self.rest(now),
+                _ => self.claim(now),
+            },
+            (Step::Claiming { .. }, Event::Claimed(Some((fence, is_succession)))) => {
+                self.fence = Some(fence);
+                match view.lead.filter(|_| is_succession) {
+                    Some(lead) => {
+                        self.orders.push(Order::Post { id: lead.to_owned(), fence });
+                        self.step = Step::Fencing { limit: now + POST_US };
+                    }
+                    None => self.look_all(view),
+                }
+            }
+            (Step::Claiming { .. }, Event::Claimed(None)) => self.give_up(now),
+            // Whatever the return, the fence was seen, or the next call's return will say that it was not.
+            (Step::Fencing { .. }, Event::Posted(Some(_))) => self.look_all(view),
+            (Step::Fencing { .. }, Event::Posted(None)) => self.give_up(now),
+            (Step::Looking { .. }, Event::Row { id, status }) => {
+                self.rows.insert(id, status);
+                if self.rows.len() >= self.asked.len() {
+                    self.looked(view);
+                }
+            }
+            (Step::Suspending { .. }, Event::Row { id, status }) if self.asked.contains(&id) => {
+                self.rows.insert(id, status);
+                if self.asked.iter().all(|id| self.rows.contains_key(id)) {
+                    self.settle(view);
+                }
+            }
+            (Step::Confirming { nominee, .. }, Event::Confirmed(true)) => {
+                if let Some(fence) = self.fence {
+                    self.orders.push(Order::Post { id: nominee.clone(), fence });
+                    self.step = Step::Posting { nominee, limit: now + POST_US };
+                }
+            }
+            (Step::Confirming { .. }, Event::Confirmed(false)) => self.give_up(now),
+            (Step::Posting { nominee, .. }, Event::Posted(code)) => match code {
+                Some(200..=299) | None => self.watch(nominee, now),
+                _ => self.give_up(now),
+            },
+            (Step::Watching { nominee, .. }, Event::Row { id, status: Some(status) })
+                if id == nominee && status.is_primary =>
+            {
+                self.done(&nominee, Some(status.term), now)
+            }
+            _ => {}
+        }
+    }
+
+    /// Rows of all replicas are in, or late.
+    pub(crate) fn looked(&mut self, view: &View<'_>) {
+        let newest = self.rows.values().flatten().map(|status| status.term.max(status.held)).max().unwrap_or(0);
+        self.term = self.term.max(newest);
+        // The fence is not ours: this was a new holder's look at what was left behind.
+        let Some(_) = self.fence else {
+            let held = |id: &String| self.rows.get(id).copied().flatten().is_some_and(|status| status.held > 0);
+            self.suspended = std::mem::take(&mut self.suspended).into_iter().filter(held).collect();
+            self.release(None);
+            return self.rest(view.now);
+        };
+        // One that leads already ends the matter: a predecessor's call went through.
+        let led = self.rows.iter().find(|(_, status)| status.is_some_and(|status| status.is_primary));
+        if let Some((id, status)) = led.map(|(id, status)| (id.clone(), *status)) {
+            return self.done(&id, status.map(|status| status.term), view.now);
+        }
+        let lead = view.lead;
+        let verdict = nominate(view.seats, lead, &self.rows, view.sync_replicas, view.fenced);
+        let Verdict::Nominee(nominee) = verdict else { return self.give_up(view.now) };
+        // The nominee goes on receiving: what the old primary can still get acknowledged then stands in its log.
+        let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != nominee).collect();
+        let asked = others.iter().filter(|id| self.rows.get(*id).copied().flatten().is_some()).cloned().collect();
+        self.suspend(asked, view);
+    }
+
+    fn suspend(&mut self, ids: Vec<String>, view: &View<'_>) {
+        self.asked = ids;
+        if self.asked.is_empty() {
+            return self.settle(view);
+        }
+        for id in self.asked.clone() {
+            self.rows.remove(&id);
+            self.orders.push(Order::Suspend { id: id.clone(), term: self.term + 1 });
+            self.suspended.push(id);
+        }
+        self.step = Step::Suspending { limit: view.now + ROWS_US };
+    }
+
+    /// All others are suspended: whoever has received most leads on.
+    pub(crate) fn settle(&mut self, view: &View<'_>) {
+        match nominate(view.seats, view.lead, &self.rows, view.sync_replicas, view.fenced) {
+            // Only the one that was left receiving may have grown since its row; any other must be suspended.
+            Verdict::Nominee(nominee) => {
+                let loose: Vec<String> =
+                    self.rows.keys().filter(|id| **id != nominee && !self.suspended.contains(id)).cloned().collect();
+                if loose.is_empty() {
+                    self.orders.push(Order::Confirm);
+                    self.step = Step::Confirming { nominee, limit: view.now + CLAIM_US };
+                    return;
+                }
+                // While the primary lives the one left receiving is ahead again at once: its row is only older.
+                if !std::mem::replace(&mut self.is_relooked, true) {
+                    loose.iter().for_each(|id| {
+                        self.rows.remove(id);
+                        self.orders.push(Order::Look { id: id.clone() });
+                    });
+                    self.asked = loose;
+                    self.step = Step::Suspending { limit: view.now + ROWS_US };
+                    return;
+                }
+                self.suspend(loose, view);
+            }
+            Verdict::Blocked => self.give_up(view.now),
+        }
+    }
+}
