--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -20,6 +20,7 @@
             session: Default::default(),
             ask: Ask::default(),
             txn: None,
+            awaited: None,
             is_closing: false,
             first_byte: self.now,
         };
@@ -53,7 +54,7 @@
         let mut at = 0;
         loop {
             let Some(client) = self.clients.get(&id) else { return };
-            if client.ask.is_open || client.is_closing || client.out.len() > HELD_OUT_MAX {
+            if client.ask.is_open || client.awaited.is_some() || client.is_closing || client.out.len() > HELD_OUT_MAX {
                 break;
             }
             let Some((line, len)) = cut_line(&buf[at..]) else {
@@ -83,13 +84,14 @@
         match ClientLine::parse(line) {
             ClientLine::Setup { database, .. } if !is_set_up => {
                 let database = String::from_utf8_lossy(database).into_owned();
-                let is_known = self.conf.as_ref().is_some_and(|conf| conf.lane(&database).is_some());
-                if !is_known {
-                    return self.end_with(id, Code::NoDb, "no such database");
+                match &self.conf {
+                    // Just started: which databases there are is not known yet. The client is not sent away for it.
+                    None => client.awaited = Some(database),
+                    Some(conf) if conf.lane(&database).is_none() => {
+                        self.end_with(id, Code::NoDb, "no such database");
+                    }
+                    Some(_) => self.set_up(id, database),
                 }
-                client.database = Some(database);
-                wv_wire::put_idle(&mut client.out, b'I', None);
-                self.acts.push(Act::WriteClient(id));
             }
             ClientLine::Query { id: query, text } if is_set_up => self.query(id, query, text),
             ClientLine::Release => self.close_client(id),
@@ -97,6 +99,28 @@
         }
     }
 
+    fn set_up(&mut self, id: u64, database: String) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.database = Some(database);
+        wv_wire::put_idle(&mut client.out, b'I', None);
+        self.acts.push(Act::WriteClient(id));
+    }
+
+    /// The first configuration has come: clients that waited for it are taken in or sent away.
+    pub(crate) fn set_up_awaited(&mut self) {
+        let Some(conf) = self.conf.clone() else { return };
+        let awaited: Vec<(u64, String)> =
+            self.clients.iter_mut().filter_map(|(id, client)| client.awaited.take().map(|name| (*id, name))).collect();
+        for (id, database) in awaited {
+            if conf.lane(&database).is_some() {
+                self.set_up(id, database);
+                self.read_on(id);
+            } else {
+                self.end_with(id, Code::NoDb, "no such database");
+            }
+        }
+    }
+
     fn query(&mut self, id: u64, query: &[u8], text: &[u8]) {
         let conf = self.conf.clone();
         let Some(client) = self.clients.get_mut(&id) else { return };
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -40,6 +40,7 @@
                         self.checks.service(name);
                     });
                     self.conf = Some(Rc::new(conf));
+                    self.set_up_awaited();
                 }
             }
             News::Inst(inst) => {
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -94,6 +94,8 @@
 
 pub struct Client {
     pub database: Option<String>,
+    /// The database it asked for before this node had a configuration.
+    pub awaited: Option<String>,
     pub inbuf: Vec<u8>,
     pub out: Vec<u8>,
     pub session: wv_pool::Session,
