--- /dev/null
+++ b/crates/wv-fleet/src/base.rs
@@ -0,0 +1,207 @@
+//! A stand-in database: log, sessions, and the answers that the protocol page gives.
+use std::collections::{BTreeMap, BTreeSet};
+use wv_wire::{cut_word, Code, Pos};
+
+/// One committed write: its place, and the query id of the try that made it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub pos: Pos,
+    pub tag: String,
+}
+
+#[derive(Default)]
+pub struct Conn {
+    pub state: u8,
+    pub is_plain: bool,
+    pub writes: Vec<String>,
+    pub values: BTreeMap<String, String>,
+    pub defined: BTreeMap<String, (bool, String)>,
+    pub is_set_up: bool,
+}
+
+/// What a text leads to beyond its direct answer.
+pub enum Outcome {
+    Say(String),
+    /// A commit of these tags, answered once enough replicas have it.
+    Commit(Vec<String>),
+    /// A read ran on this many applied entries.
+    Read(String),
+    /// Replication is stopped or let go on.
+    Row,
+}
+
+pub struct Base {
+    pub id: String,
+    pub service: String,
+    pub addr: String,
+    pub zone: String,
+    pub is_primary: bool,
+    pub is_up: bool,
+    pub is_dark: bool,
+    pub is_deaf: bool,
+    pub is_draining: bool,
+    pub is_left: bool,
+    pub term: u64,
+    pub log: Vec<Entry>,
+    pub applied: usize,
+    pub held: u64,
+    pub apply_lag: u64,
+    pub sequence: u64,
+    pub conns: BTreeMap<u64, Conn>,
+    /// Returns still to be lost after the statement ran.
+    pub lose: u32,
+    pub is_congested: bool,
+    /// Connections and statements it takes at once before it falls over, while it recovers.
+    pub bears: Option<usize>,
+    pub setups: u64,
+    pub most_busy: usize,
+    pub busy: BTreeSet<u64>,
+}
+
+impl Base {
+    pub fn new(service: &str, at: usize) -> Base {
+        Base {
+            id: format!("i-{service}{at}"),
+            service: service.to_owned(),
+            addr: format!("10.9.0.{}:{}", at + 1, 5000 + service.len()),
+            zone: format!("z{at}"),
+            is_primary: at == 0,
+            is_up: true,
+            is_dark: false,
+            is_deaf: false,
+            is_draining: false,
+            is_left: false,
+            term: 1,
+            log: Vec::new(),
+            applied: 0,
+            held: 0,
+            apply_lag: 20_000,
+            sequence: 0,
+            conns: BTreeMap::new(),
+            lose: 0,
+            is_congested: false,
+            bears: None,
+            setups: 0,
+            most_busy: 0,
+            busy: BTreeSet::new(),
+        }
+    }
+
+    fn error(&mut self, conn: u64, code: Code, is_fatal: bool) -> Outcome {
+        let state = self.conns.get_mut(&conn).map_or(b'I', |held| {
+            if is_fatal && held.state == b'T' {
+                held.state = b'E';
+            }
+            held.state
+        });
+        Outcome::Say(format!("ERROR {} no\r\n{}", code.word(), self.idle(state)))
+    }
+
+    pub fn row(&self) -> String {
+        let role = if self.is_primary { "primary" } else { "replica" };
+        let row = format!("ROW {role} {} {} {} 0 0 {}\r\n", self.term, self.received(), self.held, self.conns.len());
+        self.complete(&row, "-", b'I')
+    }
+
+    /// Runs one text on a connection.
+    pub fn run(&mut self, conn: u64, text: &str) -> Outcome {
+        let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
+        let Some(state) = self.conns.get(&conn).map(|held| held.state) else { return Outcome::Say(String::new()) };
+        if state == b'E' && verb != "ABORT" && verb != "COMMIT" {
+            return self.error(conn, Code::Malformed, false);
+        }
+        if verb == "MINPOS" {
+            let (word, more) = cut_word(rest.as_bytes());
+            let pos = Pos::parse(word).unwrap_or_default();
+            if !self.has(pos) {
+                return self.error(conn, Code::Lagging, true);
+            }
+            let more = String::from_utf8_lossy(more).into_owned();
+            return self.run(conn, &more);
+        }
+        let is_plain = self.conns.get(&conn).is_some_and(|held| held.is_plain);
+        let is_deposed = state == b'T' && is_plain && !self.is_primary;
+        match verb {
+            "BEGIN" if rest.is_empty() && !self.is_primary => self.error(conn, Code::ReadOnly, true),
+            "BEGIN" => self.set(conn, |held| (held.state, held.is_plain) = (b'T', rest.is_empty())),
+            "ABORT" => self.set(conn, |held| {
+                held.state = b'I';
+                held.writes.clear();
+            }),
+            "COMMIT" => {
+                let Some(held) = self.conns.get_mut(&conn) else { return Outcome::Row };
+                let writes = std::mem::take(&mut held.writes);
+                let is_failed = std::mem::replace(&mut held.state, b'I') == b'E';
+                if is_failed {
+                    return self.error(conn, Code::Aborted, false);
+                }
+                if is_deposed && !writes.is_empty() {
+                    return self.error(conn, Code::ReadOnly, false);
+                }
+                Outcome::Commit(writes)
+            }
+            _ if is_deposed => self.error(conn, Code::ReadOnly, true),
+            "ASSIGN" => {
+                let (name, value) = rest.split_once(' ').unwrap_or((rest, ""));
+                self.set(conn, |held| {
+                    held.values.insert(name.to_owned(), value.to_owned());
+                })
+            }
+            "CLEAR" => self.set(conn, |held| {
+                held.values.clear();
+                held.defined.clear();
+            }),
+            "DEFINE" => {
+                let mut words = rest.split(' ');
+                let mut word = || words.next().unwrap_or_default().to_owned();
+                let (name, kind, shape) = (word(), word(), word());
+                self.set(conn, |held| {
+                    held.defined.insert(name, (kind == "WRITE", shape));
+                })
+            }
+            "EXECUTE" => {
+                let name = rest.split(' ').next().unwrap_or_default();
+                match self.conns.get(&conn).and_then(|held| held.defined.get(name)).map(|held| held.0) {
+                    Some(true) => self.write(conn, state),
+                    Some(false) => self.read(),
+                    None => self.error(conn, Code::Undefined, true),
+                }
+            }
+            "READ" | "WRITE" if self.is_congested => self.error(conn, Code::Congested, true),
+            "READ" => self.read(),
+            "WRITE" => self.write(conn, state),
+            "ENQUIRY" => Outcome::Row,
+            "SUSPEND" => {
+                self.held = rest.parse().unwrap_or(0);
+                Outcome::Row
+            }
+            "CONTINUE" => {
+                self.held = 0;
+                Outcome::Row
+            }
+            _ => self.error(conn, Code::Malformed, true),
+        }
+    }
+
+    fn set(&mut self, conn: u64, change: impl FnOnce(&mut Conn)) -> Outcome {
+        let state = self.conns.get_mut(&conn).map_or(b'I', |held| {
+            change(held);
+            held.state
+        });
+        Outcome::Say(self.complete("", "-", state))
+    }
+
+    fn read(&self) -> Outcome {
+        Outcome::Read(format!("ROW {}\r\n", self.applied))
+    }
+
+    fn write(&mut self, conn: u64, state: u8) -> Outcome {
+        if !self.is_primary {
+            return self.error(conn, Code::ReadOnly, true);
+        }
+        if state == b'T' {
+            return Outcome::Say(String::new());
+        }
+        Outcome::Commit(Vec::new())
+    }
+}
--- /dev/null
+++ b/crates/wv-fleet/src/links.rs
@@ -0,0 +1,100 @@
+//! Links between nodes in the world: sessions of access nodes, and control nodes among themselves.
+use crate::nodes::End;
+use crate::world::{Ev, World, HOP};
+use crate::MS;
+use wv_inner::Msg;
+
+impl World {
+    /// The access node's side of its session, as its link keeps it up.
+    pub(crate) fn session(&mut self, at: usize) {
+        self.put(400 * MS, Ev::Session(at));
+        let now = self.now;
+        let Some(core) = self.access[at].core.as_mut() else { return };
+        let (place, node) = (core.place(), &mut self.access[at]);
+        if let Some(end) = node.session.filter(|_| node.heard + 1300 * MS > now) {
+            node.beats += 1;
+            let is_whole = node.beats % 5 == 0;
+            let sights = node.core.as_mut().map(|core| core.take_sights(is_whole)).unwrap_or_default();
+            self.put(HOP, Ev::Link { to: end, msg: Msg::Here });
+            if !sights.is_empty() {
+                self.put(HOP, Ev::Link { to: end, msg: Msg::Sights(sights) });
+            }
+            return;
+        }
+        node.session.take().into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
+        let node = &mut self.access[at];
+        node.next += 1;
+        node.turn += 1;
+        let (to, name, life, turn) = (node.next % self.controls.len(), node.name.clone(), node.life, node.turn);
+        let is_cut = self.is_cut(&name, &self.controls[to].name.clone());
+        let Some(core) = self.controls[to].core.as_mut().filter(|_| !is_cut) else { return };
+        let link = core.link_in(now);
+        let end = End::Control { at: to, link, life: self.controls[to].life };
+        self.controls[to].far.insert(link, End::Access { at, life, turn });
+        (self.access[at].session, self.access[at].heard) = (Some(end), now);
+        self.put(HOP, Ev::Link { to: end, msg: Msg::Hello { node: name, control: String::new(), life } });
+        self.put(HOP, Ev::Link { to: end, msg: Msg::Follow { life: place.0, place: place.1 } });
+    }
+
+    pub(crate) fn dial(&mut self, at: usize, link: u64, addr: &str) {
+        let to = self.controls.iter().position(|control| control.addr == addr);
+        let end = End::Control { at, link, life: self.controls[at].life };
+        let name = self.controls[at].name.clone();
+        let now = self.now;
+        let to = to.filter(|to| self.controls[*to].core.is_some() && !self.is_cut(&name, &self.controls[*to].name));
+        let Some(to) = to else { return self.put(2 * HOP, Ev::LinkDown { end }) };
+        let Some(far) = self.controls[to].core.as_mut().map(|core| core.link_in(now)) else { return };
+        let far_end = End::Control { at: to, link: far, life: self.controls[to].life };
+        self.controls[at].far.insert(link, far_end);
+        self.controls[to].far.insert(far, end);
+        self.put(2 * HOP, Ev::LinkUp { control: at, link });
+    }
+
+    pub(crate) fn link_msg(&mut self, to: End, msg: Msg) {
+        match to {
+            End::Control { at, link, life } if self.controls[at].life == life => {
+                let far = self.controls[at].far.get(&link).copied();
+                let is_cut = far.is_some_and(|far| self.is_cut_ends(to, far));
+                if !is_cut {
+                    self.with_control(at, |core, now| core.msg(link, msg, now));
+                }
+            }
+            End::Access { at, life, turn } if self.access[at].life == life && self.access[at].turn == turn => {
+                let is_cut = self.access[at].session.is_some_and(|far| self.is_cut_ends(to, far));
+                if is_cut {
+                    return;
+                }
+                self.access[at].heard = self.now;
+                match msg {
+                    Msg::Beat { fresh: false } => self.access[at].heard = 0,
+                    Msg::Beat { .. } | Msg::Peers { .. } => {}
+                    msg => {
+                        self.with_access(at, |core, now| core.feed(msg, now).is_ok());
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn is_cut_ends(&self, one: End, other: End) -> bool {
+        let name = |end: End| match end {
+            End::Control { at, .. } => &self.controls[at].name,
+            End::Access { at, .. } => &self.access[at].name,
+        };
+        self.is_cut(name(one), name(other))
+    }
+
+    pub(crate) fn link_down(&mut self, end: End) {
+        match end {
+            End::Control { at, link, life } if self.controls[at].life == life => {
+                self.controls[at].far.remove(&link);
+                self.with_control(at, |core, now| core.link_down(link, now));
+            }
+            End::Access { at, life, turn } if self.access[at].life == life && self.access[at].turn == turn => {
+                self.access[at].session = None;
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/wv-fleet/src/service.rs
@@ -0,0 +1,247 @@
+//! What databases and the platform do in the world: statements, commits, replication, beats, promotions.
+use crate::base::{Conn, Entry, Outcome};
+use crate::world::{Ev, World, HOP};
+use crate::MS;
+use wv_access::Lost;
+use wv_wire::{cut_line, ClientLine, Pos};
+
+/// How long a statement takes a database.
+const WORK: u64 = 3 * MS;
+
+impl World {
+    pub fn base(&self, id: &str) -> Option<usize> {
+        self.bases.iter().position(|base| base.id == id)
+    }
+
+    pub(crate) fn open_db(&mut self, access: usize, db: u64, addr: &str) {
+        let life = self.access[access].life;
+        let name = self.access[access].name.clone();
+        let base = self.bases.iter().position(|base| base.addr == addr && !base.is_left);
+        let lost = match base.map(|at| &self.bases[at]) {
+            Some(base) if base.is_dark || self.is_cut(&name, &base.id) => Some((700 * MS, Lost::Dark)),
+            Some(base) if base.is_up => None,
+            _ => Some((HOP * 2, Lost::Refused)),
+        };
+        match (lost, base) {
+            (None, Some(base)) => {
+                self.next_conn += 1;
+                let conn = self.next_conn;
+                self.bases[base].conns.insert(conn, Conn { state: b'I', ..Conn::default() });
+                self.bases[base].setups += 1;
+                self.db_conns.insert((access, db), (base, conn));
+                self.put(HOP * 2, Ev::DbOpened { access, db, life });
+                self.strain(base);
+            }
+            (Some((wait, lost)), _) => self.put(wait, Ev::DbEnd { access, db, lost, life }),
+            (None, None) => {}
+        }
+    }
+
+    /// A recovering database that is given more at once than it bears falls over again.
+    fn strain(&mut self, base: usize) {
+        let held = &mut self.bases[base];
+        held.most_busy = held.most_busy.max(held.busy.len());
+        if held.bears.is_some_and(|bears| held.busy.len() > bears) {
+            self.note(format!("{} falls over", self.bases[base].id));
+            self.crash(base);
+        }
+    }
+
+    fn owner(&self, base: usize, conn: u64) -> Option<(usize, u64)> {
+        self.db_conns.iter().find(|(_, at)| **at == (base, conn)).map(|(key, _)| *key)
+    }
+
+    fn utter(&mut self, base: usize, conn: u64, text: String, after: u64) {
+        let Some((access, db)) = self.owner(base, conn) else { return };
+        let life = self.access[access].life;
+        let name = self.access[access].name.clone();
+        if !self.bases[base].is_dark && !self.is_cut(&name, &self.bases[base].id.clone()) {
+            self.put(after + HOP, Ev::DbOut { access, db, bytes: text.into_bytes(), life });
+        }
+    }
+
+    pub(crate) fn db_in(&mut self, base: usize, conn: u64, bytes: &[u8]) {
+        let mut at = 0;
+        while let Some((line, len)) = cut_line(&bytes[at..]) {
+            at += len;
+            if !self.bases[base].is_up || self.bases[base].is_dark || !self.bases[base].conns.contains_key(&conn) {
+                return;
+            }
+            match ClientLine::parse(line) {
+                ClientLine::Setup { who, .. } => {
+                    let id = String::from_utf8_lossy(who).split(' ').nth(1).map(str::to_owned);
+                    let is_it = id.as_deref() == Some(self.bases[base].id.as_str());
+                    let text = if is_it { "IDLE I 1.0\r\n" } else { "ERROR WRONGNODE no\r\n" };
+                    self.utter(base, conn, text.to_owned(), 12 * MS);
+                }
+                // Own statements carry the id `-`, which a client's may not.
+                _ => {
+                    let text = String::from_utf8_lossy(line).into_owned();
+                    let mut words = text.splitn(3, ' ');
+                    let (_, id, text) = (words.next(), words.next().unwrap_or("-"), words.next().unwrap_or_default());
+                    self.statement(base, conn, id, text);
+                }
+            }
+        }
+    }
+
+    fn statement(&mut self, base: usize, conn: u64, id: &str, text: &str) {
+        let is_own = id == "-";
+        if !is_own {
+            *self.oracle.runs.entry(id.to_owned()).or_default() += 1;
+            self.bases[base].busy.insert(conn);
+            self.strain(base);
+            self.check_session(base, conn, id, text);
+        }
+        let outcome = self.bases[base].run(conn, text);
+        let is_lost = !is_own && self.bases[base].lose > 0;
+        if is_lost {
+            self.bases[base].lose -= 1;
+        }
+        let state = self.bases[base].conns.get(&conn).map_or(b'I', |held| held.state);
+        let stamp = format!("stamp.{}.{id}", self.bases[base].id);
+        match outcome {
+            Outcome::Say(text) if text.is_empty() => {
+                // A write inside a transaction waits for its commit.
+                self.bases[base].conns.get_mut(&conn).into_iter().for_each(|held| held.writes.push(id.to_owned()));
+                let text = self.bases[base].complete("", &stamp, state);
+                self.finish(base, conn, text, is_lost);
+            }
+            Outcome::Say(text) => self.finish(base, conn, text, is_lost),
+            Outcome::Row => {
+                let text = self.bases[base].row();
+                self.finish(base, conn, text, is_lost);
+            }
+            Outcome::Read(rows) => {
+                self.judge_read(base, id);
+                let text = self.bases[base].complete(&rows, &stamp, state);
+                self.finish(base, conn, text, is_lost);
+            }
+            Outcome::Commit(tags) => {
+                let is_single = text != "COMMIT";
+                let tags = if is_single { vec![id.to_owned()] } else { tags };
+                self.commit(base, conn, tags, &stamp, is_lost);
+            }
+        }
+    }
+
+    fn finish(&mut self, base: usize, conn: u64, text: String, is_lost: bool) {
+        self.bases[base].busy.remove(&conn);
+        if !is_lost {
+            self.utter(base, conn, text, WORK);
+        }
+    }
+
+    fn commit(&mut self, base: usize, conn: u64, tags: Vec<String>, stamp: &str, is_lost: bool) {
+        if tags.is_empty() {
+            let text = self.bases[base].complete("", stamp, b'I');
+            return self.finish(base, conn, text, is_lost);
+        }
+        let term = self.bases[base].term;
+        for tag in tags {
+            let number = self.bases[base].received().number + 1;
+            self.bases[base].log.push(Entry { pos: Pos { term, number }, tag });
+        }
+        let (len, pos) = (self.bases[base].log.len(), self.bases[base].received());
+        self.bases[base].applied = len;
+        let stamp = if is_lost { String::new() } else { stamp.to_owned() };
+        self.waiting.push((base, pos, conn, stamp));
+        let replicas: Vec<usize> = (0..self.bases.len()).filter(|at| *at != base).collect();
+        replicas.into_iter().for_each(|to| self.put(2 * MS, Ev::Replicate { from: base, to, len }));
+    }
+
+    pub(crate) fn replicate(&mut self, from: usize, to: usize, len: usize) {
+        let (source, target) = (&self.bases[from], &self.bases[to]);
+        let is_receiving = target.is_up && !target.is_dark && !target.is_deaf && target.held == 0 && !target.is_primary;
+        let is_linked = !self.is_cut(&source.id, &target.id) && source.service == target.service && !target.is_left;
+        if !is_receiving || !is_linked || !source.is_primary || !source.is_up || target.log.len() >= len {
+            return;
+        }
+        let log = source.log[..len.min(source.log.len())].to_vec();
+        let lag = self.bases[to].apply_lag;
+        self.bases[to].log = log;
+        self.put(lag, Ev::Apply { base: to, len });
+        // One replica that has received is enough for the acknowledgement.
+        let received = self.bases[to].received();
+        let (done, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition(|(base, pos, _, _)| *base == from && *pos <= received);
+        self.waiting = rest;
+        for (base, _, conn, stamp) in done {
+            let text = self.bases[base].complete("", &stamp, b'I');
+            self.finish(base, conn, text, stamp.is_empty());
+        }
+    }
+
+    pub(crate) fn beat(&mut self, base: usize) {
+        let held = &mut self.bases[base];
+        if !held.is_up || held.is_dark || held.is_left {
+            return;
+        }
+        held.sequence += 1;
+        let body = serde_json::json!({"destination": held.service, "address": held.addr, "zone": held.zone,
+            "issue": "v1", "capacity": 10, "state": if held.is_draining { "draining" } else { "in_service" },
+            "coldLeftMs": 0, "dbRole": if held.is_primary { "primary" } else { "replica" }, "sequence": held.sequence});
+        let path = format!("/instances/{}", held.id);
+        let up: Vec<usize> = (0..self.controls.len()).filter(|at| self.controls[*at].core.is_some()).collect();
+        if let Some(control) = up.get(self.luck.below(up.len() as u64) as usize) {
+            self.call(*control, "PUT", &path, body.to_string().as_bytes());
+        }
+    }
+
+    /// The named database leads the next term with what it had received, and nothing more.
+    pub(crate) fn promote(&mut self, base: usize) {
+        if !self.bases[base].is_up || self.bases[base].is_primary {
+            return;
+        }
+        let service = self.bases[base].service.clone();
+        let term = self.bases.iter().map(|held| held.term).max().unwrap_or(1) + 1;
+        let log = self.bases[base].log.clone();
+        self.note(format!("{} leads term {term}", self.bases[base].id));
+        for (at, held) in self.bases.iter_mut().enumerate().filter(|(_, held)| held.service == service) {
+            held.is_primary = at == base;
+            held.term = term;
+            held.log.truncate(log.len());
+            let same = held.log.iter().zip(&log).take_while(|(one, other)| one == other).count();
+            held.log.truncate(same);
+            held.applied = held.applied.min(same);
+        }
+        self.bases[base].held = 0;
+        self.bases[base].applied = log.len();
+        self.waiting.retain(|(at, _, _, _)| *at == base);
+        (0..self.bases.len()).for_each(|at| self.beat(at));
+    }
+
+    /// It ends without a word; its connections are reset.
+    pub fn crash(&mut self, base: usize) {
+        self.bases[base].is_up = false;
+        self.bases[base].conns.clear();
+        self.bases[base].busy.clear();
+        self.waiting.retain(|(at, _, _, _)| *at != base);
+        self.end_conns(base, HOP, Lost::Closed);
+    }
+
+    /// Its machine says nothing any more.
+    pub fn darken(&mut self, base: usize) {
+        self.bases[base].is_dark = true;
+        self.bases[base].conns.clear();
+        self.waiting.retain(|(at, _, _, _)| *at != base);
+        self.end_conns(base, 900 * MS, Lost::Dark);
+    }
+
+    fn end_conns(&mut self, base: usize, after: u64, lost: Lost) {
+        let keys: Vec<(usize, u64)> =
+            self.db_conns.iter().filter(|(_, at)| at.0 == base).map(|(key, _)| *key).collect();
+        for (access, db) in keys {
+            let life = self.access[access].life;
+            self.put(after, Ev::DbEnd { access, db, lost, life });
+        }
+    }
+
+    /// It comes back with its log; what it held suspended is forgotten.
+    pub fn revive(&mut self, base: usize) {
+        let held = &mut self.bases[base];
+        (held.is_up, held.is_dark, held.held) = (true, false, 0);
+        self.beat(base);
+    }
+}
--- /dev/null
+++ b/crates/wv-fleet/tests/failover.rs
@@ -0,0 +1,172 @@
+//! Stories of primaries that crash, go dark, drain or lose their lead.
+use googletest::prelude::*;
+use wv_fleet::{World, MS, S};
+
+fn busy(access: usize, controls: usize) -> World {
+    let mut world = World::serving(access, controls);
+    world.load(10, "p");
+    world.load(5, "b");
+    world.run(3 * S);
+    world
+}
+
+fn end(world: &mut World) -> Vec<String> {
+    world.stop_load();
+    world.run(wv_fleet::REST);
+    world.judge()
+}
+
+fn recovers(world: &mut World, within: u64) {
+    let before = world.load_done().0;
+    world.run(within);
+    let mid = world.load_done().0;
+    world.run(2 * S);
+    expect_that!(world.load_done().0, gt(mid + 50), "served again after {} of {}", mid, before);
+}
+
+#[gtest]
+fn given_a_primary_that_crashes_then_another_leads_and_nothing_acknowledged_is_lost() {
+    let mut world = busy(4, 3);
+    world.crash(0);
+    recovers(&mut world, 2 * S);
+    expect_that!(world.bases[0].is_primary, eq(false));
+    world.revive(0);
+    world.run(2 * S);
+    expect_that!(world.primary(), not(eq(0)));
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_primary_that_goes_dark_and_returns_then_nothing_is_lost_doubled_or_stale() {
+    let mut world = busy(4, 3);
+    world.darken(0);
+    recovers(&mut world, 3 * S);
+    world.revive(0);
+    world.run(3 * S);
+    expect_that!(world.posts.iter().filter(|post| post.3 == Some(200)).count(), eq(1));
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_primary_cut_off_from_one_node_then_no_promotion() {
+    let mut world = busy(4, 3);
+    world.cut.insert(("a0".to_owned(), world.bases[0].id.clone()));
+    world.run(4 * S);
+    expect_that!(world.posts, is_empty());
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_draining_primary_then_its_work_moves_before_it_ends_and_no_read_is_stale() {
+    let mut world = busy(4, 3);
+    world.bases[0].is_draining = true;
+    world.run(3 * S);
+    expect_that!(world.primary(), not(eq(0)));
+    let failed = world.load_done().1;
+    world.bases[0].is_left = true;
+    world.crash(0);
+    world.run(2 * S);
+    expect_that!(world.load_done().1, le(failed + 2));
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_deaf_replica_when_the_primary_crashes_then_the_one_that_received_leads() {
+    let mut world = busy(4, 3);
+    world.bases[2].is_deaf = true;
+    world.run(2 * S);
+    world.crash(0);
+    world.run(2 * S);
+    expect_that!(world.primary(), eq(1));
+    world.bases[2].is_deaf = false;
+    world.revive(0);
+    world.run(S);
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_replica_dark_and_perhaps_ahead_when_the_primary_crashes_then_nobody_is_promoted_until_it_returns() {
+    let mut world = busy(4, 3);
+    // The dark one alone received the last commits.
+    world.bases[1].is_deaf = true;
+    world.run(S);
+    world.darken(2);
+    world.crash(0);
+    world.run(4 * S);
+    expect_that!(world.posts, is_empty());
+    world.revive(2);
+    world.run(3 * S);
+    expect_that!(world.primary(), eq(2));
+    world.bases[1].is_deaf = false;
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_replica_refused_for_long_when_the_primary_crashes_then_the_other_may_lead_without_it() {
+    let mut world = busy(4, 3);
+    world.crash(2);
+    world.run(4 * S);
+    world.crash(0);
+    world.run(3 * S);
+    expect_that!(world.primary(), eq(1));
+    world.revive(0);
+    world.revive(2);
+    world.run(S);
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_the_holder_dies_at_any_moment_of_a_promotion_then_another_ends_it_and_nothing_stays_suspended() {
+    for moment in [20, 60, 100, 150, 220, 400] {
+        let mut world = busy(4, 3);
+        world.crash(0);
+        let mut holder = None;
+        while holder.is_none() {
+            world.run(5 * MS);
+            let asks = world.course.iter().rev().find(|(_, text)| text.contains("asks"));
+            holder = asks.and_then(|(_, text)| text[1..2].parse::<usize>().ok());
+        }
+        world.run(moment * MS);
+        world.kill_control(holder.unwrap_or(0));
+        world.run(6 * S);
+        expect_that!(world.primary(), not(eq(0)), "killed after {moment} ms");
+        world.revive(0);
+        world.run(2 * S);
+        expect_that!(world.bases.iter().all(|base| base.held == 0), eq(true), "killed after {moment} ms");
+        expect_that!(end(&mut world), is_empty(), "killed after {moment} ms");
+    }
+}
+
+#[gtest]
+fn given_two_holders_that_cannot_hear_each_other_then_the_lower_fence_changes_nothing() {
+    let mut world = busy(4, 3);
+    // Each control node is alone with its own view for a moment; only one side keeps a majority.
+    world.cut.insert(("c0".to_owned(), "c1".to_owned()));
+    world.cut.insert(("c0".to_owned(), "c2".to_owned()));
+    world.crash(0);
+    world.run(3 * S);
+    world.cut.clear();
+    world.run(3 * S);
+    let fences: Vec<u64> = world.posts.iter().filter(|post| post.3 == Some(200)).map(|post| post.2).collect();
+    expect_that!(fences.windows(2).all(|pair| pair[0] <= pair[1]), eq(true));
+    expect_that!(world.primary(), not(eq(0)));
+    world.revive(0);
+    world.run(S);
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_platform_that_is_silent_then_the_call_is_made_again_and_replicas_are_not_left_suspended() {
+    let mut world = busy(4, 3);
+    world.is_platform_down = true;
+    world.crash(0);
+    world.run(6 * S);
+    expect_that!(world.bases.iter().filter(|base| base.is_primary && base.is_up).count(), eq(0));
+    world.is_platform_down = false;
+    world.run(5 * S);
+    expect_that!(world.primary(), not(eq(0)));
+    world.revive(0);
+    world.run(2 * S);
+    expect_that!(world.bases.iter().all(|base| base.held == 0), eq(true));
+    expect_that!(end(&mut world), is_empty());
+}
--- /dev/null
+++ b/crates/wv-fleet/tests/traffic.rs
@@ -0,0 +1,197 @@
+//! Stories of sessions, pools and lanes.
+use googletest::prelude::*;
+use wv_fleet::{World, MS, S};
+
+/// What a client hears of one line, after the fleet had time to answer.
+fn asked(world: &mut World, client: usize, line: &str) -> Vec<String> {
+    world.take(client);
+    world.say(client, line);
+    world.run(150 * MS);
+    world.take(client)
+}
+
+#[gtest]
+fn given_a_quiet_fleet_when_clients_work_then_all_is_served_and_no_rule_broken() {
+    let mut world = World::serving(4, 3);
+    world.load(12, "p");
+    world.load(8, "b");
+    world.run(10 * S);
+    world.stop_load();
+    world.run(wv_fleet::REST);
+    let (done, failed) = world.load_done();
+    expect_that!(done, gt(1000));
+    expect_that!(failed, eq(0));
+    expect_that!(world.judge(), is_empty());
+    expect_that!(world.posts, is_empty());
+}
+
+#[gtest]
+fn given_an_unknown_database_when_a_client_sets_up_then_nodb_and_a_close() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "nowhere");
+    expect_that!(world.take(client), elements_are![starts_with("ERROR NODB")]);
+    expect_that!(world.is_closed(client), eq(true));
+}
+
+#[gtest]
+fn given_no_configuration_yet_when_a_client_sets_up_then_it_waits_for_the_first_one() {
+    let mut world = World::new(1, 3);
+    world.run(2 * S);
+    let client = world.client(0, "p");
+    expect_that!(world.take(client), is_empty());
+    world.call(0, "PUT", "/configuration", &World::conf(1));
+    world.run(S);
+    expect_that!(world.take(client), elements_are![eq("IDLE I -")]);
+}
+
+#[gtest]
+fn given_a_session_when_it_opens_a_transaction_then_begin_is_answered_here_and_commit_by_the_database() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "p");
+    expect_that!(asked(&mut world, client, "QUERY a1 BEGIN"), elements_are![eq("COMPLETE -"), eq("IDLE T -")]);
+    expect_that!(asked(&mut world, client, "QUERY a2 WRITE k d")[0], starts_with("COMPLETE stamp"));
+    let commit = asked(&mut world, client, "QUERY a3 COMMIT");
+    expect_that!(commit[0], starts_with("COMPLETE stamp"));
+    expect_that!(commit[1], starts_with("IDLE I"));
+    expect_that!(asked(&mut world, client, "QUERY a4 COMMIT")[0], starts_with("ERROR MALFORMED"));
+}
+
+#[gtest]
+fn given_two_sessions_with_clashing_names_when_they_share_connections_then_each_runs_its_own_shape() {
+    let mut world = World::serving(1, 3);
+    world.load(9, "p");
+    world.load(9, "b");
+    world.run(6 * S);
+    world.stop_load();
+    world.run(wv_fleet::REST);
+    // The stand-ins compare values and shapes at each run; the oracle holds what did not fit.
+    expect_that!(world.judge(), is_empty());
+    expect_that!(world.oracle.reads, gt(300));
+}
+
+#[gtest]
+fn given_a_name_that_was_never_defined_when_executed_then_undefined_and_nothing_is_sent() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "p");
+    expect_that!(asked(&mut world, client, "QUERY a1 EXECUTE s1 k")[0], starts_with("ERROR UNDEFINED"));
+    expect_that!(world.oracle.runs.contains_key("a1"), eq(false));
+}
+
+#[gtest]
+fn given_a_write_whose_return_is_lost_then_indeterm_and_it_is_never_sent_again() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "p");
+    world.bases[0].lose = 1;
+    world.take(client);
+    world.say(client, "QUERY a1 WRITE k d");
+    world.run(2 * S);
+    expect_that!(world.take(client)[0], starts_with("ERROR INDETERM"));
+    expect_that!(world.oracle.runs.get("a1"), some(eq(&1)));
+    expect_that!(world.bases[0].log.iter().filter(|entry| entry.tag == "a1").count(), eq(1));
+}
+
+#[gtest]
+fn given_a_commit_whose_return_is_lost_then_indeterm_with_writes_and_a_promise_without() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "p");
+    for (writes, wanted) in [(true, "ERROR INDETERM"), (false, "ERROR ABORTED")] {
+        asked(&mut world, client, "QUERY a1 BEGIN");
+        asked(&mut world, client, if writes { "QUERY a2 WRITE k d" } else { "QUERY a2 READ k" });
+        world.bases[0].lose = 1;
+        world.say(client, "QUERY a3 COMMIT");
+        world.run(2 * S);
+        let heard = world.take(client);
+        expect_that!(heard[0], starts_with(wanted));
+        expect_that!(heard[1], starts_with("IDLE I"));
+    }
+}
+
+#[gtest]
+fn given_a_transaction_when_its_database_crashes_then_aborted_and_its_end_is_taken() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "p");
+    asked(&mut world, client, "QUERY a1 BEGIN");
+    asked(&mut world, client, "QUERY a2 WRITE k d");
+    world.crash(0);
+    world.run(50 * MS);
+    let heard = asked(&mut world, client, "QUERY a3 READ k");
+    expect_that!(heard[0], starts_with("ERROR ABORTED"));
+    expect_that!(heard[1], starts_with("IDLE E"));
+    expect_that!(asked(&mut world, client, "QUERY a4 READ k")[0], starts_with("ERROR MALFORMED"));
+    expect_that!(asked(&mut world, client, "QUERY a5 ABORT")[1], starts_with("IDLE I"));
+}
+
+#[gtest]
+fn given_a_transaction_that_rests_too_long_then_it_is_rolled_back_behind_and_told_with_the_next_statement() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "p");
+    asked(&mut world, client, "QUERY a1 BEGIN");
+    asked(&mut world, client, "QUERY a2 WRITE k d");
+    world.run(4 * S);
+    expect_that!(world.take(client), is_empty());
+    expect_that!(asked(&mut world, client, "QUERY a3 COMMIT")[0], starts_with("ERROR ABORTED"));
+    expect_that!(world.bases[0].log, is_empty());
+}
+
+#[gtest]
+fn given_a_client_that_leaves_midway_then_its_connection_serves_no_one_else_and_nothing_is_kept() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "p");
+    asked(&mut world, client, "QUERY a1 BEGIN");
+    world.say(client, "QUERY a2 WRITE k d");
+    world.run(2 * MS);
+    world.leave(client);
+    world.run(S);
+    expect_that!(world.bases[0].log, is_empty());
+    let other = world.client(0, "p");
+    expect_that!(asked(&mut world, other, "QUERY b1 WRITE k d")[0], starts_with("COMPLETE stamp"));
+}
+
+#[gtest]
+fn given_replicas_far_behind_when_bounded_reads_run_then_none_is_older_than_its_bound() {
+    let mut world = World::serving(3, 3);
+    (1..3).for_each(|at| world.bases[at].apply_lag = 3 * S);
+    world.load(6, "p");
+    world.load(6, "b");
+    world.run(8 * S);
+    world.stop_load();
+    world.run(wv_fleet::REST);
+    expect_that!(world.judge(), is_empty());
+    expect_that!(world.load_done().0, gt(300));
+}
+
+#[gtest]
+fn given_a_congested_primary_when_writes_come_then_a_promise_at_once_and_nothing_kept() {
+    let mut world = World::serving(1, 3);
+    world.bases[0].is_congested = true;
+    let client = world.client(0, "p");
+    let heard = asked(&mut world, client, "QUERY a1 WRITE k d");
+    expect_that!(heard[0], starts_with("ERROR CONGESTED"));
+    expect_that!(heard[0], contains_substring("retry after"));
+    expect_that!(world.bases[0].log, is_empty());
+}
+
+#[gtest]
+fn given_a_line_over_the_bound_then_oversize_and_a_close() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "p");
+    world.take(client);
+    world.say(client, &format!("QUERY a1 WRITE k {}", "x".repeat(400_000)));
+    world.run(50 * MS);
+    expect_that!(world.take(client)[0], starts_with("ERROR OVERSIZE"));
+    expect_that!(world.is_closed(client), eq(true));
+}
+
+#[gtest]
+fn given_sigterm_when_a_transaction_is_open_then_it_may_end_and_idle_sessions_are_closed_in_time() {
+    let mut world = World::serving(2, 3);
+    let (open, idle) = (world.client(0, "p"), world.client(0, "p"));
+    asked(&mut world, open, "QUERY a1 BEGIN");
+    asked(&mut world, open, "QUERY a2 WRITE k d");
+    let now = world.now;
+    world.access[0].core.iter_mut().for_each(|core| core.leave(now));
+    expect_that!(world.access[0].core.as_ref().map(|core| core.is_ready()), some(eq(false)));
+    world.run(2600 * MS);
+    expect_that!(world.is_closed(idle), eq(true));
+    expect_that!(asked(&mut world, open, "QUERY a3 COMMIT")[0], starts_with("COMPLETE stamp"));
+}
