A replica refused since before a settled fenced sighting no longer blocks a promotion

Found by a story: with one replica crashed for 4 s, the primary's crash left the service without a writer; only one node looks at a far replica, and the newest sighting may name a commit nobody has received yet.

--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -72,7 +72,7 @@
         let (now, pools) = (self.now, &self.pools);
         let mut sights = Vec::new();
         for (service, checker) in self.checks.iter() {
-            let fenced = checker.fenced.newest();
+            let fenced = checker.fenced.settled();
             for (seat, member) in checker.members().filter(|(_, member)| !member.inst.gone) {
                 let is_standing = pools.get(&Spot { service, seat }).is_some_and(|pool| pool.all > pool.opening);
                 // Only what was seen is told: down once it is agreed on, up where a connection stands.
--- a/crates/wv-check/src/fenced.rs
+++ b/crates/wv-check/src/fenced.rs
@@ -2,6 +2,7 @@
 
 /// Sightings closer together than this are folded into one.
 const GAP_US: u64 = 40_000;
+const SETTLE_US: u64 = 500_000;
 const KEPT: usize = 128;
 
 /// Fenced sightings of a primary: a log place and the moment just before the statement that showed it was sent.
@@ -33,6 +34,13 @@
         self.seen.get(at).map(|(_, pos)| *pos)
     }
 
+    /// A sighting old enough that what it names has reached the replicas, if they receive at all.
+    pub fn settled(&self) -> Option<(u64, Pos)> {
+        let (newest, _) = self.newest()?;
+        let at = self.seen.partition_point(|(sent, _)| *sent + SETTLE_US < newest);
+        self.seen.get(at.saturating_sub(1)).copied()
+    }
+
     pub fn newest(&self) -> Option<(u64, Pos)> {
         self.seen.back().copied()
     }
--- a/crates/wv-control/src/ask.rs
+++ b/crates/wv-control/src/ask.rs
@@ -2,6 +2,7 @@
 use crate::exec::Node;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use wv_promo::{Silent, Word};
 use wv_wire::{cut_line, parse_status, DbLine, Status};
 
 const ASK: std::time::Duration = std::time::Duration::from_millis(400);
@@ -35,8 +36,15 @@
     }
 }
 
-async fn ask(addr: SocketAddr, service: &str, id: &str, text: &str) -> Option<Status> {
-    let mut stream = wv_http::connect(addr, ASK).await.ok()?;
+async fn ask(addr: SocketAddr, service: &str, id: &str, text: &str) -> Word {
+    let stream = wv_http::connect(addr, ASK).await.map_err(|error| match error.kind() {
+        std::io::ErrorKind::ConnectionRefused => Silent::Refused,
+        _ => Silent::Dark,
+    })?;
+    converse(stream, service, id, text).await.ok_or(Silent::Dark)
+}
+
+async fn converse(mut stream: tokio::net::TcpStream, service: &str, id: &str, text: &str) -> Option<Status> {
     let mut out = Vec::new();
     // The expected id goes along: another database may have taken the place.
     wv_wire::put_line(&mut out, &[b"SETUP", service.as_bytes(), b"windvalve", id.as_bytes()]);
@@ -51,11 +59,11 @@
 
 impl Node {
     pub(crate) async fn ask_db(self, service: String, id: String, addr: String, text: String) {
-        let status = match addr.parse() {
-            Ok(addr) => tokio::time::timeout(ASK, ask(addr, &service, &id, &text)).await.unwrap_or(None),
-            Err(_) => None,
+        let word = match addr.parse() {
+            Ok(addr) => tokio::time::timeout(ASK, ask(addr, &service, &id, &text)).await.unwrap_or(Err(Silent::Dark)),
+            Err(_) => Err(Silent::Dark),
         };
-        self.with(|core, now| core.row(&service, &id, status, now));
+        self.with(|core, now| core.row(&service, &id, word, now));
     }
 
     pub(crate) async fn post(self, service: String, id: String, fence: u64) {
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -1,9 +1,9 @@
 //! The duties this node holds: what the promotion machines read, and what they order.
 use crate::core::{Act, Core, Waiting};
 use wv_inner::{Lead, Msg, News, Sight, Sighting};
-use wv_promo::{Event, Order, Seat, View};
+use wv_promo::{Event, Order, Seat, Silent, View, Word};
 use wv_reg::Outcome;
-use wv_wire::{Pos, Status};
+use wv_wire::Pos;
 
 /// Sightings older than this count no more.
 const SIGHT_US: u64 = 3_500_000;
@@ -45,7 +45,7 @@
         let is_refused = |sight: &Sighting| sight.sight == Sight::Refused;
         self.words(id).all(|(sight, _)| is_refused(sight)).then_some(())?;
         let lasting = self.words(id).map(|(sight, ago)| sight.since_us + ago);
-        (self.words(id).count() >= 2.min(self.roster.nodes().len())).then(|| lasting.min()).flatten()
+        lasting.min()
     }
 
     fn fenced(&self, id: &str) -> Option<(u64, Pos)> {
@@ -125,15 +125,15 @@
     fn ask_db(&mut self, service: &str, id: String, text: String) {
         match self.table.get(&id).map(|inst| inst.addr.clone()) {
             Some(addr) => self.acts.push(Act::Ask { service: service.to_owned(), id, addr, text }),
-            None => self.duty_event(service, Event::Row { id, status: None }),
+            None => self.duty_event(service, Event::Row { id, word: Err(Silent::Refused) }),
         }
     }
 
     /// A database's row came, or did not.
-    pub fn row(&mut self, service: &str, id: &str, status: Option<Status>, now: u64) {
+    pub fn row(&mut self, service: &str, id: &str, word: Word, now: u64) {
         self.now = self.now.max(now);
-        log::info!("duty {service}: row of {id}: {status:?}");
-        self.duty_event(service, Event::Row { id: id.to_owned(), status });
+        log::info!("duty {service}: row of {id}: {word:?}");
+        self.duty_event(service, Event::Row { id: id.to_owned(), word });
         self.run_quorum();
     }
 
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -198,14 +198,18 @@
                 self.returns.insert(token, (status, body));
             }
             ControlAct::Ask { service, id, text, .. } => {
-                let base = self.base(&id).filter(|base| {
+                let is_open = |base: &usize| {
                     let held = &self.bases[*base];
-                    held.is_up && !held.is_dark && !self.is_cut(&self.controls[at].name, &held.id)
-                });
-                let status = base.and_then(|base| self.bases[base].ask(&text));
+                    !held.is_dark && !self.is_cut(&self.controls[at].name, &held.id)
+                };
+                let word = match self.base(&id).filter(is_open) {
+                    None => Err(wv_promo::Silent::Dark),
+                    Some(base) if !self.bases[base].is_up => Err(wv_promo::Silent::Refused),
+                    Some(base) => self.bases[base].ask(&text).ok_or(wv_promo::Silent::Dark),
+                };
                 self.note(format!("{} asks {id}: {text}", self.controls[at].name));
-                let wait = if status.is_some() { 15 * MS } else { 100 * MS };
-                self.put(wait, Ev::Row { control: at, service, id, status });
+                let wait = if word.is_ok() { 15 * MS } else { 100 * MS };
+                self.put(wait, Ev::Row { control: at, service, id, word });
             }
             ControlAct::Post { service, id, fence } => self.post(at, service, id, fence),
         }
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -21,7 +21,7 @@
     Link { to: End, msg: Msg },
     LinkUp { control: usize, link: u64 },
     LinkDown { end: End },
-    Row { control: usize, service: String, id: String, status: Option<wv_wire::Status> },
+    Row { control: usize, service: String, id: String, word: wv_promo::Word },
     Posted { control: usize, service: String, code: Option<u16> },
     Promote { base: usize },
     Step { client: usize, life: u64 },
@@ -159,8 +159,8 @@
                 self.with_control(control, |core, now| core.link_up(link, now));
             }
             Ev::LinkDown { end } => self.link_down(end),
-            Ev::Row { control, service, id, status } => {
-                self.with_control(control, |core, now| core.row(&service, &id, status, now));
+            Ev::Row { control, service, id, word } => {
+                self.with_control(control, |core, now| core.row(&service, &id, word, now));
             }
             Ev::Posted { control, service, code } => {
                 self.with_control(control, |core, now| core.posted(&service, code, now));
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -1,6 +1,6 @@
+use crate::Word;
 use crate::{Order, View};
 use std::collections::BTreeMap;
-use wv_wire::Status;
 
 /// How long databases may take to give their rows.
 pub(crate) const ROWS_US: u64 = 450_000;
@@ -54,7 +54,7 @@
 pub struct Duty {
     pub(crate) step: Step,
     pub(crate) fence: Option<u64>,
-    pub(crate) rows: BTreeMap<String, Option<Status>>,
+    pub(crate) rows: BTreeMap<String, Word>,
     pub(crate) asked: Vec<String>,
     pub(crate) suspended: Vec<String>,
     /// The one left receiving was looked at once more after the others were suspended.
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -13,7 +13,7 @@
 pub struct Seat {
     pub id: String,
     pub is_draining: bool,
-    /// All who look say its connections are refused, and have said so for this long.
+    /// Whoever looks at it from an access node says its connections are refused, and has said so for this long.
     pub refused_us: Option<u64>,
 }
 
@@ -62,16 +62,26 @@
     },
 }
 
+/// How a database that was asked gave no row.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Silent {
+    /// Its machine says that nothing listens there.
+    Refused,
+    Dark,
+}
+
+pub type Word = Result<Status, Silent>;
+
 /// What came of an order.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Event {
     /// The fence, and whether another node held the duty before.
     Claimed(Option<(u64, bool)>),
     Confirmed(bool),
-    /// A row of `Look` or `Suspend`; `None` where the database could not be asked.
+    /// What came of a `Look` or `Suspend`.
     Row {
         id: String,
-        status: Option<Status>,
+        word: Word,
     },
     /// The platform's return; `None` for silence.
     Posted(Option<u16>),
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -6,8 +6,8 @@
     pub fn event(&mut self, event: Event, view: &View<'_>) {
         let now = view.now;
         match (self.step.clone(), event) {
-            (Step::Probing { .. }, Event::Row { id, status }) if Some(id.as_str()) == view.lead => match status {
-                Some(status) if status.is_primary => self.rest(now),
+            (Step::Probing { .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => match word {
+                Ok(status) if status.is_primary => self.rest(now),
                 _ => self.claim(now),
             },
             (Step::Claiming { .. }, Event::Claimed(Some((fence, is_succession)))) => {
@@ -24,14 +24,14 @@
             // Whatever the return, the fence was seen, or the next call's return will say that it was not.
             (Step::Fencing { .. }, Event::Posted(Some(_))) => self.look_all(view),
             (Step::Fencing { .. }, Event::Posted(None)) => self.give_up(now),
-            (Step::Looking { .. }, Event::Row { id, status }) => {
-                self.rows.insert(id, status);
+            (Step::Looking { .. }, Event::Row { id, word }) => {
+                self.rows.insert(id, word);
                 if self.rows.len() >= self.asked.len() {
                     self.looked(view);
                 }
             }
-            (Step::Suspending { .. }, Event::Row { id, status }) if self.asked.contains(&id) => {
-                self.rows.insert(id, status);
+            (Step::Suspending { .. }, Event::Row { id, word }) if self.asked.contains(&id) => {
+                self.rows.insert(id, word);
                 if self.asked.iter().all(|id| self.rows.contains_key(id)) {
                     self.settle(view);
                 }
@@ -47,7 +47,7 @@
                 Some(200..=299) | None => self.watch(nominee, now),
                 _ => self.give_up(now),
             },
-            (Step::Watching { nominee, .. }, Event::Row { id, status: Some(status) })
+            (Step::Watching { nominee, .. }, Event::Row { id, word: Ok(status) })
                 if id == nominee && status.is_primary =>
             {
                 self.done(&nominee, Some(status.term), now)
@@ -62,22 +62,22 @@
         self.term = self.term.max(newest);
         // The fence is not ours: this was a new holder's look at what was left behind.
         let Some(_) = self.fence else {
-            let held = |id: &String| self.rows.get(id).copied().flatten().is_some_and(|status| status.held > 0);
+            let held = |id: &String| self.rows.get(id).is_some_and(|word| word.is_ok_and(|status| status.held > 0));
             self.suspended = std::mem::take(&mut self.suspended).into_iter().filter(held).collect();
             self.release(None);
             return self.rest(view.now);
         };
         // One that leads already ends the matter: a predecessor's call went through.
-        let led = self.rows.iter().find(|(_, status)| status.is_some_and(|status| status.is_primary));
+        let led = self.rows.iter().find(|(_, status)| status.is_ok_and(|status| status.is_primary));
         if let Some((id, status)) = led.map(|(id, status)| (id.clone(), *status)) {
-            return self.done(&id, status.map(|status| status.term), view.now);
+            return self.done(&id, status.ok().map(|status| status.term), view.now);
         }
         let lead = view.lead;
         let verdict = nominate(view.seats, lead, &self.rows, view.sync_replicas, view.fenced);
         let Verdict::Nominee(nominee) = verdict else { return self.give_up(view.now) };
         // The nominee goes on receiving: what the old primary can still get acknowledged then stands in its log.
         let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != nominee).collect();
-        let asked = others.iter().filter(|id| self.rows.get(*id).copied().flatten().is_some()).cloned().collect();
+        let asked = others.iter().filter(|id| self.rows.get(*id).is_some_and(Result::is_ok)).cloned().collect();
         self.suspend(asked, view);
     }
 
