--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -3,6 +3,10 @@
 use std::rc::Rc;
 use wv_check::{Checks, Spot};
 
+/// The pause after a failed opening doubles between these.
+const HOLD_FIRST_US: u64 = 15_000;
+const HOLD_LAST_US: u64 = 400_000;
+
 pub type Map<K, V> = hashbrown::HashMap<K, V, ahash::RandomState>;
 
 /// The connections to one database and who waits for one.
@@ -12,6 +16,11 @@
     pub all: u32,
     pub opening: u32,
     pub waiting: std::collections::VecDeque<u64>,
+    /// When anything last came from this database.
+    pub heard: u64,
+    /// Openings that failed in a row, and until when the next one waits.
+    pub fails: u32,
+    pub not_before: u64,
 }
 
 /// All state of an access node. Events and time go in, acts come out.
@@ -132,7 +141,7 @@
         let Some(member) = self.checks.member(spot).filter(|member| !member.inst.gone) else { return false };
         let (addr, id) = (member.inst.addr.clone(), member.inst.id.clone());
         let pool = self.pools.entry(spot).or_default();
-        if pool.all >= cap {
+        if pool.all >= cap || self.now < pool.not_before {
             return false;
         }
         pool.all += 1;
@@ -156,6 +165,15 @@
         true
     }
 
+    /// A failed opening is not tried again at once: all nodes together would keep a struggling database down.
+    pub(crate) fn hold_opening(&mut self, spot: Spot) {
+        let now = self.now;
+        if let Some(pool) = self.pools.get_mut(&spot) {
+            pool.fails = (pool.fails + 1).min(5);
+            pool.not_before = now + (HOLD_FIRST_US << pool.fails).min(HOLD_LAST_US);
+        }
+    }
+
     /// Closes a connection from this side and forgets it.
     pub(crate) fn close_db(&mut self, db: u64) {
         self.acts.push(Act::CloseDb(db));
@@ -178,6 +196,9 @@
     pub fn db_lost(&mut self, db: u64, lost: Lost, now: u64) {
         self.now = self.now.max(now);
         let Some(held) = self.forget_db(db) else { return };
+        if held.phase == Phase::Opening {
+            self.hold_opening(held.spot);
+        }
         let sight = match lost {
             Lost::Refused => Some(wv_inner::Sight::Refused),
             Lost::Dark => Some(wv_inner::Sight::Dark),
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -22,6 +22,9 @@
     pub fn db_data(&mut self, db: u64, bytes: &[u8], now: u64) {
         self.now = self.now.max(now);
         let Some(held) = self.dbs.get_mut(&db) else { return };
+        if let Some(pool) = self.pools.get_mut(&held.spot) {
+            pool.heard = self.now;
+        }
         let mut buf = std::mem::take(&mut held.inbuf);
         let whole = if buf.is_empty() {
             bytes
@@ -94,6 +97,7 @@
     fn setup_refused(&mut self, db: u64, code: Code) {
         self.acts.push(Act::CloseDb(db));
         let Some(held) = self.forget_db(db) else { return };
+        self.hold_opening(held.spot);
         let waiting = self.pools.get_mut(&held.spot).and_then(|pool| pool.waiting.pop_front());
         // It lives but takes no connection, or another database has its place: who waits goes elsewhere.
         if let Some(id) = waiting {
@@ -116,6 +120,7 @@
             What::Setup => {
                 if let Some(pool) = self.pools.get_mut(&spot) {
                     pool.opening = pool.opening.saturating_sub(1);
+                    (pool.fails, pool.not_before) = (0, 0);
                 }
                 let is_back = self.checks.member_mut(spot).is_some_and(|member| member.up(true, self.now));
                 if is_back {
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -8,6 +8,8 @@
 /// Connections kept ready to the writer and to a reader in the own zone.
 const WARM_WRITER: u32 = 2;
 const WARM_READER: u32 = 1;
+/// A database with work that says nothing for this long is looked at.
+const SILENT_US: u64 = 250_000;
 
 impl Core {
     /// A feed message. A gap asks for the feed to be followed anew.
@@ -95,10 +97,32 @@
     pub fn housekeep(&mut self, now: u64) {
         self.now = self.now.max(now);
         self.care();
+        self.listen_out();
         self.serve_stranded();
+        self.serve_waiting_anywhere();
         self.leave_on();
     }
 
+    /// A database that has work and says nothing on any connection is looked at with a new one: a slow one
+    /// takes it, a dark one does not. The silence counts as the first sighting, the failed look as the second.
+    fn listen_out(&mut self) {
+        let now = self.now;
+        let mut silent: Vec<Spot> = Vec::new();
+        for db in self.dbs.values().filter(|db| db.phase == Phase::Busy) {
+            let is_waiting = db.expects.front().is_some_and(|expect| expect.sent + SILENT_US < now);
+            let is_quiet =
+                self.pools.get(&db.spot).is_some_and(|pool| pool.heard + SILENT_US < now && pool.opening == 0);
+            if is_waiting && is_quiet && !silent.contains(&db.spot) {
+                silent.push(db.spot);
+            }
+        }
+        for spot in silent {
+            if self.open_db(spot) {
+                self.checks.member_mut(spot).into_iter().for_each(|member| member.silent(now));
+            }
+        }
+    }
+
     fn care(&mut self) {
         if self.conf.is_none() {
             return;
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -4,9 +4,9 @@
 use crate::{AccessError, Core};
 use actix::prelude::*;
 
-const CARE: std::time::Duration = std::time::Duration::from_millis(200);
+const CARE: std::time::Duration = std::time::Duration::from_millis(100);
 /// The boot file's own time of change is looked at every so many rounds of care.
-const BOOT_EVERY: u32 = 5;
+const BOOT_EVERY: u32 = 10;
 const BODY_MAX: usize = 4096;
 
 struct Access {
--- a/crates/wv-check/src/checker.rs
+++ b/crates/wv-check/src/checker.rs
@@ -111,6 +111,13 @@
         false
     }
 
+    /// It has work and says nothing, which alone isolates nobody.
+    pub fn silent(&mut self, now: u64) {
+        if !self.is_isolated && self.sight == Sight::Up {
+            (self.sight, self.since, self.agreeing) = (Sight::Dark, now, 1);
+        }
+    }
+
     pub fn looked(&mut self, now: u64) {
         self.next_look = now + self.look_gap;
     }
--- a/crates/wv-control/src/ask.rs
+++ b/crates/wv-control/src/ask.rs
@@ -6,6 +6,8 @@
 use wv_wire::{cut_line, parse_status, DbLine, Status};
 
 const ASK: std::time::Duration = std::time::Duration::from_millis(400);
+/// A machine that does not even take a connection within this is dark; a busy database still does.
+const CONNECT: std::time::Duration = std::time::Duration::from_millis(250);
 const POST: std::time::Duration = std::time::Duration::from_millis(1200);
 const RETURN_MAX: usize = 16 << 10;
 
@@ -37,7 +39,7 @@
 }
 
 async fn ask(addr: SocketAddr, service: &str, id: &str, text: &str) -> Word {
-    let stream = wv_http::connect(addr, ASK).await.map_err(|error| match error.kind() {
+    let stream = wv_http::connect(addr, CONNECT).await.map_err(|error| match error.kind() {
         std::io::ErrorKind::ConnectionRefused => Silent::Refused,
         _ => Silent::Dark,
     })?;
--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -52,6 +52,8 @@
     fn take_beat(&mut self, token: u64, inst: Inst, is_leave: bool) {
         let changed = self.table.offer(inst.clone());
         self.announce(&changed, true);
+        // Also a beat that changes nothing says who leads, where nobody is known to.
+        self.fold_lead(&inst, false);
         if !is_leave {
             if !changed.is_empty() {
                 self.spread(&changed);
@@ -75,17 +77,21 @@
 
     /// Publishes changed entries and folds who leads from them; a beat's own word weighs more than a copy's.
     pub(crate) fn announce(&mut self, insts: &[Inst], is_own_word: bool) {
+        self.is_table_due |= !insts.is_empty();
         for inst in insts {
             self.publish(News::Inst(inst.clone()));
-            let lead = self.feed.lead(&inst.service);
-            let is_led =
-                lead.is_some_and(|lead| self.table.get(&lead.id).is_some_and(|held| held.primary && !held.gone));
-            let is_new = lead.is_none_or(|lead| lead.id != inst.id);
-            if inst.primary && !inst.gone && is_new && (is_own_word || !is_led) {
-                let term = lead.map_or(0, |lead| lead.term);
-                let lead = Lead { service: inst.service.clone(), id: inst.id.clone(), term };
-                self.publish(News::Lead(lead));
-            }
+            self.fold_lead(inst, is_own_word);
+        }
+    }
+
+    fn fold_lead(&mut self, inst: &Inst, is_own_word: bool) {
+        let lead = self.feed.lead(&inst.service);
+        let is_led = lead.is_some_and(|lead| self.table.get(&lead.id).is_some_and(|held| held.primary && !held.gone));
+        let is_new = lead.is_none_or(|lead| lead.id != inst.id);
+        if inst.primary && !inst.gone && is_new && (is_own_word || !is_led) {
+            let term = lead.map_or(0, |lead| lead.term);
+            self.publish(News::Lead(Lead { service: inst.service.clone(), id: inst.id.clone(), term }));
+            self.is_table_due = true;
         }
     }
 
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -5,6 +5,8 @@
 use wv_roster::Roster;
 
 pub const CONF: &str = "conf";
+/// Registers under this stand on this disk alone and are no part of any quorum.
+pub const LOCAL: &str = "local/";
 /// The configuration's body is read up to this bound.
 pub const BODY_MAX: usize = wv_conf::BODY_MAX;
 /// A majority heard within this is fresh contact.
@@ -114,11 +116,15 @@
     pub(crate) is_caught_up: bool,
     pub(crate) is_syncing: bool,
     pub(crate) nodes_told: u32,
+    /// How many access nodes there were before this life.
+    pub(crate) nodes_recalled: u32,
     pub(crate) conf: Option<wv_conf::Conf>,
     pub(crate) duties: BTreeMap<String, wv_promo::Duty>,
     pub(crate) fences: BTreeMap<String, u64>,
     pub(crate) sights: BTreeMap<String, (u64, Vec<wv_inner::Sighting>)>,
     pub(crate) born: u64,
+    /// The table changed since it was last put on this disk.
+    pub(crate) is_table_due: bool,
     pub(crate) pinged: u64,
     pub(crate) repaired: u64,
     pub(crate) is_leaving: bool,
@@ -138,7 +144,7 @@
         for addr in start.seeds.iter().chain(quorum.voters()).filter(|addr| **addr != start.me) {
             peers.insert(addr.clone(), Peer::default());
         }
-        Ok(Core {
+        let mut core = Core {
             now: 0,
             roster: Roster::new(&start.me),
             feed: Feed::new(start.life),
@@ -161,15 +167,19 @@
             is_caught_up: false,
             is_syncing: false,
             nodes_told: 0,
+            nodes_recalled: 0,
             conf: None,
             duties: BTreeMap::new(),
             fences: BTreeMap::new(),
             sights: BTreeMap::new(),
             born: 0,
+            is_table_due: false,
             pinged: 0,
             repaired: 0,
             is_leaving: false,
-        })
+        };
+        core.recall_table();
+        Ok(core)
     }
 
     pub fn take_acts(&mut self) -> Vec<Act> {
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -70,6 +70,9 @@
             lead: lead.as_deref(),
             sync_replicas: service_conf.map_or(1, |held| held.sync_replicas),
             seats: &seats,
+            is_lead_doubted: lead
+                .as_deref()
+                .is_some_and(|lead| self.words(lead).any(|(sight, _)| sight.sight != Sight::Up)),
             is_lead_down: lead.as_deref().is_some_and(|lead| self.is_down(lead)),
             fenced: lead.as_deref().and_then(|lead| self.fenced(lead)),
         };
@@ -80,9 +83,6 @@
     }
 
     pub(crate) fn run_duties(&mut self) {
-        if self.born == 0 {
-            self.born = self.now;
-        }
         let services: Vec<String> =
             self.conf.iter().flat_map(|conf| conf.services.keys().cloned()).collect::<Vec<String>>();
         for service in &services {
@@ -118,6 +118,7 @@
         let held = self.feed.lead(&lead.service);
         // A term already known to be over is old news; the same word again is none.
         if held.is_none_or(|held| held.term < lead.term && !(held.id == lead.id && held.term == lead.term)) {
+            self.is_table_due = true;
             self.publish(News::Lead(lead));
         }
     }
--- a/crates/wv-control/src/exec.rs
+++ b/crates/wv-control/src/exec.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 use wv_inner::Msg;
 
-const CONNECT: std::time::Duration = std::time::Duration::from_millis(700);
+const CONNECT: std::time::Duration = std::time::Duration::from_millis(300);
 const SILENT: std::time::Duration = std::time::Duration::from_millis(1500);
 /// A link whose far end takes nothing is cut when this many messages wait.
 const QUEUE_MAX: usize = 4096;
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod exec;
 mod peers;
+mod recall;
 mod run;
 mod tick;
 mod voter;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -116,6 +116,10 @@
                 if let Some(peer) = self.peers.get_mut(addr) {
                     (peer.ponged, peer.is_mended) = (self.now, mended);
                 }
+                // Just started: what is in force is read as soon as a majority is there.
+                if !self.is_caught_up && self.is_fresh() {
+                    self.sync_conf();
+                }
                 // A voter holds something newer than what is in force here: settle it and learn it.
                 if conf > self.published && self.is_fresh() {
                     self.sync_conf();
--- /dev/null
+++ b/crates/wv-control/src/recall.rs
@@ -0,0 +1,53 @@
+//! What a control node recalls of the databases after a restart: hints from its own disk until beats come.
+use crate::core::{Core, LOCAL};
+use wv_inner::{Inst, Lead, News};
+
+/// More than this is not kept; beats bring the rest within moments.
+const KEPT_MAX: usize = 1 << 20;
+
+#[derive(nanoserde::SerBin, nanoserde::DeBin, Default)]
+struct Kept {
+    insts: Vec<Inst>,
+    leads: Vec<Lead>,
+    nodes: u32,
+}
+
+fn key() -> String {
+    format!("{LOCAL}table")
+}
+
+impl Core {
+    /// Puts the table on this disk when it changed.
+    pub(crate) fn keep_table(&mut self) {
+        if !std::mem::take(&mut self.is_table_due) || !self.is_mended {
+            return;
+        }
+        let kept = Kept {
+            insts: self.table.iter().filter(|inst| !inst.gone).cloned().collect(),
+            leads: self.feed.leads().cloned().collect(),
+            nodes: self.nodes_told,
+        };
+        let value = nanoserde::SerBin::serialize_bin(&kept);
+        let sequence = self.store.get(&key()).map_or(1, |held| held.sequence + 1);
+        if value.len() <= KEPT_MAX {
+            if let Err(error) = self.store.put(&key(), &wv_reg::cell(sequence, value)) {
+                log::warn!("the table of databases is not kept: {error}");
+            }
+        }
+    }
+
+    /// Hints only: each connection names the id it expects, and the databases themselves fence their lead.
+    pub(crate) fn recall_table(&mut self) {
+        let kept: Option<Kept> =
+            self.store.get(&key()).and_then(|held| nanoserde::DeBin::deserialize_bin(&held.value).ok());
+        let Some(kept) = kept else { return };
+        // Until all had time to come back the nodes share the connections as before: all returning at once,
+        // each with a share counted over the few that are already here, would overrun the databases.
+        self.nodes_recalled = kept.nodes;
+        for inst in kept.insts {
+            let changed = self.table.offer(inst);
+            changed.into_iter().for_each(|inst| self.publish(News::Inst(inst)));
+        }
+        kept.leads.into_iter().for_each(|lead| self.publish(News::Lead(lead)));
+    }
+}
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -4,12 +4,18 @@
 
 const PING_US: u64 = 400_000;
 const REPAIR_US: u64 = 2_000_000;
+/// A peer is dialled again soon while this node is young, since all may be starting at once.
+const DIAL_YOUNG_US: u64 = 100_000;
+const YOUNG_US: u64 = 10_000_000;
 const DIAL_US: u64 = 500_000;
 
 impl Core {
     /// Regular work, ten times a second.
     pub fn tick(&mut self, now: u64) {
         self.now = self.now.max(now);
+        if self.born == 0 {
+            self.born = self.now;
+        }
         self.dial();
         if self.pinged + PING_US <= self.now {
             self.pinged = self.now;
@@ -28,6 +34,7 @@
         if !self.is_caught_up && self.is_fresh() {
             self.sync_conf();
         }
+        self.keep_table();
         self.roster.tick(self.now);
         self.run_duties();
         self.tell_nodes();
@@ -38,10 +45,11 @@
 
     fn dial(&mut self) {
         let now = self.now;
+        let gap = if now < self.born + YOUNG_US { DIAL_YOUNG_US } else { DIAL_US };
         let due: Vec<String> = self
             .peers
             .iter()
-            .filter(|(_, peer)| peer.link.is_none() && (peer.dialed == 0 || peer.dialed + DIAL_US <= now))
+            .filter(|(_, peer)| peer.link.is_none() && (peer.dialed == 0 || peer.dialed + gap <= now))
             .map(|(addr, _)| addr.clone())
             .collect();
         for addr in due {
@@ -62,9 +70,11 @@
     }
 
     pub(crate) fn tell_nodes(&mut self) {
-        let nodes = self.roster.nodes().len() as u32;
+        let recalled = if self.now < self.born + YOUNG_US { self.nodes_recalled } else { 0 };
+        let nodes = (self.roster.nodes().len() as u32).max(recalled);
         if nodes != self.nodes_told && nodes > 0 {
             self.nodes_told = nodes;
+            self.is_table_due = true;
             self.publish(News::Nodes(nodes));
         }
     }
--- a/crates/wv-control/src/voter.rs
+++ b/crates/wv-control/src/voter.rs
@@ -1,5 +1,5 @@
 //! The voter's side of the register, the quorum's traffic and the mending of a lost disk.
-use crate::core::Core;
+use crate::core::{Core, LOCAL};
 use wv_inner::{Cell, Msg};
 
 impl Core {
@@ -22,6 +22,8 @@
     /// Carries the quorum's messages and takes up what is done.
     pub(crate) fn run_quorum(&mut self) {
         loop {
+            // Whatever moved on sends its next step at once, not at the next turn.
+            self.quorum.tick(self.now);
             let out = self.quorum.take_out();
             if out.is_empty() {
                 break;
@@ -44,7 +46,6 @@
                     _ => {}
                 }
             }
-            self.quorum.tick(self.now);
         }
         let done = self.quorum.take_done();
         done.into_iter().for_each(|done| self.quorum_done(done));
@@ -79,6 +80,9 @@
         }
         let mut merged: std::collections::BTreeMap<String, Cell> = Default::default();
         for (key, cell) in std::mem::take(&mut self.mends).into_values().flatten() {
+            if key.starts_with(LOCAL) {
+                continue;
+            }
             let held = merged.entry(key).or_default();
             if wv_reg::newer(&cell, held) {
                 *held = cell;
--- a/crates/wv-feed/src/follow.rs
+++ b/crates/wv-feed/src/follow.rs
@@ -40,6 +40,10 @@
         self.leads.get(service)
     }
 
+    pub fn leads(&self) -> impl Iterator<Item = &Lead> {
+        self.leads.values()
+    }
+
     /// What a follower at `place` of `life` needs: the changes since, or a snapshot.
     pub fn since(&self, life: u64, place: u64, table: &crate::Table) -> Vec<Msg> {
         let is_within = self.changes.front().is_some_and(|(first, _)| place + 1 >= *first) && place <= self.place;
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -74,7 +74,7 @@
         (node.life, node.armed, node.session) = (self.life, u64::MAX, None);
         node.core = Some(wv_access::Core::new(&format!("z{}", at % 3), 6 * S));
         if is_first {
-            self.put(200 * MS, Ev::Care(at));
+            self.put(100 * MS, Ev::Care(at));
             self.put(MS, Ev::Session(at));
         }
     }
--- a/crates/wv-fleet/src/service.rs
+++ b/crates/wv-fleet/src/service.rs
@@ -18,7 +18,7 @@
         let name = self.access[access].name.clone();
         let base = self.bases.iter().position(|base| base.addr == addr && !base.is_left);
         let lost = match base.map(|at| &self.bases[at]) {
-            Some(base) if base.is_dark || self.is_cut(&name, &base.id) => Some((700 * MS, Lost::Dark)),
+            Some(base) if base.is_dark || self.is_cut(&name, &base.id) => Some((300 * MS, Lost::Dark)),
             Some(base) if base.is_up => None,
             _ => Some((HOP * 2, Lost::Refused)),
         };
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -122,7 +122,7 @@
         match event {
             Ev::Care(at) => {
                 self.with_access(at, |core, now| core.housekeep(now));
-                self.put(200 * MS, Ev::Care(at));
+                self.put(100 * MS, Ev::Care(at));
             }
             Ev::Schedule(at) => {
                 self.access[at].armed = u64::MAX;
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -4,10 +4,12 @@
 
 /// How long databases may take to give their rows.
 pub(crate) const ROWS_US: u64 = 450_000;
+/// How long the holder's own failed look stands while others come to agree.
+const AGREE_US: u64 = 800_000;
 pub(crate) const CLAIM_US: u64 = 1_200_000;
 pub(crate) const POST_US: u64 = 1_500_000;
 /// Between looks at a nominee that is on its way to lead.
-const WATCH_GAP_US: u64 = 100_000;
+const WATCH_GAP_US: u64 = 300_000;
 const WATCH_US: u64 = 2_500_000;
 /// After an attempt that led nowhere.
 const PAUSE_FIRST_US: u64 = 150_000;
@@ -18,10 +20,14 @@
     Rest {
         until: u64,
     },
-    /// The holder's own look at a lead that others call down.
+    /// The holder's own look at a lead that another calls down.
     Probing {
         limit: u64,
     },
+    /// From here it is down as well; others have still to agree.
+    Agreeing {
+        limit: u64,
+    },
     Claiming {
         limit: u64,
     },
@@ -115,7 +121,9 @@
         let now = view.now;
         match self.step.clone() {
             Step::Rest { until } if until <= now => self.trigger(view),
-            Step::Probing { limit } if limit <= now => self.claim(now),
+            Step::Probing { limit } if limit <= now => self.probed_down(view),
+            Step::Agreeing { .. } if view.is_lead_down => self.claim(now),
+            Step::Agreeing { limit } if limit <= now => self.rest(now),
             Step::Looking { limit } if limit <= now => self.looked(view),
             Step::Suspending { limit } if limit <= now => self.settle(view),
             Step::Watching { next, limit, nominee } => {
@@ -144,15 +152,23 @@
         if !has_other {
             return;
         }
-        // A planned end needs no second look; a lead that others call down gets one from here.
+        // A planned end needs no second look; a lead that anyone calls down gets one from here.
         if seat.is_none_or(|seat| seat.is_draining) {
             self.claim(view.now);
-        } else if view.is_lead_down {
+        } else if view.is_lead_doubted {
             self.orders.push(Order::Look { id: lead.to_owned() });
             self.step = Step::Probing { limit: view.now + ROWS_US };
         }
     }
 
+    /// The holder cannot reach it either: with the others' agreement that is enough.
+    pub(crate) fn probed_down(&mut self, view: &View<'_>) {
+        if view.is_lead_down {
+            return self.claim(view.now);
+        }
+        self.step = Step::Agreeing { limit: view.now + AGREE_US };
+    }
+
     pub(crate) fn claim(&mut self, now: u64) {
         self.orders.push(Order::Claim);
         self.step = Step::Claiming { limit: now + CLAIM_US };
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -24,6 +24,8 @@
     pub lead: Option<&'a str>,
     pub sync_replicas: u32,
     pub seats: &'a [Seat],
+    /// Some node says the lead is down: reason enough to look, not to act.
+    pub is_lead_doubted: bool,
     /// Agreeing sightings of several nodes say the lead is down.
     pub is_lead_down: bool,
     /// The newest fenced sighting of the lead: how long ago, and its place.
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -8,7 +8,9 @@
         match (self.step.clone(), event) {
             (Step::Probing { .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => match word {
                 Ok(status) if status.is_primary => self.rest(now),
-                _ => self.claim(now),
+                // It answers and does not lead: whoever leads will be told by beats.
+                Ok(_) => self.rest(now),
+                Err(_) => self.probed_down(view),
             },
             (Step::Claiming { .. }, Event::Claimed(Some((fence, is_succession)))) => {
                 self.fence = Some(fence);
