Easing databases back in: the fleet's starts held to what a returning one bears

Every node starts no more than its share of a growing budget drawn from the database's capacity and from how long its statements take; all nodes hear of the return through the feed, a repeated fall halves the start and stretches the span. Stories: a lone database restarts under full load and stays up with easing, falls again without it; a replica's return leaves lookups prompt; nothing lost, doubled or kept against a promise either way. The waiting line's wake-ups were first armed once per waiting ask and grew without end: now one at a time.

--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -21,6 +21,10 @@
     /// Openings that failed in a row, and until when the next one waits.
     pub fails: u32,
     pub not_before: u64,
+    /// How long statements take there.
+    pub work: wv_ease::Work,
+    /// When its line is next served while it is being eased in.
+    pub wake_at: u64,
 }
 
 /// All state of an access node. Events and time go in, acts come out.
@@ -43,6 +47,10 @@
     pub(crate) grace_us: u64,
     /// Clients whose ask is open but with no database to go to.
     pub(crate) stranded: Vec<u64>,
+    pub(crate) plan: wv_ease::Plan,
+    /// The ask that is just being taken out of a waiting line.
+    pub(crate) served: Option<u64>,
+    pub(crate) eases: Map<Spot, wv_ease::Ease>,
 }
 
 impl Core {
@@ -65,6 +73,9 @@
             leaving_since: None,
             grace_us,
             stranded: Vec::new(),
+            plan: wv_ease::Plan::default(),
+            served: None,
+            eases: Map::default(),
         }
     }
 
@@ -101,12 +112,13 @@
 
     /// When `tick` wants to be called next.
     pub fn next_limit(&mut self) -> Option<u64> {
-        let clients = &self.clients;
+        let (clients, pools) = (&self.clients, &self.pools);
         self.schedules.next(|schedule| match schedule {
             Schedule::Expiry { client, number } | Schedule::Offer { client, number } => {
                 clients.get(client).is_some_and(|held| held.ask.is_open && held.ask.number == *number)
             }
             Schedule::TxnIdle { client, .. } => clients.get(client).is_some_and(|held| held.txn.is_some()),
+            Schedule::Ease { spot } => pools.get(spot).is_some_and(|pool| !pool.waiting.is_empty()),
             Schedule::Setup { client } => clients.get(client).is_some_and(|held| held.database.is_none()),
         })
     }
@@ -118,6 +130,7 @@
                 Schedule::Expiry { client, number } => self.expire(client, number),
                 Schedule::Offer { client, number } => self.offer_again(client, number),
                 Schedule::TxnIdle { client, since } => self.txn_idle(client, since),
+                Schedule::Ease { spot } => self.serve_waiting(spot),
                 Schedule::Setup { client } => {
                     if self.clients.get(&client).is_some_and(|held| held.database.is_none()) {
                         self.close_client(client);
@@ -141,7 +154,9 @@
         let Some(member) = self.checks.member(spot).filter(|member| !member.inst.gone) else { return false };
         let (addr, id) = (member.inst.addr.clone(), member.inst.id.clone());
         let pool = self.pools.entry(spot).or_default();
-        if pool.all >= cap || self.now < pool.not_before {
+        // One being eased in is given one new connection at a time.
+        let is_held = self.now < pool.not_before || (pool.opening > 0 && self.eases.contains_key(&spot));
+        if pool.all >= cap || is_held {
             return false;
         }
         pool.all += 1;
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -124,6 +124,7 @@
                 }
                 let is_back = self.checks.member_mut(spot).is_some_and(|member| member.up(true, self.now));
                 if is_back {
+                    self.ease_in(spot, 1);
                     self.sights_due = true;
                     self.serve_stranded();
                 }
@@ -139,6 +140,9 @@
                 if held.is_doubtful {
                     return self.break_db(db);
                 }
+                if let Some(pool) = self.pools.get_mut(&spot) {
+                    pool.work.note(self.now.saturating_sub(expect.sent));
+                }
                 if code.is_none() && expect.is_fenced {
                     if let (Some(pos), Some(checker)) = (pos, self.checks.checker_mut(spot.service)) {
                         checker.fenced.note(expect.sent, pos);
--- /dev/null
+++ b/crates/wv-access/src/ease.rs
@@ -0,0 +1,62 @@
+//! Easing databases back in: this node's share of what all together may start on one that returned.
+use crate::core::Core;
+use crate::schedule::Schedule;
+use wv_check::Spot;
+use wv_ease::{Ease, Plan, Scale};
+
+impl Core {
+    pub fn set_ease(&mut self, plan: Plan) {
+        self.plan = plan;
+    }
+
+    fn scale(&self, spot: Spot) -> Scale {
+        let capacity = self.checks.member(spot).map_or(1, |member| member.inst.capacity);
+        let work_us = self.pools.get(&spot).map_or_else(|| wv_ease::Work::default().us(), |pool| pool.work.us());
+        Scale { now: self.now, capacity, nodes: self.nodes, work_us }
+    }
+
+    /// The database has come back: what is started on it is held to what it bears until the span is over.
+    pub(crate) fn ease_in(&mut self, spot: Spot, falls: u32) {
+        let is_running = self.eases.get(&spot).is_some_and(|held| !held.is_over(self.now));
+        // The first word of a return counts, from whichever side it came.
+        if !self.plan.is_on || is_running {
+            return;
+        }
+        let cold_us = self.checks.member(spot).map_or(0, |member| member.inst.cold_us);
+        self.pools.entry(spot).or_default().work.fell();
+        self.eases.insert(spot, Ease::new(self.plan, falls, cold_us, self.now));
+    }
+
+    /// Whether `id` is being eased in here.
+    pub fn is_eased(&self, id: &str) -> bool {
+        self.checks.spot(id).is_some_and(|spot| self.eases.get(&spot).is_some_and(|held| !held.is_over(self.now)))
+    }
+
+    pub(crate) fn end_eases(&mut self) {
+        let now = self.now;
+        self.eases.retain(|_, held| !held.is_over(now));
+    }
+
+    /// Whether new work may be started there now.
+    pub(crate) fn may_start(&self, spot: Spot) -> bool {
+        self.eases.get(&spot).is_none_or(|held| held.has(&self.scale(spot)))
+    }
+
+    pub(crate) fn started(&mut self, spot: Spot) {
+        if self.eases.is_empty() {
+            return;
+        }
+        let scale = self.scale(spot);
+        self.eases.get_mut(&spot).into_iter().for_each(|held| held.take(&scale));
+    }
+
+    /// The waiting line is served again when the next start is due.
+    pub(crate) fn start_later(&mut self, spot: Spot) {
+        let scale = self.scale(spot);
+        let Some(at) = self.eases.get(&spot).map(|held| held.next(&scale)) else { return };
+        // One wake-up at a time serves the whole line.
+        let Some(pool) = self.pools.get_mut(&spot).filter(|pool| pool.wake_at <= scale.now) else { return };
+        pool.wake_at = at;
+        self.schedules.put(at, Schedule::Ease { spot });
+    }
+}
--- a/crates/wv-access/src/lib.rs
+++ b/crates/wv-access/src/lib.rs
@@ -3,6 +3,7 @@
 mod client;
 mod core;
 mod db;
+mod ease;
 mod exec;
 mod link;
 mod news;
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -52,6 +52,9 @@
                 }
             }
             News::Lead(lead) => self.checks.lead(&lead, self.now),
+            News::Ease { id, falls } => {
+                self.checks.spot(&id).into_iter().for_each(|spot| self.ease_in(spot, falls));
+            }
             News::Nodes(nodes) => self.nodes = nodes.max(1),
         }
     }
@@ -97,6 +100,7 @@
     pub fn housekeep(&mut self, now: u64) {
         self.now = self.now.max(now);
         self.care();
+        self.end_eases();
         self.listen_out();
         self.serve_stranded();
         self.serve_waiting_anywhere();
--- a/crates/wv-access/src/offer.rs
+++ b/crates/wv-access/src/offer.rs
@@ -54,10 +54,15 @@
     fn room(&self, spot: Spot) -> Room {
         let Some(pool) = self.pools.get(&spot) else { return Room { outstanding: 0, is_free: true } };
         let outstanding = pool.all.saturating_sub(pool.idle.len() as u32 + pool.opening) + pool.waiting.len() as u32;
-        Room { outstanding, is_free: pool.waiting.len() < WAITING_MAX }
+        Room { outstanding, is_free: pool.waiting.len() < WAITING_MAX && self.may_start(spot) }
     }
 
     fn seat_ask(&mut self, id: u64, spot: Spot, minpos: Option<Pos>, is_wrapped: bool) {
+        // On one being eased in the waiting line goes first.
+        let is_next = !self.eases.contains_key(&spot)
+            || self.served == Some(id)
+            || self.pools.get(&spot).is_none_or(|pool| pool.waiting.is_empty());
+        let is_free = is_next && self.may_start(spot);
         let Some(client) = self.clients.get(&id) else { return };
         let pool = self.pools.entry(spot).or_default();
         // The connection that already fits is nominated first, the one used last among equals.
@@ -68,7 +73,7 @@
             .rev()
             .filter_map(|(at, db)| self.dbs.get(db).map(|held| (held.tie.gap(&client.session, client.ask.shape), at)))
             .min_by_key(|(gap, _)| *gap);
-        if let Some((_, at)) = fitting {
+        if let Some((_, at)) = fitting.filter(|_| is_free) {
             let db = pool.idle.remove(at);
             return self.send(id, db, minpos, is_wrapped);
         }
@@ -80,7 +85,9 @@
         if let Some(client) = self.clients.get_mut(&id) {
             client.ask.queued = Some(spot);
         }
-        if !is_covered {
+        if !is_free {
+            self.start_later(spot);
+        } else if !is_covered {
             self.open_db(spot);
         }
         self.give_time(id);
@@ -145,13 +152,22 @@
                 }
                 return;
             }
+            if !self.may_start(spot) {
+                return self.start_later(spot);
+            }
+            let (pool, clients) = match self.pools.get_mut(&spot) {
+                Some(pool) => (pool, &self.clients),
+                None => return,
+            };
             let precedence =
                 |id: &u64| clients.get(id).and_then(|client| client.ask.lane.as_ref()).map(|l| l.precedence);
             let first = pool.waiting.iter().enumerate().min_by_key(|(at, id)| (precedence(id), *at)).map(|(at, _)| at);
             let Some(id) = first.and_then(|at| pool.waiting.remove(at)) else { return };
             self.clients.get_mut(&id).into_iter().for_each(|client| client.ask.queued = None);
             // Decided anew: what was nominated may have changed while it waited.
+            self.served = Some(id);
             self.offer(id);
+            self.served = None;
         }
     }
 
--- a/crates/wv-access/src/schedule.rs
+++ b/crates/wv-access/src/schedule.rs
@@ -20,6 +20,10 @@
     Setup {
         client: u64,
     },
+    /// The next start on a database that is being eased in.
+    Ease {
+        spot: wv_check::Spot,
+    },
 }
 
 /// Schedules by time. Those overtaken by events are dropped when they come to the front.
--- a/crates/wv-access/src/send.rs
+++ b/crates/wv-access/src/send.rs
@@ -11,6 +11,7 @@
         let ask = &mut client.ask;
         (ask.db, ask.queued, ask.is_wrapped) = (Some(db), None, is_wrapped);
         ask.ret.clear();
+        let spot = held.spot;
         held.phase = Phase::Busy;
         held.since = now;
         let count = wv_pool::sync(&mut held.out, &mut held.tie, &client.session, ask.shape, &self.shapes);
@@ -42,6 +43,7 @@
             }
             _ => self.send_text(id, db, &mark),
         }
+        self.started(spot);
     }
 
     fn send_text(&mut self, id: u64, db: u64, mark: &str) {
--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -1,6 +1,7 @@
 //! Beats of databases: ordered by their sequence, spread to the other control nodes, published.
 use crate::conf::cause;
-use crate::core::{Core, Hold};
+use crate::core::Core;
+use crate::types::Hold;
 use wv_inner::{Inst, Lead, Msg, News};
 
 /// A database waits a second for its acknowledgement.
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -1,5 +1,6 @@
 //! The operator's calls: configurations go onto a majority of disks before anyone hears of them.
-use crate::core::{Core, Waiting, CONF};
+use crate::core::{Core, CONF};
+use crate::types::Waiting;
 use wv_inner::{Msg, News};
 use wv_reg::{Done, Outcome};
 
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -1,3 +1,4 @@
+use crate::types::{Fall, Hold, Link, Peer, Waiting};
 use std::collections::BTreeMap;
 use wv_feed::{Feed, Table};
 use wv_inner::{Cell, Msg, News};
@@ -55,42 +56,6 @@
     pub is_first: bool,
 }
 
-pub(crate) struct Link {
-    /// The control address of a control node, once it said hello.
-    pub peer: Option<String>,
-    /// The name of an access node, once it follows.
-    pub node: Option<String>,
-    pub is_follower: bool,
-}
-
-#[derive(Default)]
-pub(crate) struct Peer {
-    /// The link this side dialled.
-    pub link: Option<u64>,
-    pub is_up: bool,
-    pub dialed: u64,
-    pub ponged: u64,
-    pub is_mended: bool,
-}
-
-pub(crate) enum Waiting {
-    Put,
-    Get,
-    Sync,
-    /// Reading the duty's register before it is claimed.
-    Seen(String),
-    Claim(String),
-    Confirm(String),
-}
-
-pub(crate) struct Hold {
-    pub token: u64,
-    pub ask: u64,
-    pub wanted: usize,
-    pub got: usize,
-    pub limit: u64,
-}
-
 /// All state of a control node.
 pub struct Core {
     pub(crate) now: u64,
@@ -123,6 +88,8 @@
     pub(crate) fences: BTreeMap<String, u64>,
     pub(crate) sights: BTreeMap<String, (u64, Vec<wv_inner::Sighting>)>,
     pub(crate) born: u64,
+    /// Databases that fell: how often lately, when last, and whether they are still down.
+    pub(crate) fallen: BTreeMap<String, Fall>,
     /// The table changed since it was last put on this disk.
     pub(crate) is_table_due: bool,
     pub(crate) pinged: u64,
@@ -173,6 +140,7 @@
             fences: BTreeMap::new(),
             sights: BTreeMap::new(),
             born: 0,
+            fallen: BTreeMap::new(),
             is_table_due: false,
             pinged: 0,
             repaired: 0,
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -1,5 +1,6 @@
 //! The duties this node holds: what the promotion machines read, and what they order.
-use crate::core::{Act, Core, Waiting};
+use crate::core::{Act, Core};
+use crate::types::Waiting;
 use wv_inner::{Lead, Msg, News, Sight, Sighting};
 use wv_promo::{Event, Order, Seat, Silent, View, Word};
 use wv_reg::Outcome;
@@ -17,7 +18,8 @@
 impl Core {
     pub(crate) fn take_sights(&mut self, node: &str, sights: Vec<Sighting>) {
         let is_bad = sights.iter().any(|sight| sight.sight != Sight::Up);
-        self.sights.insert(node.to_owned(), (self.now, sights));
+        self.sights.insert(node.to_owned(), (self.now, sights.clone()));
+        self.watch_falls(&sights);
         // Bad news is acted on at once rather than at the next turn.
         if is_bad {
             self.run_duties();
@@ -35,7 +37,7 @@
     }
 
     /// Several nodes agree, though not all need to: one cut link is no reason, one blind node no hindrance.
-    fn is_down(&self, id: &str) -> bool {
+    pub(crate) fn is_down(&self, id: &str) -> bool {
         let down = self.words(id).filter(|(sight, _)| sight.sight != Sight::Up).count();
         let nodes = self.roster.nodes().len();
         down >= nodes.div_ceil(4).clamp(2, 8).min(nodes.max(1))
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -5,10 +5,12 @@
 mod core;
 mod duties;
 mod exec;
+mod falls;
 mod peers;
 mod recall;
 mod run;
 mod tick;
+mod types;
 mod voter;
 
 pub use crate::core::{Act, Core, Start};
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -1,5 +1,6 @@
 //! Messages on the links: from access nodes and from other control nodes.
-use crate::core::{Core, Link};
+use crate::core::Core;
+use crate::types::Link;
 use wv_inner::{Inst, Msg};
 
 impl Core {
@@ -151,6 +152,7 @@
             Msg::InstHeld { ask } => self.inst_held(ask),
             Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
             Msg::Lead(lead) => self.lead_told(lead),
+            Msg::Eased { id, falls } => self.eased(id, falls),
             Msg::Digests { ranges } => self.compare(link, &ranges),
             Msg::Range { insts, .. } => self.mend_range(insts),
             _ => {}
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -1,5 +1,6 @@
 //! Regular work of a control node.
-use crate::core::{Act, Core, Link};
+use crate::core::{Act, Core};
+use crate::types::Link;
 use wv_inner::{Msg, News};
 
 const PING_US: u64 = 400_000;
--- /dev/null
+++ b/crates/wv-control/src/types.rs
@@ -0,0 +1,44 @@
+//! What a control node keeps on its links, peers and calls.
+
+pub(crate) struct Link {
+    /// The control address of a control node, once it said hello.
+    pub peer: Option<String>,
+    /// The name of an access node, once it follows.
+    pub node: Option<String>,
+    pub is_follower: bool,
+}
+
+#[derive(Default)]
+pub(crate) struct Peer {
+    /// The link this side dialled.
+    pub link: Option<u64>,
+    pub is_up: bool,
+    pub dialed: u64,
+    pub ponged: u64,
+    pub is_mended: bool,
+}
+
+pub(crate) enum Waiting {
+    Put,
+    Get,
+    Sync,
+    /// Reading the duty's register before it is claimed.
+    Seen(String),
+    Claim(String),
+    Confirm(String),
+}
+
+#[derive(Default)]
+pub(crate) struct Fall {
+    pub falls: u32,
+    pub last: u64,
+    pub is_down: bool,
+}
+
+pub(crate) struct Hold {
+    pub token: u64,
+    pub ask: u64,
+    pub wanted: usize,
+    pub got: usize,
+    pub limit: u64,
+}
--- a/crates/wv-fleet/src/base.rs
+++ b/crates/wv-fleet/src/base.rs
@@ -46,6 +46,9 @@
     pub applied: usize,
     pub held: u64,
     pub apply_lag: u64,
+    /// How long a statement takes it.
+    pub work_us: u64,
+    pub falls: u32,
     pub sequence: u64,
     pub conns: BTreeMap<u64, Conn>,
     /// Returns still to be lost after the statement ran.
@@ -76,6 +79,8 @@
             applied: 0,
             held: 0,
             apply_lag: 20_000,
+            work_us: 3000,
+            falls: 0,
             sequence: 0,
             conns: BTreeMap::new(),
             lose: 0,
--- a/crates/wv-fleet/src/lib.rs
+++ b/crates/wv-fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! operator and clients. The same story gives the same course every time.
 mod base;
 mod clients;
+mod falls;
 mod links;
 mod load;
 mod log;
--- a/crates/wv-fleet/src/load.rs
+++ b/crates/wv-fleet/src/load.rs
@@ -66,6 +66,11 @@
         self.loads.iter().filter(|load| load.lane == lane).map(|load| load.slowest_us).max().unwrap_or(0)
     }
 
+    /// Forgets how slow the slowest operation was.
+    pub fn loads_reset(&mut self) {
+        self.loads.iter_mut().for_each(|load| load.slowest_us = 0);
+    }
+
     pub(crate) fn cut_off(&mut self, at: usize) {
         let load = &mut self.loads[at];
         load.client = usize::MAX;
@@ -190,7 +195,7 @@
                 let tags = std::mem::take(&mut load.tags);
                 if is_kept {
                     tags.into_iter().for_each(|tag| {
-                        self.oracle.acked.insert(tag, now);
+                        self.oracle.ack(tag, now);
                     });
                 }
                 let pause = 20 * MS + self.loads[at].luck.below(60) * MS;
--- a/crates/wv-fleet/src/oracle.rs
+++ b/crates/wv-fleet/src/oracle.rs
@@ -13,23 +13,31 @@
     pub unsure: usize,
     pub runs: BTreeMap<String, u32>,
     pub reads: usize,
+    /// Where each committed tag stands in the log.
+    pub places: BTreeMap<String, usize>,
+    /// How much of the log is acknowledged, by time.
+    needs: Vec<(u64, usize)>,
 }
 
 impl Oracle {
     /// A read ran: every commit acknowledged before `since` must stand in what the database had applied.
     pub fn read_ran(&mut self, id: &str, base: &Base, since: u64) {
         self.reads += 1;
-        let applied = &base.log[..base.applied.min(base.log.len())];
-        let missing = self
-            .acked
-            .iter()
-            .filter(|(_, at)| **at < since)
-            .find(|(tag, _)| !applied.iter().any(|entry| entry.tag == **tag));
-        if let Some((tag, _)) = missing {
-            self.broken.push(format!("STALE: {id} on {} misses {tag}", base.id));
+        let at = self.needs.partition_point(|(acked, _)| *acked < since);
+        let need = at.checked_sub(1).map_or(0, |at| self.needs[at].1);
+        if base.applied < need {
+            self.broken.push(format!("STALE: {id} on {} has {} of {need}", base.id, base.applied));
         }
     }
 
+    /// A client heard that its commit stands.
+    pub fn ack(&mut self, tag: String, now: u64) {
+        let place = self.places.get(&tag).map_or(0, |at| at + 1);
+        let need = self.needs.last().map_or(0, |(_, need)| *need).max(place);
+        self.needs.push((now, need));
+        self.acked.insert(tag, now);
+    }
+
     /// Nothing acknowledged may be missing, doubled, or kept against a promise.
     pub fn judge(&mut self, log: &[crate::base::Entry]) {
         let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
--- a/crates/wv-fleet/src/service.rs
+++ b/crates/wv-fleet/src/service.rs
@@ -5,9 +5,6 @@
 use wv_access::Lost;
 use wv_wire::{cut_line, ClientLine, Pos};
 
-/// How long a statement takes a database.
-const WORK: u64 = 3 * MS;
-
 impl World {
     pub fn base(&self, id: &str) -> Option<usize> {
         self.bases.iter().position(|base| base.id == id)
@@ -43,6 +40,7 @@
         held.most_busy = held.most_busy.max(held.busy.len());
         if held.bears.is_some_and(|bears| held.busy.len() > bears) {
             self.note(format!("{} falls over", self.bases[base].id));
+            self.bases[base].falls += 1;
             self.crash(base);
         }
     }
@@ -126,9 +124,10 @@
     }
 
     fn finish(&mut self, base: usize, conn: u64, text: String, is_lost: bool) {
-        self.bases[base].busy.remove(&conn);
+        let work = self.bases[base].work_us;
+        self.put(work, Ev::Free { base, conn });
         if !is_lost {
-            self.utter(base, conn, text, WORK);
+            self.utter(base, conn, text, work);
         }
     }
 
@@ -140,13 +139,19 @@
         let term = self.bases[base].term;
         for tag in tags {
             let number = self.bases[base].received().number + 1;
+            let at = self.bases[base].log.len();
+            self.oracle.places.insert(tag.clone(), at);
             self.bases[base].log.push(Entry { pos: Pos { term, number }, tag });
         }
         let (len, pos) = (self.bases[base].log.len(), self.bases[base].received());
         self.bases[base].applied = len;
         let stamp = if is_lost { String::new() } else { stamp.to_owned() };
         self.waiting.push((base, pos, conn, stamp));
-        let replicas: Vec<usize> = (0..self.bases.len()).filter(|at| *at != base).collect();
+        let replicas: Vec<usize> = (0..self.bases.len()).filter(|at| *at != base && !self.bases[*at].is_left).collect();
+        // Alone in its service it has nobody to wait for.
+        if replicas.is_empty() {
+            return self.acknowledge(base, pos);
+        }
         replicas.into_iter().for_each(|to| self.put(2 * MS, Ev::Replicate { from: base, to, len }));
     }
 
@@ -157,12 +162,17 @@
         if !is_receiving || !is_linked || !source.is_primary || !source.is_up || target.log.len() >= len {
             return;
         }
-        let log = source.log[..len.min(source.log.len())].to_vec();
+        // Cut back at each promotion, a replica's log is always the beginning of the primary's.
+        let missing = source.log[target.log.len().min(source.log.len())..len.min(source.log.len())].to_vec();
         let lag = self.bases[to].apply_lag;
-        self.bases[to].log = log;
+        self.bases[to].log.extend(missing);
         self.put(lag, Ev::Apply { base: to, len });
         // One replica that has received is enough for the acknowledgement.
         let received = self.bases[to].received();
+        self.acknowledge(from, received);
+    }
+
+    fn acknowledge(&mut self, from: usize, received: Pos) {
         let (done, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
             .into_iter()
             .partition(|(base, pos, _, _)| *base == from && *pos <= received);
@@ -211,37 +221,4 @@
         self.waiting.retain(|(at, _, _, _)| *at == base);
         (0..self.bases.len()).for_each(|at| self.beat(at));
     }
-
-    /// It ends without a word; its connections are reset.
-    pub fn crash(&mut self, base: usize) {
-        self.bases[base].is_up = false;
-        self.bases[base].conns.clear();
-        self.bases[base].busy.clear();
-        self.waiting.retain(|(at, _, _, _)| *at != base);
-        self.end_conns(base, HOP, Lost::Closed);
-    }
-
-    /// Its machine says nothing any more.
-    pub fn darken(&mut self, base: usize) {
-        self.bases[base].is_dark = true;
-        self.bases[base].conns.clear();
-        self.waiting.retain(|(at, _, _, _)| *at != base);
-        self.end_conns(base, 900 * MS, Lost::Dark);
-    }
-
-    fn end_conns(&mut self, base: usize, after: u64, lost: Lost) {
-        let keys: Vec<(usize, u64)> =
-            self.db_conns.iter().filter(|(_, at)| at.0 == base).map(|(key, _)| *key).collect();
-        for (access, db) in keys {
-            let life = self.access[access].life;
-            self.put(after, Ev::DbEnd { access, db, lost, life });
-        }
-    }
-
-    /// It comes back with its log; what it held suspended is forgotten.
-    pub fn revive(&mut self, base: usize) {
-        let held = &mut self.bases[base];
-        (held.is_up, held.is_dark, held.held) = (true, false, 0);
-        self.beat(base);
-    }
 }
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -24,6 +24,7 @@
     Row { control: usize, service: String, id: String, word: wv_promo::Word },
     Posted { control: usize, service: String, code: Option<u16> },
     Promote { base: usize },
+    Free { base: usize, conn: u64 },
     Step { client: usize, life: u64 },
 }
 
@@ -166,6 +167,9 @@
                 self.with_control(control, |core, now| core.posted(&service, code, now));
             }
             Ev::Promote { base } => self.promote(base),
+            Ev::Free { base, conn } => {
+                self.bases[base].busy.remove(&conn);
+            }
             Ev::Step { client, life } => self.step(client, life),
         }
     }
--- /dev/null
+++ b/crates/wv-fleet/tests/recovery.rs
@@ -0,0 +1,101 @@
+//! Stories of databases that come back under a full load and bear only so much at first.
+use googletest::prelude::*;
+use wv_fleet::{World, MS, S};
+
+/// Six nodes under load; with `is_eased` they ease databases in, without it they rush as one.
+fn loaded(is_eased: bool) -> World {
+    let mut world = World::serving(6, 3);
+    let plan = wv_ease::Plan { is_on: is_eased, ..wv_ease::Plan::default() };
+    world.access.iter_mut().filter_map(|node| node.core.as_mut()).for_each(|core| core.set_ease(plan));
+    world.load(120, "p");
+    world.load(60, "b");
+    world.run(3 * S);
+    world
+}
+
+/// The primary restarts with nobody to stand in for it, and bears `bears` statements at once, each slow.
+fn restart_alone(world: &mut World, bears: usize) {
+    for at in [1, 2] {
+        world.bases[at].is_draining = true;
+        world.bases[at].is_left = true;
+        world.crash(at);
+    }
+    world.crash(0);
+    world.run(2 * S);
+    world.bases[0].bears = Some(bears);
+    world.bases[0].work_us = 12 * MS;
+    world.bases[0].falls = 0;
+    world.bases[0].most_busy = 0;
+    world.revive(0);
+}
+
+fn end(world: &mut World) -> Vec<String> {
+    world.stop_load();
+    world.run(wv_fleet::REST);
+    world.judge()
+}
+
+#[gtest]
+fn given_a_lone_database_back_under_full_load_then_the_fleet_together_starts_no_more_than_it_bears() {
+    let mut world = loaded(true);
+    restart_alone(&mut world, 14);
+    let before = world.load_done().0;
+    world.run(1500 * MS);
+    expect_that!(world.bases[0].falls, eq(0), "most at once: {}", world.bases[0].most_busy);
+    expect_that!(world.load_done().0, gt(before + 60));
+    // Recovered: it bears its day again, and all is served.
+    (world.bases[0].bears, world.bases[0].work_us) = (None, 3 * MS);
+    world.run(3 * S);
+    let (done, failed) = world.load_done();
+    world.run(2 * S);
+    expect_that!(world.load_done().0, gt(done + 1000));
+    expect_that!(world.load_done().1, le(failed + 20));
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_the_same_return_without_easing_then_it_falls_again_which_is_what_easing_is_for() {
+    let mut world = loaded(false);
+    restart_alone(&mut world, 14);
+    world.run(1500 * MS);
+    expect_that!(world.bases[0].falls, ge(1));
+    // Even so nothing is lost, doubled or kept against a promise.
+    world.bases[0].bears = None;
+    world.revive(0);
+    world.run(2 * S);
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_replica_back_under_full_load_then_it_stays_up_and_lookups_are_prompt_meanwhile() {
+    let mut world = loaded(true);
+    world.crash(2);
+    world.run(2 * S);
+    (world.bases[2].bears, world.bases[2].work_us) = (Some(8), 25 * MS);
+    world.bases[2].most_busy = 0;
+    world.revive(2);
+    world.loads_reset();
+    world.run(2 * S);
+    expect_that!(world.bases[2].falls, eq(0), "most at once: {}", world.bases[2].most_busy);
+    expect_that!(world.bases[2].most_busy, ge(1));
+    expect_that!(world.slowest("b"), lt(400 * MS));
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_database_that_fell_twice_then_all_nodes_hear_of_it_and_offer_less() {
+    let mut world = loaded(true);
+    for _ in 0..2 {
+        world.crash(2);
+        world.run(1500 * MS);
+        world.revive(2);
+        world.run(1500 * MS);
+    }
+    let id = world.bases[2].id.clone();
+    let eased = world.access.iter().filter_map(|node| node.core.as_ref()).filter(|core| core.is_eased(&id)).count();
+    expect_that!(eased, eq(6));
+    world.run(12 * S);
+    let eased = world.access.iter().filter_map(|node| node.core.as_ref()).filter(|core| core.is_eased(&id)).count();
+    expect_that!(eased, eq(0));
+    expect_that!(end(&mut world), is_empty());
+}
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -66,6 +66,11 @@
     Lead(Lead),
     /// How many access nodes are live; pools share the connection bounds by it.
     Nodes(u32),
+    /// A database has come back from a fall, its `falls`th lately: all ease it in.
+    Ease {
+        id: String,
+        falls: u32,
+    },
 }
 
 /// A register's value: the highest sequence wins, the tie word settles equal ones.
@@ -174,6 +179,11 @@
         insts: Vec<Inst>,
     },
     Lead(Lead),
+    /// A control node saw a database come back from a fall.
+    Eased {
+        id: String,
+        falls: u32,
+    },
 }
 
 /// Appends `msg` as one frame.
