--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -47,6 +47,8 @@
     pub(crate) grace_us: u64,
     /// Clients whose ask is open but with no database to go to.
     pub(crate) stranded: Vec<u64>,
+    /// Services whose next writer is near, and until when that is believed.
+    pub(crate) promoting: Map<u16, (u64, String)>,
     pub(crate) plan: wv_ease::Plan,
     /// The ask that is just being taken out of a waiting line.
     pub(crate) served: Option<u64>,
@@ -73,6 +75,7 @@
             leaving_since: None,
             grace_us,
             stranded: Vec::new(),
+            promoting: Map::default(),
             plan: wv_ease::Plan::default(),
             served: None,
             eases: Map::default(),
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -51,7 +51,16 @@
                     self.clear_idle(spot);
                 }
             }
-            News::Lead(lead) => self.checks.lead(&lead, self.now),
+            News::Lead(lead) => {
+                self.checks.lead(&lead, self.now);
+                self.checks.find(&lead.service).into_iter().for_each(|service| {
+                    self.promoting.remove(&service);
+                });
+            }
+            News::Promoting { service, id, us } => {
+                let service = self.checks.service(&service);
+                self.promoting.insert(service, (self.now + us, id));
+            }
             News::Ease { id, falls } => {
                 self.checks.spot(&id).into_iter().for_each(|spot| self.ease_in(spot, falls));
             }
@@ -137,9 +146,13 @@
             for (seat, member) in checker.members() {
                 let spot = Spot { service, seat };
                 let state = checker.state(seat, now);
+                let is_next =
+                    self.promoting.get(&service).is_some_and(|(until, id)| *until > now && *id == member.inst.id);
                 let is_near = member.inst.zone == self.zone;
                 match state {
                     State::Writer if !member.is_suspect() => wanted.push((spot, WARM_WRITER)),
+                    // The next writer is made ready for before it leads.
+                    State::Online if is_next => wanted.push((spot, WARM_WRITER)),
                     State::Online if is_near && !member.is_suspect() => wanted.push((spot, WARM_READER)),
                     // One that is in doubt is looked at, one connection at a time.
                     State::Isolated if member.next_look <= now => wanted.push((spot, 1)),
--- a/crates/wv-access/src/offer.rs
+++ b/crates/wv-access/src/offer.rs
@@ -102,10 +102,10 @@
     }
 
     fn offer_limit(&self, id: u64) -> u64 {
-        self.clients.get(&id).map_or(0, |client| {
-            let share = client.ask.lane.as_ref().map_or(0, |lane| lane.target_us / OFFER_SHARE);
-            client.ask.at + share.saturating_sub(share / 8)
-        })
+        let Some(ask) = self.clients.get(&id).map(|client| &client.ask) else { return 0 };
+        let Some(lane) = ask.lane.as_ref() else { return ask.at };
+        let share = lane.target_us / OFFER_SHARE;
+        ask.at + share - share / 8
     }
 
     /// The time for waiting is over.
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -11,6 +11,9 @@
 /// A node that has just started first hears who is there.
 const SETTLE_US: u64 = 2_000_000;
 
+/// How long nodes may count on a writer after the platform was called.
+const PROMOTING_US: u64 = 1_500_000;
+
 fn key(service: &str) -> String {
     format!("duty/{service}")
 }
@@ -107,7 +110,15 @@
             Order::Suspend { id, term } => self.ask_db(service, id, format!("SUSPEND {term}")),
             Order::Continue { id } => self.ask_db(service, id, "CONTINUE".to_owned()),
             Order::Yield { id, term } => self.ask_db(service, id, format!("YIELD {term}")),
-            Order::Post { id, fence } => self.acts.push(Act::Post { service: service.to_owned(), id, fence }),
+            Order::Post { id, fence } => {
+                let is_new = self.feed.lead(service).is_none_or(|lead| lead.id != id);
+                if is_new {
+                    let (service, id, us) = (service.to_owned(), id.clone(), PROMOTING_US);
+                    self.send_peers(&Msg::Promoting { service: service.clone(), id: id.clone(), us });
+                    self.publish(News::Promoting { service, id, us });
+                }
+                self.acts.push(Act::Post { service: service.to_owned(), id, fence });
+            }
             Order::Led { id, term } => {
                 let lead = Lead { service: service.to_owned(), id, term };
                 self.send_peers(&Msg::Lead(lead.clone()));
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -152,6 +152,9 @@
             Msg::InstHeld { ask } => self.inst_held(ask),
             Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
             Msg::Lead(lead) => self.lead_told(lead),
+            Msg::Promoting { service, id, us } => {
+                self.publish(wv_inner::News::Promoting { service, id, us });
+            }
             Msg::Eased { id, falls } => self.eased(id, falls),
             Msg::Digests { ranges } => self.compare(link, &ranges),
             Msg::Range { insts, .. } => self.mend_range(insts),
--- a/crates/wv-feed/src/follow.rs
+++ b/crates/wv-feed/src/follow.rs
@@ -26,7 +26,7 @@
             News::Lead(lead) => {
                 self.leads.insert(lead.service.clone(), lead.clone());
             }
-            News::Inst(_) | News::Ease { .. } => {}
+            News::Inst(_) | News::Ease { .. } | News::Promoting { .. } => {}
         }
         self.place += 1;
         if self.changes.len() == KEPT {
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -66,6 +66,12 @@
     Lead(Lead),
     /// How many access nodes are live; pools share the connection bounds by it.
     Nodes(u32),
+    /// The platform was called to promote: a writer is near, for at most this long.
+    Promoting {
+        service: String,
+        id: String,
+        us: u64,
+    },
     /// A database has come back from a fall, its `falls`th lately: all ease it in.
     Ease {
         id: String,
@@ -179,6 +185,11 @@
         insts: Vec<Inst>,
     },
     Lead(Lead),
+    Promoting {
+        service: String,
+        id: String,
+        us: u64,
+    },
     /// A control node saw a database come back from a fall.
     Eased {
         id: String,
