--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -21,6 +21,8 @@
     /// Openings that failed in a row, and until when the next one waits.
     pub fails: u32,
     pub not_before: u64,
+    /// The newest sending time among the statements that have returned.
+    pub returned: u64,
     /// How long statements take there.
     pub work: wv_ease::Work,
     /// When its line is next served while it is being eased in.
@@ -117,7 +119,9 @@
     pub fn next_limit(&mut self) -> Option<u64> {
         let (clients, pools) = (&self.clients, &self.pools);
         self.schedules.next(|schedule| match schedule {
-            Schedule::Expiry { client, number } | Schedule::Offer { client, number } => {
+            Schedule::Expiry { client, number }
+            | Schedule::Offer { client, number }
+            | Schedule::Overdue { client, number } => {
                 clients.get(client).is_some_and(|held| held.ask.is_open && held.ask.number == *number)
             }
             Schedule::TxnIdle { client, .. } => clients.get(client).is_some_and(|held| held.txn.is_some()),
@@ -132,6 +136,7 @@
             match schedule {
                 Schedule::Expiry { client, number } => self.expire(client, number),
                 Schedule::Offer { client, number } => self.offer_again(client, number),
+                Schedule::Overdue { client, number } => self.overdue(client, number),
                 Schedule::TxnIdle { client, since } => self.txn_idle(client, since),
                 Schedule::Ease { spot } => self.serve_waiting(spot),
                 Schedule::Setup { client } => {
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -141,6 +141,7 @@
                     return self.break_db(db);
                 }
                 if let Some(pool) = self.pools.get_mut(&spot) {
+                    pool.returned = pool.returned.max(expect.sent);
                     pool.work.note(self.now.saturating_sub(expect.sent));
                 }
                 if code.is_none() && expect.is_fenced {
--- a/crates/wv-access/src/schedule.rs
+++ b/crates/wv-access/src/schedule.rs
@@ -8,6 +8,11 @@
         client: u64,
         number: u64,
     },
+    /// A return that is long overdue is taken for lost.
+    Overdue {
+        client: u64,
+        number: u64,
+    },
     /// An ask that waits is offered again or refused.
     Offer {
         client: u64,
--- a/crates/wv-access/src/send.rs
+++ b/crates/wv-access/src/send.rs
@@ -1,8 +1,16 @@
 //! Sending: what goes out on a connection, and what is then expected back.
 use crate::core::Core;
+use crate::schedule::Schedule;
 use crate::types::{Act, Expect, Phase, Verb, What};
 use wv_wire::{put_query, Code, Pos};
 
+/// A return is overdue after this many times what statements take there, within these bounds.
+const OVERDUE_X: f64 = 8.0;
+const OVERDUE_MIN_US: u64 = 100_000;
+const OVERDUE_MAX_US: u64 = 600_000;
+/// How soon an overdue return is looked at again while its database says nothing at all.
+const OVERDUE_AGAIN_US: u64 = 50_000;
+
 impl Core {
     /// Brings the connection in line with the session and sends the open ask, or first what begins around it.
     pub(crate) fn send(&mut self, id: u64, db: u64, minpos: Option<Pos>, is_wrapped: bool) {
@@ -65,6 +73,16 @@
             (Verb::Write, None) => true,
             (Verb::Read, None) => ask.is_wrapped,
         };
+        let may_be_given_up = match (ask.verb(), client.txn.as_ref()) {
+            (Verb::Read, _) => true,
+            (Verb::Write, txn) => txn.is_some(),
+            (Verb::Commit, txn) => txn.is_some_and(|txn| !txn.may_have_written),
+        };
+        if may_be_given_up {
+            let work = self.pools.get(&held.spot).map_or(0.0, |pool| pool.work.us());
+            let wait = ((work * OVERDUE_X) as u64).clamp(OVERDUE_MIN_US, OVERDUE_MAX_US);
+            self.schedules.put(now + wait, Schedule::Overdue { client: id, number: ask.number });
+        }
         let what = What::Ask { client: id, number: ask.number };
         held.expects.push_back(Expect { what, sent: now, is_fenced });
         if ask.is_wrapped && client.txn.is_none() {
@@ -74,6 +92,27 @@
         self.acts.push(Act::WriteDb(db));
     }
 
+    /// The database has returned what was sent after this, and this not: its return is lost. Where nothing of the
+    /// try can be kept, the client need not wait for the limit to hear so.
+    pub(crate) fn overdue(&mut self, id: u64, number: u64) {
+        let Some(client) = self.clients.get(&id) else { return };
+        if !client.ask.is_open || client.ask.number != number || client.ask.is_streamed {
+            return;
+        }
+        let Some(db) = client.ask.db else { return };
+        let Some(held) = self.dbs.get(&db) else { return };
+        let sent = held.expects.front().map_or(self.now, |expect| expect.sent);
+        let is_alive = self.pools.get(&held.spot).is_some_and(|pool| pool.returned > sent);
+        if !is_alive {
+            self.schedules.put(self.now + OVERDUE_AGAIN_US, Schedule::Overdue { client: id, number });
+            return;
+        }
+        let spot = held.spot;
+        self.acts.push(Act::CloseDb(db));
+        self.forget_db(db).into_iter().for_each(|held| self.strand(held));
+        self.serve_waiting(spot);
+    }
+
     /// `BEGIN` returned: the statement follows, or goes elsewhere unrun.
     pub(crate) fn begun(&mut self, db: u64, id: u64, number: u64, code: Option<Code>, state: u8) {
         let Some(held) = self.dbs.get(&db) else { return };
--- a/crates/wv-fleet/tests/traffic.rs
+++ b/crates/wv-fleet/tests/traffic.rs
@@ -195,3 +195,34 @@
     expect_that!(world.is_closed(idle), eq(true));
     expect_that!(asked(&mut world, open, "QUERY a3 COMMIT")[0], starts_with("COMPLETE stamp"));
 }
+
+#[gtest]
+fn given_a_lost_return_while_later_ones_come_then_reads_go_elsewhere_and_transactions_end_with_a_promise() {
+    let mut world = World::serving(1, 3);
+    let (one, other) = (world.client(0, "p"), world.client(0, "p"));
+    asked(&mut world, one, "QUERY a1 BEGIN");
+    asked(&mut world, one, "QUERY a2 WRITE k d");
+    world.bases[0].lose = 1;
+    world.take(one);
+    world.say(one, "QUERY a3 READ k");
+    world.run(20 * MS);
+    expect_that!(asked(&mut world, other, "QUERY b1 READ k")[0], starts_with("ROW"));
+    world.run(100 * MS);
+    let heard = world.take(one);
+    expect_that!(heard[0], starts_with("ERROR ABORTED"));
+    expect_that!(heard[1], starts_with("IDLE E"));
+    asked(&mut world, one, "QUERY a4 ABORT");
+    world.bases[0].lose = 1;
+    world.say(one, "QUERY a5 READ k");
+    world.run(20 * MS);
+    asked(&mut world, other, "QUERY b2 READ k");
+    world.run(100 * MS);
+    expect_that!(world.take(one)[0], starts_with("ROW"));
+    // Where a write alone left, no later return proves anything: its client hears nothing false.
+    world.bases[0].lose = 1;
+    world.say(one, "QUERY a6 WRITE k d");
+    world.run(20 * MS);
+    asked(&mut world, other, "QUERY b3 READ k");
+    world.run(300 * MS);
+    expect_that!(world.take(one), is_empty());
+}
