--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -69,6 +69,9 @@
                     }
                 }
             }
+            // A client's statement is never returned without a stamp: this belongs to what was sent behind it, its
+            // own return was lost, and the connection is out of step.
+            (DbLine::Complete(b"-"), What::Ask { .. }) => self.break_db(db),
             (DbLine::Row(_) | DbLine::Complete(_), What::Ask { client, number }) => {
                 let Some(held) = self.clients.get_mut(&client).filter(|held| held.ask.number == number) else { return };
                 held.ask.ret.extend_from_slice(raw);
