--- a/crates/windvalve/src/main.rs
+++ b/crates/windvalve/src/main.rs
@@ -1,16 +1,26 @@
 //! windvalve: a database pooler with failover. One program; the role is a subcommand.
+mod cli;
 mod ring;
 
-use clap::{Arg, Command};
+use clap::ArgMatches;
+use cli::text;
 
 #[derive(thiserror::Error, Debug)]
 enum MainError {
     #[error(transparent)]
     Boot(#[from] wv_boot::BootError),
-    #[error("configuration {0}: {1}")]
+    #[error("{0}: {1}")]
     Read(String, std::io::Error),
     #[error("configuration {0}: {1}")]
     Conf(String, wv_conf::ConfError),
+    #[error("{0}: {1}")]
+    Replay(String, wv_replay::ReplayError),
+    #[error("--{0}: {1} is not within {2}")]
+    Flag(&'static str, f64, &'static str),
+    #[error("--calendar: {0}")]
+    When(#[from] wv_when::WhenError),
+    #[error("a rule was broken")]
+    Broken,
     #[error(transparent)]
     Access(#[from] wv_access::AccessError),
     #[error(transparent)]
@@ -20,72 +30,93 @@
 }
 
 impl MainError {
-    /// 2 for what the operator wrote, 1 for what went wrong while running.
+    /// 2 for what the caller wrote, 1 for what went wrong while running.
     fn exit_code(&self) -> u8 {
         match self {
-            MainError::Boot(_) | MainError::Read(..) | MainError::Conf(..) => 2,
-            _ => 1,
+            MainError::Access(_) | MainError::Control(_) | MainError::Log(_) | MainError::Broken => 1,
+            _ => 2,
         }
     }
 }
 
-fn command() -> Command {
-    let boot = || Arg::new("boot").long("boot").value_name("FILE").help("Boot file, in place of WINDVALVE_BOOT");
-    let log = || {
-        Arg::new("log")
-            .long("log")
-            .value_name("LEVEL")
-            .default_value("warn")
-            .value_parser(["error", "warn", "info", "debug", "trace"])
-            .help("What is written at once; the rest stays in memory until something goes wrong")
-    };
-    Command::new("windvalve")
-        .version(env!("CARGO_PKG_VERSION"))
-        .about("Database pooler with failover")
-        .subcommand_required(true)
-        .arg_required_else_help(true)
-        .subcommand(Command::new("access").about("Serves clients over pooled connections").arg(boot()).arg(log()))
-        .subcommand(
-            Command::new("control").about("Knows databases and nodes, holds the configuration").arg(boot()).arg(log()),
-        )
-        .subcommand(
-            Command::new("check")
-                .about("Checks a boot file or an operator's configuration")
-                .arg(boot())
-                .arg(Arg::new("configuration").long("configuration").value_name("FILE").conflicts_with("boot")),
-        )
+fn read(path: &str) -> Result<Vec<u8>, MainError> {
+    std::fs::read(path).map_err(|error| MainError::Read(path.to_owned(), error))
 }
 
-fn check(found: &clap::ArgMatches) -> Result<(), MainError> {
-    if let Some(path) = found.get_one::<String>("configuration") {
-        let body = std::fs::read(path).map_err(|error| MainError::Read(path.clone(), error))?;
-        let conf = wv_conf::Conf::parse(&body).map_err(|error| MainError::Conf(path.clone(), error))?;
+fn check(found: &ArgMatches) -> Result<(), MainError> {
+    if let Some(path) = text(found, "configuration") {
+        let conf = wv_conf::Conf::parse(&read(path)?).map_err(|error| MainError::Conf(path.to_owned(), error))?;
         println!("valid: issue {}, {} routes, {} services", conf.sequence, conf.lanes.len(), conf.services.len());
         return Ok(());
     }
-    let path = wv_boot::Boot::path(found.get_one::<String>("boot").map(String::as_str))?;
-    let boot = wv_boot::Boot::load(&path)?;
+    let boot = wv_boot::Boot::load(&wv_boot::Boot::path(text(found, "boot"))?)?;
     println!("valid: node {} in zone {}", boot.node, boot.zone);
     Ok(())
 }
 
-fn serve(role: &str, found: &clap::ArgMatches) -> Result<(), MainError> {
-    ring::start(found.get_one::<String>("log").map_or("warn", String::as_str))?;
-    let path = wv_boot::Boot::path(found.get_one::<String>("boot").map(String::as_str))?;
-    let boot = wv_boot::Boot::load(&path)?;
-    if role == "access" {
-        wv_access::run(boot, &path)?;
+fn replay(found: &ArgMatches) -> Result<(), MainError> {
+    let path = text(found, "file").unwrap_or_default();
+    let body = String::from_utf8_lossy(&read(path)?).into_owned();
+    if found.get_flag("from-log") {
+        print!("{}", wv_replay::from_ring(&body));
+        return Ok(());
+    }
+    let until = found.get_one::<f64>("until").copied();
+    if let Some(wrong) = until.filter(|until| !(0.0..=86_400.0).contains(until)) {
+        return Err(MainError::Flag("until", wrong, "0 to 86400 seconds"));
+    }
+    let until_us = until.map(|until| (until * 1e6) as u64);
+    let report = wv_replay::Day::parse(&body)
+        .and_then(|day| wv_replay::play(&day, until_us, text(found, "service")))
+        .map_err(|error| MainError::Replay(path.to_owned(), error))?;
+    if found.get_flag("json") {
+        println!("{}", report.json());
     } else {
-        wv_control::run(boot, &path)?;
+        print!("{}", report.text());
     }
-    Ok(())
+    report.is_sound().then_some(()).ok_or(MainError::Broken)
+}
+
+fn calendar(found: &ArgMatches) -> Result<wv_when::Calendar, MainError> {
+    Ok(text(found, "calendar").map(wv_when::Calendar::parse).transpose()?.unwrap_or_default())
+}
+
+fn access_options(found: &ArgMatches) -> Result<wv_access::Options, MainError> {
+    let mut ease = wv_ease::Plan { is_on: text(found, "ease") != Some("off"), ..wv_ease::Plan::default() };
+    if let Some(ms) = found.get_one::<f64>("ease-ms").copied() {
+        if !(1.0..=600_000.0).contains(&ms) {
+            return Err(MainError::Flag("ease-ms", ms, "1 to 600000"));
+        }
+        ease.span_us = (ms * 1000.0) as u64;
+    }
+    if let Some(first) = found.get_one::<f64>("ease-first").copied() {
+        if !(0.01..=2.0).contains(&first) {
+            return Err(MainError::Flag("ease-first", first, "0.01 to 2"));
+        }
+        ease.first = first;
+    }
+    Ok(wv_access::Options { ease, calendar: calendar(found)? })
+}
+
+fn load_boot(found: &ArgMatches) -> Result<(wv_boot::Boot, String), MainError> {
+    ring::start(text(found, "log").unwrap_or("warn"))?;
+    let path = wv_boot::Boot::path(text(found, "boot"))?;
+    Ok((wv_boot::Boot::load(&path)?, path))
 }
 
 fn main() -> std::process::ExitCode {
-    let found = command().get_matches();
+    let found = cli::command().get_matches();
     let result = match found.subcommand() {
         Some(("check", found)) => check(found),
-        Some((role, found)) => serve(role, found),
+        Some(("replay", found)) => replay(found),
+        Some(("access", found)) => access_options(found).and_then(|options| {
+            let (boot, path) = load_boot(found)?;
+            Ok(wv_access::run(boot, &path, options)?)
+        }),
+        Some((_, found)) => calendar(found).and_then(|calendar| {
+            let (boot, path) = load_boot(found)?;
+            Ok(wv_control::run(boot, &path, calendar)?)
+        }),
         None => Ok(()),
     };
     result.map_or_else(
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -182,6 +182,7 @@
             is_doubtful: false,
             holder: None,
             since: self.now,
+            opened: self.now,
         };
         self.dbs.insert(db, held);
         self.acts.push(Act::OpenDb { db, addr });
@@ -229,6 +230,9 @@
         };
         if let (Some(sight), Some(member)) = (sight, self.checks.member_mut(held.spot)) {
             let is_changed = member.down(sight, self.now);
+            if is_changed {
+                log::info!("saw {} {}", held.id, if sight == wv_inner::Sight::Dark { "dark" } else { "refused" });
+            }
             self.sights_due = true;
             if is_changed {
                 self.isolate(held.spot);
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -127,6 +127,8 @@
                 }
                 let is_back = self.checks.member_mut(spot).is_some_and(|member| member.up(true, self.now));
                 if is_back {
+                    let id = self.dbs.get(&db).map(|held| held.id.as_str()).unwrap_or_default();
+                    log::info!("saw {id} up");
                     self.ease_in(spot, 1);
                     self.sights_due = true;
                     self.serve_stranded();
--- a/crates/wv-access/src/lib.rs
+++ b/crates/wv-access/src/lib.rs
@@ -16,7 +16,7 @@
 mod types;
 
 pub use crate::core::Core;
-pub use run::run;
+pub use run::{run, Options};
 pub use types::{Act, Lost};
 
 #[derive(thiserror::Error, Debug)]
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -10,6 +10,8 @@
 const WARM_READER: u32 = 1;
 /// A database with work that says nothing for this long is looked at.
 const SILENT_US: u64 = 250_000;
+/// A connection is old after this.
+const RECYCLE_US: u64 = 1_800_000_000;
 
 impl Core {
     /// A feed message. A gap asks for the feed to be followed anew.
@@ -205,6 +207,24 @@
         resting.into_iter().for_each(|id| self.close_client(id));
     }
 
+    /// Closes one idle connection that has served for long, so that no state gathers on either side for ever.
+    pub fn recycle(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        let is_old = |db: &&u64| self.dbs.get(*db).is_some_and(|held| held.opened + RECYCLE_US < self.now);
+        let old = self.pools.values().flat_map(|pool| pool.idle.iter()).find(is_old).copied();
+        old.into_iter().for_each(|db| self.close_db(db));
+    }
+
+    /// Each database and its routing state here.
+    pub fn routes(&self) -> Vec<(String, String)> {
+        let states = self.checks.iter().flat_map(|(_, checker)| {
+            checker.members().map(|(seat, member)| {
+                (member.inst.id.clone(), format!("{:?}", checker.state(seat, self.now)).to_lowercase())
+            })
+        });
+        states.collect()
+    }
+
     /// Counts for the log: clients, connections, busy ones.
     pub fn counts(&self) -> (usize, usize, usize) {
         let busy = self.dbs.values().filter(|db| db.phase == Phase::Busy).count();
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -7,6 +7,8 @@
 const CARE: std::time::Duration = std::time::Duration::from_millis(100);
 /// The boot file's own time of change is looked at every so many rounds of care.
 const BOOT_EVERY: u32 = 10;
+/// Old connections are recycled one at a time, every so many rounds.
+const RECYCLE_EVERY: u32 = 20;
 const BODY_MAX: usize = 4096;
 
 struct Access {
@@ -15,6 +17,7 @@
     boot_path: String,
     boot_seen: Option<std::time::SystemTime>,
     rounds: u32,
+    calendar: wv_when::Calendar,
 }
 
 #[derive(Message)]
@@ -53,6 +56,9 @@
             if access.rounds % BOOT_EVERY == 0 && changed(&access.boot_path) != access.boot_seen {
                 access.reread();
             }
+            if access.rounds.is_multiple_of(RECYCLE_EVERY) && access.calendar.is_open_now() {
+                access.node.with(|core, now| core.recycle(now));
+            }
             let is_done = access.node.with(|core, now| {
                 core.housekeep(now);
                 core.is_done()
@@ -88,8 +94,15 @@
     }
 }
 
+/// What the command line sets.
+#[derive(Clone, Debug, Default)]
+pub struct Options {
+    pub ease: wv_ease::Plan,
+    pub calendar: wv_when::Calendar,
+}
+
 /// Runs until the platform ends the process.
-pub fn run(boot: wv_boot::Boot, boot_path: &str) -> Result<(), AccessError> {
+pub fn run(boot: wv_boot::Boot, boot_path: &str, options: Options) -> Result<(), AccessError> {
     let front = boot.front.ok_or(AccessError::NoAddress("front"))?;
     let readiness = boot.readiness.ok_or(AccessError::NoAddress("readiness"))?;
     let life = std::time::SystemTime::now()
@@ -100,7 +113,9 @@
     system.block_on(async {
         let front_listener = wv_http::listen(front).map_err(|error| AccessError::Listen(front, error))?;
         let ready_listener = wv_http::listen(readiness).map_err(|error| AccessError::Listen(readiness, error))?;
-        let node = Node::new(Core::new(&boot.zone, boot.grace_us));
+        let mut core = Core::new(&boot.zone, boot.grace_us);
+        core.set_ease(options.ease);
+        let node = Node::new(core);
         let place = Place { node: boot.node.clone(), seeds: boot.seeds.clone(), inner_port: boot.inner_port };
         let place: Shared = std::rc::Rc::new(std::cell::RefCell::new(place));
         let clients_max = boot.clients_max();
@@ -117,7 +132,9 @@
         tokio::task::spawn_local(node.clone().keep_time());
         tokio::task::spawn_local(keep(node.clone(), place.clone(), life));
         let boot_seen = changed(boot_path);
-        let access = Access { node, place, boot_path: boot_path.to_owned(), boot_seen, rounds: 0 }.start();
+        let access =
+            Access { node, place, boot_path: boot_path.to_owned(), boot_seen, rounds: 0, calendar: options.calendar }
+                .start();
         tokio::task::spawn_local(watch_signals(access));
         log::info!("access node {} serves {front}", boot.node);
         Ok::<(), AccessError>(())
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -146,4 +146,5 @@
     /// The client whose transaction holds it.
     pub holder: Option<u64>,
     pub since: u64,
+    pub opened: u64,
 }
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -85,6 +85,7 @@
     pub(crate) fn in_force(&mut self, cell: &wv_inner::Cell) {
         if cell.sequence > self.published && !cell.value.is_empty() {
             self.published = cell.sequence;
+            log::info!("in force {}", cell.sequence);
             self.conf = wv_conf::Conf::parse(&cell.value).ok();
             self.publish(News::Conf { sequence: cell.sequence, body: cell.value.clone() });
         }
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -95,6 +95,7 @@
     pub(crate) pinged: u64,
     pub(crate) repaired: u64,
     pub(crate) is_leaving: bool,
+    pub(crate) is_window_open: bool,
 }
 
 impl Core {
@@ -145,6 +146,7 @@
             pinged: 0,
             repaired: 0,
             is_leaving: false,
+            is_window_open: true,
         };
         core.recall_table();
         Ok(core)
@@ -203,6 +205,11 @@
         self.beat_followers();
     }
 
+    /// Whether cautious work that can wait prefers to run now.
+    pub fn set_window(&mut self, is_open: bool) {
+        self.is_window_open = is_open;
+    }
+
     pub fn set_seeds(&mut self, seeds: Vec<String>) {
         for addr in seeds.iter().filter(|addr| **addr != self.me) {
             self.peers.entry(addr.clone()).or_default();
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -13,6 +13,7 @@
     rounds: u32,
     leave_us: u64,
     leaving_since: Option<u64>,
+    calendar: wv_when::Calendar,
 }
 
 #[derive(Message)]
@@ -50,6 +51,10 @@
             if control.rounds % BOOT_EVERY == 0 && changed(&control.boot_path) != control.boot_seen {
                 control.reread();
             }
+            if control.rounds % BOOT_EVERY == 1 {
+                let is_open = control.calendar.is_open_now();
+                control.node.core.borrow_mut().set_window(is_open);
+            }
             control.node.with(|core, now| core.tick(now));
             if control.leaving_since.is_some_and(|since| control.node.now() > since + control.leave_us) {
                 System::current().stop();
@@ -93,8 +98,8 @@
     wv_reg::Store::open(files)
 }
 
-/// Runs until the platform ends the process.
-pub fn run(boot: wv_boot::Boot, boot_path: &str) -> Result<(), ControlError> {
+/// Runs until the platform ends the process; `calendar` says when sweeps of repair prefer to run.
+pub fn run(boot: wv_boot::Boot, boot_path: &str, calendar: wv_when::Calendar) -> Result<(), ControlError> {
     let addr = boot.control.ok_or(ControlError::NoAddress)?;
     let life =
         std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(1, |since| since.as_micros() as u64);
@@ -123,6 +128,7 @@
             rounds: 0,
             leave_us: boot.grace_us / 4,
             leaving_since: None,
+            calendar,
         };
         tokio::task::spawn_local(watch_signals(control.start()));
         log::info!("control node {} serves {addr}", boot.node);
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -5,6 +5,7 @@
 
 const PING_US: u64 = 400_000;
 const REPAIR_US: u64 = 2_000_000;
+const REPAIR_SHUT_US: u64 = 30_000_000;
 /// A peer is dialled again soon while this node is young, since all may be starting at once.
 const DIAL_YOUNG_US: u64 = 100_000;
 const YOUNG_US: u64 = 10_000_000;
@@ -27,7 +28,9 @@
             self.beat_followers();
             self.mend();
         }
-        if self.repaired + REPAIR_US <= self.now {
+        // Outside its window a sweep is rarer, never absent; links that come up compare at once in any case.
+        let gap = if self.is_window_open { REPAIR_US } else { REPAIR_SHUT_US };
+        if self.repaired + gap <= self.now {
             self.repaired = self.now;
             let ranges = self.table.digests();
             self.send_peers(&Msg::Digests { ranges });
@@ -75,6 +78,7 @@
         let nodes = (self.roster.nodes().len() as u32).max(recalled);
         if nodes != self.nodes_told && nodes > 0 {
             self.nodes_told = nodes;
+            log::info!("nodes {nodes}");
             self.is_table_due = true;
             self.publish(News::Nodes(nodes));
         }
--- a/crates/wv-fleet/src/base.rs
+++ b/crates/wv-fleet/src/base.rs
@@ -66,7 +66,7 @@
         Base {
             id: format!("i-{service}{at}"),
             service: service.to_owned(),
-            addr: format!("10.9.0.{}:{}", at + 1, 5000 + service.len()),
+            addr: format!("10.9.{}.{}:5000", service.bytes().map(u32::from).sum::<u32>() % 250, at + 1),
             zone: format!("z{at}"),
             is_primary: at == 0,
             is_up: true,
--- a/crates/wv-fleet/src/lib.rs
+++ b/crates/wv-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod nodes;
 mod oracle;
 mod service;
+mod states;
 mod world;
 
 pub use base::{Base, Conn};
--- a/crates/wv-fleet/src/load.rs
+++ b/crates/wv-fleet/src/load.rs
@@ -7,7 +7,7 @@
 /// One client at work: operations one after the other, tried again after a promise.
 pub struct Load {
     client: usize,
-    lane: &'static str,
+    lane: String,
     luck: Luck,
     texts: Vec<String>,
     at: usize,
@@ -28,12 +28,12 @@
 
 impl World {
     /// Starts `count` clients at work on `lane`, spread over the access nodes.
-    pub fn load(&mut self, count: usize, lane: &'static str) {
+    pub fn load(&mut self, count: usize, lane: &str) {
         for _ in 0..count {
             let at = self.loads.len();
             self.loads.push(Load {
                 client: usize::MAX,
-                lane,
+                lane: lane.to_owned(),
                 luck: Luck::new(at as u64 + 11),
                 texts: Vec::new(),
                 at: 0,
@@ -103,8 +103,8 @@
                 return;
             }
             let Some(node) = up.get(at % up.len().max(1)).copied() else { return self.again(at, 100 * MS) };
-            let lane = self.loads[at].lane;
-            let client = self.client(node, lane);
+            let lane = self.loads[at].lane.clone();
+            let client = self.client(node, &lane);
             self.clients[client].load = Some(at);
             self.loads[at].client = client;
             self.loads[at].values.clear();
@@ -129,10 +129,10 @@
         let now = self.now;
         let load = &mut self.loads[at];
         let kind = load.luck.below(100);
-        let texts: Vec<&str> = match (load.lane, kind) {
-            ("b", 0..=9) => vec!["BEGIN READ", "READ k", "READ k", "COMMIT"],
-            ("b", 10..=30) => vec!["EXECUTE s k"],
-            ("b", _) => vec!["READ k"],
+        let texts: Vec<&str> = match (load.lane.starts_with('b'), kind) {
+            (true, 0..=9) => vec!["BEGIN READ", "READ k", "READ k", "COMMIT"],
+            (true, 10..=30) => vec!["EXECUTE s k"],
+            (true, _) => vec!["READ k"],
             (_, 0..=24) => vec!["READ k"],
             (_, 25..=59) => vec!["WRITE k d"],
             (_, 60..=69) => vec!["BEGIN", "READ k", "ABORT"],
@@ -153,7 +153,7 @@
             load.begun = now;
         }
         let first_byte = if is_txn { load.begun } else { now };
-        let since = if load.lane == "b" { first_byte.saturating_sub(1500 * MS) } else { first_byte };
+        let since = if load.lane.starts_with('b') { first_byte.saturating_sub(1500 * MS) } else { first_byte };
         if text.starts_with("WRITE") {
             load.tags.push(tag.clone());
         }
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -79,6 +79,16 @@
         }
     }
 
+    /// SIGTERM.
+    pub fn term_access(&mut self, at: usize) {
+        self.with_access(at, |core, now| core.leave(now));
+    }
+
+    /// Sets how all access nodes ease databases in.
+    pub fn set_ease(&mut self, plan: wv_ease::Plan) {
+        self.access.iter_mut().filter_map(|node| node.core.as_mut()).for_each(|core| core.set_ease(plan));
+    }
+
     pub fn kill_access(&mut self, at: usize) {
         self.access[at].core = None;
         let session = self.access[at].session.take();
@@ -215,27 +225,6 @@
         }
     }
 
-    fn post(&mut self, control: usize, service: String, id: String, fence: u64) {
-        let base = self.base(&id);
-        let seen = self.fences.get(&service).copied().unwrap_or(0);
-        let code = match base.map(|at| &self.bases[at]) {
-            _ if self.is_platform_down => None,
-            _ if fence < seen => Some(409),
-            Some(held) if held.is_primary => Some(200),
-            Some(held) if held.is_up && !held.is_dark => Some(200),
-            _ => Some(409),
-        };
-        if code.is_some() {
-            self.fences.insert(service.clone(), fence.max(seen));
-        }
-        self.note(format!("promotion of {id} under {fence}: {code:?}"));
-        self.posts.push((service.clone(), id, fence, code));
-        if let Some(base) = base.filter(|_| code == Some(200)) {
-            self.put(self.promote_us, Ev::Promote { base });
-        }
-        self.put(if code.is_some() { 3 * MS } else { 1200 * MS }, Ev::Posted { control, service, code });
-    }
-
     /// A call of the operator or of a database to one control node.
     pub fn call(&mut self, control: usize, method: &str, path: &str, body: &[u8]) -> u64 {
         let (method, path, body) = (method.to_owned(), path.to_owned(), body.to_vec());
--- a/crates/wv-fleet/src/oracle.rs
+++ b/crates/wv-fleet/src/oracle.rs
@@ -14,17 +14,18 @@
     pub runs: BTreeMap<String, u32>,
     pub reads: usize,
     /// Where each committed tag stands in the log.
-    pub places: BTreeMap<String, usize>,
-    /// How much of the log is acknowledged, by time.
-    needs: Vec<(u64, usize)>,
+    pub places: BTreeMap<String, (String, usize)>,
+    /// How much of each service's log is acknowledged, by time.
+    needs: BTreeMap<String, Vec<(u64, usize)>>,
 }
 
 impl Oracle {
     /// A read ran: every commit acknowledged before `since` must stand in what the database had applied.
     pub fn read_ran(&mut self, id: &str, base: &Base, since: u64) {
         self.reads += 1;
-        let at = self.needs.partition_point(|(acked, _)| *acked < since);
-        let need = at.checked_sub(1).map_or(0, |at| self.needs[at].1);
+        let needs = self.needs.get(&base.service).map_or(&[][..], Vec::as_slice);
+        let at = needs.partition_point(|(acked, _)| *acked < since);
+        let need = at.checked_sub(1).map_or(0, |at| needs[at].1);
         if base.applied < need {
             self.broken.push(format!("STALE: {id} on {} has {} of {need}", base.id, base.applied));
         }
@@ -32,9 +33,11 @@
 
     /// A client heard that its commit stands.
     pub fn ack(&mut self, tag: String, now: u64) {
-        let place = self.places.get(&tag).map_or(0, |at| at + 1);
-        let need = self.needs.last().map_or(0, |(_, need)| *need).max(place);
-        self.needs.push((now, need));
+        if let Some((service, place)) = self.places.get(&tag) {
+            let needs = self.needs.entry(service.clone()).or_default();
+            let need = needs.last().map_or(0, |(_, need)| *need).max(place + 1);
+            needs.push((now, need));
+        }
         self.acked.insert(tag, now);
     }
 
--- a/crates/wv-fleet/src/service.rs
+++ b/crates/wv-fleet/src/service.rs
@@ -140,14 +140,15 @@
         for tag in tags {
             let number = self.bases[base].received().number + 1;
             let at = self.bases[base].log.len();
-            self.oracle.places.insert(tag.clone(), at);
+            let service = self.bases[base].service.clone();
+            self.oracle.places.insert(tag.clone(), (service, at));
             self.bases[base].log.push(Entry { pos: Pos { term, number }, tag });
         }
         let (len, pos) = (self.bases[base].log.len(), self.bases[base].received());
         self.bases[base].applied = len;
         let stamp = if is_lost { String::new() } else { stamp.to_owned() };
         self.waiting.push((base, pos, conn, stamp));
-        let replicas: Vec<usize> = (0..self.bases.len()).filter(|at| *at != base && !self.bases[*at].is_left).collect();
+        let replicas: Vec<usize> = (0..self.bases.len()).filter(|at| self.is_replica_of(base, *at)).collect();
         // Alone in its service it has nobody to wait for.
         if replicas.is_empty() {
             return self.acknowledge(base, pos);
@@ -172,6 +173,11 @@
         self.acknowledge(from, received);
     }
 
+    fn is_replica_of(&self, base: usize, other: usize) -> bool {
+        let (one, other_base) = (&self.bases[base], &self.bases[other]);
+        base != other && one.service == other_base.service && !other_base.is_left
+    }
+
     fn acknowledge(&mut self, from: usize, received: Pos) {
         let (done, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
             .into_iter()
@@ -205,7 +211,8 @@
             return;
         }
         let service = self.bases[base].service.clone();
-        let term = self.bases.iter().map(|held| held.term).max().unwrap_or(1) + 1;
+        let terms = self.bases.iter().filter(|held| held.service == service).map(|held| held.term);
+        let term = terms.max().unwrap_or(1) + 1;
         let log = self.bases[base].log.clone();
         self.note(format!("{} leads term {term}", self.bases[base].id));
         for (at, held) in self.bases.iter_mut().enumerate().filter(|(_, held)| held.service == service) {
@@ -218,7 +225,8 @@
         }
         self.bases[base].held = 0;
         self.bases[base].applied = log.len();
-        self.waiting.retain(|(at, _, _, _)| *at == base);
+        let services: Vec<bool> = self.bases.iter().map(|held| held.service == service).collect();
+        self.waiting.retain(|(at, _, _, _)| *at == base || !services[*at]);
         (0..self.bases.len()).for_each(|at| self.beat(at));
     }
 }
--- /dev/null
+++ b/crates/wv-fleet/src/states.rs
@@ -0,0 +1,50 @@
+//! What stands where, in words, and the platform's side of a promotion.
+use crate::world::{Ev, World};
+use crate::MS;
+
+impl World {
+    /// What the databases are and how each access node routes to them, a line each.
+    pub fn states(&self) -> Vec<String> {
+        let mut states: Vec<String> = self
+            .bases
+            .iter()
+            .map(|base| {
+                let role = if base.is_primary { "primary" } else { "replica" };
+                let up = if !base.is_up {
+                    "down"
+                } else if base.is_dark {
+                    "dark"
+                } else {
+                    "up"
+                };
+                format!("{} is {up}, {role} of term {}", base.id, base.term)
+            })
+            .collect();
+        for node in &self.access {
+            let routes = node.core.iter().flat_map(|core| core.routes());
+            states.extend(routes.map(|(id, state)| format!("{} routes {id}: {state}", node.name)));
+        }
+        states
+    }
+
+    pub(crate) fn post(&mut self, control: usize, service: String, id: String, fence: u64) {
+        let base = self.base(&id);
+        let seen = self.fences.get(&service).copied().unwrap_or(0);
+        let code = match base.map(|at| &self.bases[at]) {
+            _ if self.is_platform_down => None,
+            _ if fence < seen => Some(409),
+            Some(held) if held.is_primary => Some(200),
+            Some(held) if held.is_up && !held.is_dark => Some(200),
+            _ => Some(409),
+        };
+        if code.is_some() {
+            self.fences.insert(service.clone(), fence.max(seen));
+        }
+        self.note(format!("promotion of {id} under {fence}: {code:?}"));
+        self.posts.push((service.clone(), id, fence, code));
+        if let Some(base) = base.filter(|_| code == Some(200)) {
+            self.put(self.promote_us, Ev::Promote { base });
+        }
+        self.put(if code.is_some() { 3 * MS } else { 1200 * MS }, Ev::Posted { control, service, code });
+    }
+}
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -61,13 +61,18 @@
 impl World {
     /// `access` access nodes, `controls` control nodes, and one service `s` of three databases.
     pub fn new(access: usize, controls: usize) -> World {
+        World::of(access, controls, &["s".to_owned()])
+    }
+
+    /// The same with services of other names, three databases each.
+    pub fn of(access: usize, controls: usize, services: &[String]) -> World {
         let mut world = World {
             now: S,
             turn: 0,
             queue: BTreeMap::new(),
             access: Vec::new(),
             controls: Vec::new(),
-            bases: (0..3).map(|at| Base::new("s", at)).collect(),
+            bases: services.iter().flat_map(|service| (0..3).map(|at| Base::new(service, at))).collect(),
             db_conns: BTreeMap::new(),
             waiting: Vec::new(),
             next_conn: 0,
@@ -91,7 +96,7 @@
         world.access = (0..access).map(Access::new).collect();
         (0..controls).for_each(|at| world.start_control(at, true));
         (0..access).for_each(|at| world.start_access(at));
-        (0..3).for_each(|base| world.put(10 * MS, Ev::Beat { base }));
+        (0..world.bases.len()).for_each(|base| world.put(10 * MS, Ev::Beat { base }));
         world
     }
 
@@ -176,14 +181,30 @@
 
     /// A configuration with one primary lane `p` and one bounded lane `b` onto service `s`.
     pub fn conf(sequence: u64) -> Vec<u8> {
-        let lane = |label: &str, category: &str, target: u32, precedence: u32| {
+        World::conf_of(sequence, &["s".to_owned()])
+    }
+
+    /// The first service's lanes are `p` and `b`, the others' `p.NAME` and `b.NAME`.
+    pub fn conf_of(sequence: u64, services: &[String]) -> Vec<u8> {
+        let lane = |at: usize, service: &str, (kind, category): (&str, &str), target: u32, precedence: u32| {
+            let label = if at == 0 { kind.to_owned() } else { format!("{kind}.{service}") };
             serde_json::json!({"label": label, "host": label, "pathPrefix": "/", "category": category,
-                "expiryMs": 1000, "targetMs": target, "precedence": precedence, "destination": "s",
+                "expiryMs": 1000, "targetMs": target, "precedence": precedence, "destination": service,
                 "maxAttempts": 2, "maxStalenessMs": 1500})
         };
-        serde_json::json!({"issue": sequence,
-            "routing": [lane("p", "primary", 200, 1), lane("b", "bounded_staleness", 800, 2)],
-            "services": [{"label": "s", "maxConnections": 100, "syncReplicas": 1}],
+        let lanes: Vec<serde_json::Value> = services
+            .iter()
+            .enumerate()
+            .flat_map(|(at, service)| {
+                let primary = lane(at, service, ("p", "primary"), 200, 1);
+                [primary, lane(at, service, ("b", "bounded_staleness"), 800, 2)]
+            })
+            .collect();
+        let services: Vec<serde_json::Value> = services
+            .iter()
+            .map(|service| serde_json::json!({"label": service, "maxConnections": 100, "syncReplicas": 1}))
+            .collect();
+        serde_json::json!({"issue": sequence, "routing": lanes, "services": services,
             "limits": {"headerBytes": 16384, "bodyBytes": 262144, "headerTimerMs": 3000, "txnIdleMs": 3000}})
         .to_string()
         .into_bytes()
@@ -206,8 +227,12 @@
 
     /// Judges all that happened; the rules broken, none if all is well.
     pub fn judge(&mut self) -> Vec<String> {
-        let newest = self.bases.iter().filter(|base| base.is_primary).max_by_key(|base| base.term);
-        let log = newest.map(|base| base.log.clone()).unwrap_or_default();
+        let mut newest: BTreeMap<&str, &Base> = BTreeMap::new();
+        for base in self.bases.iter().filter(|base| base.is_primary) {
+            let held = newest.entry(base.service.as_str()).or_insert(base);
+            *held = if base.term > held.term { base } else { held };
+        }
+        let log: Vec<_> = newest.values().flat_map(|base| base.log.iter().cloned()).collect();
         self.oracle.judge(&log);
         std::mem::take(&mut self.oracle.broken)
     }
