--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -220,6 +220,8 @@
     pub fn db_lost(&mut self, db: u64, lost: Lost, now: u64) {
         self.now = self.now.max(now);
         let Some(held) = self.forget_db(db) else { return };
+        // With the last connection ends what was said of it.
+        self.sights_due |= self.pools.get(&held.spot).is_some_and(|pool| pool.all == 0);
         if held.phase == Phase::Opening {
             self.hold_opening(held.spot);
         }
--- a/crates/wv-access/src/exec.rs
+++ b/crates/wv-access/src/exec.rs
@@ -5,7 +5,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-const OPEN_LIMIT: std::time::Duration = std::time::Duration::from_millis(300);
+const OPEN_LIMIT: std::time::Duration = std::time::Duration::from_millis(200);
 const SILENT_DB: std::time::Duration = std::time::Duration::from_millis(900);
 const SILENT_CLIENT: std::time::Duration = std::time::Duration::from_secs(10);
 
--- a/crates/wv-access/src/link.rs
+++ b/crates/wv-access/src/link.rs
@@ -8,7 +8,7 @@
 const SILENT: std::time::Duration = std::time::Duration::from_millis(1300);
 const CONNECT: std::time::Duration = std::time::Duration::from_millis(300);
 /// Every so many beats all sightings are told, changed or not.
-const WHOLE_EVERY: u32 = 5;
+const WHOLE_EVERY: u32 = 10;
 const FIRST_PAUSE: u64 = 50;
 const LAST_PAUSE: u64 = 250;
 
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -92,12 +92,17 @@
             for (seat, member) in checker.members().filter(|(_, member)| !member.inst.gone) {
                 let is_standing = pools.get(&Spot { service, seat }).is_some_and(|pool| pool.all > pool.opening);
                 // Only what was seen is told: down once it is agreed on, up where a connection stands.
-                if !member.is_isolated() && !is_standing {
+                let is_silent = !member.is_isolated() && member.sight == wv_inner::Sight::Dark;
+                if !member.is_isolated() && !is_standing && !is_silent {
                     continue;
                 }
                 sights.push(Sighting {
                     id: member.inst.id.clone(),
-                    sight: if member.is_isolated() { member.sight } else { wv_inner::Sight::Up },
+                    sight: match (member.is_isolated(), is_silent) {
+                        (true, _) => member.sight,
+                        (false, true) => wv_inner::Sight::Silent,
+                        (false, false) => wv_inner::Sight::Up,
+                    },
                     since_us: now.saturating_sub(member.since),
                     fenced: fenced.map(|(_, pos)| pos.to_string()).unwrap_or_default(),
                     fenced_ago_us: fenced.map_or(0, |(sent, _)| now.saturating_sub(sent)),
@@ -134,6 +139,7 @@
         for spot in silent {
             if self.open_db(spot) {
                 self.checks.member_mut(spot).into_iter().for_each(|member| member.silent(now));
+                self.sights_due = true;
             }
         }
     }
--- a/crates/wv-control/src/ask.rs
+++ b/crates/wv-control/src/ask.rs
@@ -7,7 +7,7 @@
 
 const ASK: std::time::Duration = std::time::Duration::from_millis(400);
 /// A machine that does not even take a connection within this is dark; a busy database still does.
-const CONNECT: std::time::Duration = std::time::Duration::from_millis(250);
+const CONNECT: std::time::Duration = std::time::Duration::from_millis(200);
 const POST: std::time::Duration = std::time::Duration::from_millis(1200);
 const RETURN_MAX: usize = 16 << 10;
 
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -95,6 +95,8 @@
     pub(crate) pinged: u64,
     pub(crate) repaired: u64,
     pub(crate) is_leaving: bool,
+    pub(crate) sessions_told: Vec<String>,
+    pub(crate) sessions_age: u32,
     pub(crate) is_window_open: bool,
 }
 
@@ -146,6 +148,8 @@
             pinged: 0,
             repaired: 0,
             is_leaving: false,
+            sessions_told: Vec::new(),
+            sessions_age: 0,
             is_window_open: true,
         };
         core.recall_table();
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -7,7 +7,7 @@
 use wv_wire::Pos;
 
 /// Sightings older than this count no more.
-const SIGHT_US: u64 = 3_500_000;
+const SIGHT_US: u64 = 9_000_000;
 /// A node that has just started first hears who is there.
 const SETTLE_US: u64 = 2_000_000;
 
@@ -41,7 +41,8 @@
 
     /// Several nodes agree, though not all need to: one cut link is no reason, one blind node no hindrance.
     pub(crate) fn is_down(&self, id: &str) -> bool {
-        let down = self.words(id).filter(|(sight, _)| sight.sight != Sight::Up).count();
+        let is_bad = |sight: &Sighting| matches!(sight.sight, Sight::Refused | Sight::Dark);
+        let down = self.words(id).filter(|(sight, _)| is_bad(sight)).count();
         let nodes = self.roster.nodes().len();
         down >= nodes.div_ceil(4).clamp(2, 8).min(nodes.max(1))
     }
@@ -59,6 +60,14 @@
             .min_by_key(|(ago, _)| *ago)
     }
 
+    /// The newest term that anyone has seen of this service.
+    fn known_term(&self, service: &str) -> u64 {
+        let ids = self.table.iter().filter(|inst| inst.service == service).map(|inst| inst.id.as_str());
+        let seen = ids.flat_map(|id| self.words(id)).filter_map(|(sight, _)| Pos::parse(sight.fenced.as_bytes()));
+        let told = self.feed.lead(service).map_or(0, |lead| lead.term);
+        seen.map(|pos| pos.term).max().unwrap_or(0).max(told)
+    }
+
     fn with_duty(&mut self, service: &str, turn: impl FnOnce(&mut wv_promo::Duty, &View<'_>)) {
         let Some(mut duty) = self.duties.remove(service) else { return };
         let lead = self.feed.lead(service).map(|lead| lead.id.clone());
@@ -79,6 +88,7 @@
                 .as_deref()
                 .is_some_and(|lead| self.words(lead).any(|(sight, _)| sight.sight != Sight::Up)),
             is_lead_down: lead.as_deref().is_some_and(|lead| self.is_down(lead)),
+            term: self.known_term(service),
             fenced: lead.as_deref().and_then(|lead| self.fenced(lead)),
         };
         turn(&mut duty, &view);
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -22,6 +22,7 @@
         let ask = self.quorum.next_ask();
         self.send(link, Msg::Ping { ask });
         self.send(link, Msg::Digests { ranges: self.table.digests() });
+        self.send(link, Msg::Sessions { nodes: self.roster.sessions() });
         self.mend();
     }
 
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -4,6 +4,8 @@
 use wv_inner::{Msg, News};
 
 const PING_US: u64 = 400_000;
+/// Sessions are told again after this many pings.
+const SESSIONS_EVERY: u32 = 8;
 const REPAIR_US: u64 = 2_000_000;
 const REPAIR_SHUT_US: u64 = 30_000_000;
 /// A peer is dialled again soon while this node is young, since all may be starting at once.
@@ -23,8 +25,7 @@
             self.pinged = self.now;
             let ask = self.quorum.next_ask();
             self.send_peers(&Msg::Ping { ask });
-            let nodes = self.roster.sessions();
-            self.send_peers(&Msg::Sessions { nodes });
+            self.tell_sessions();
             self.beat_followers();
             self.mend();
         }
@@ -66,6 +67,16 @@
         }
     }
 
+    /// Peers hear of this node's sessions when they change, and now and then in any case.
+    fn tell_sessions(&mut self) {
+        let nodes = self.roster.sessions();
+        self.sessions_age += 1;
+        if nodes != self.sessions_told || self.sessions_age >= SESSIONS_EVERY {
+            self.send_peers(&Msg::Sessions { nodes: nodes.clone() });
+            (self.sessions_told, self.sessions_age) = (nodes, 0);
+        }
+    }
+
     pub(crate) fn beat_followers(&mut self) {
         let fresh = self.is_fresh() && self.is_caught_up && !self.is_leaving;
         let followers: Vec<u64> =
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -13,7 +13,7 @@
         let (place, node) = (core.place(), &mut self.access[at]);
         if let Some(end) = node.session.filter(|_| node.heard + 1300 * MS > now) {
             node.beats += 1;
-            let is_whole = node.beats % 5 == 0;
+            let is_whole = node.beats % 10 == 0;
             let sights = node.core.as_mut().map(|core| core.take_sights(is_whole)).unwrap_or_default();
             self.put(HOP, Ev::Link { to: end, msg: Msg::Here });
             if !sights.is_empty() {
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -41,6 +41,8 @@
     Up,
     Refused,
     Dark,
+    /// It has work and says nothing; not yet looked at.
+    Silent,
 }
 
 /// One node's word on one database; `since_us` says how long the sighting has stood.
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -65,6 +65,8 @@
     pub(crate) suspended: Vec<String>,
     /// The one left receiving was looked at once more after the others were suspended.
     pub(crate) is_relooked: bool,
+    /// The last attempt that suspended unseen led nowhere: look first.
+    pub(crate) is_cautious: bool,
     pub(crate) term: u64,
     pause: u64,
     was_holder: bool,
@@ -80,6 +82,7 @@
             asked: Vec::new(),
             suspended: Vec::new(),
             is_relooked: false,
+            is_cautious: false,
             term: 0,
             pause: PAUSE_FIRST_US,
             was_holder: false,
@@ -202,13 +205,14 @@
     }
 
     pub(crate) fn rest(&mut self, now: u64) {
-        self.pause = PAUSE_FIRST_US;
+        (self.pause, self.is_cautious) = (PAUSE_FIRST_US, false);
         self.step = Step::Rest { until: now + PAUSE_FIRST_US };
     }
 
     /// Nothing is left suspended behind an attempt that led nowhere.
     pub(crate) fn give_up(&mut self, now: u64) {
         self.release(None);
+        self.is_cautious = true;
         self.step = Step::Rest { until: now + self.pause };
         self.pause = (self.pause * 2).min(PAUSE_LAST_US);
     }
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -28,6 +28,8 @@
     pub is_lead_doubted: bool,
     /// Agreeing sightings of several nodes say the lead is down.
     pub is_lead_down: bool,
+    /// The newest term that anyone has seen, 0 for none.
+    pub term: u64,
     /// The newest fenced sighting of the lead: how long ago, and its place.
     pub fenced: Option<(u64, Pos)>,
 }
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -19,7 +19,7 @@
                         self.orders.push(Order::Post { id: lead.to_owned(), fence });
                         self.step = Step::Fencing { limit: now + POST_US };
                     }
-                    None => self.look_all(view),
+                    None => self.look_or_suspend(view),
                 }
             }
             (Step::Claiming { .. }, Event::Claimed(None)) => self.give_up(now),
@@ -58,6 +58,18 @@
         }
     }
 
+    /// A lead that is down gets nothing acknowledged by being left a replica: all are suspended in one round, where
+    /// the term is known. A planned end looks first, so that the nominee can go on receiving.
+    fn look_or_suspend(&mut self, view: &View<'_>) {
+        let is_planned = view.seats.iter().any(|seat| Some(seat.id.as_str()) == view.lead && seat.is_draining);
+        if is_planned || self.is_cautious || view.term == 0 || !view.is_lead_down {
+            return self.look_all(view);
+        }
+        self.rows.clear();
+        (self.is_relooked, self.term) = (false, self.term.max(view.term));
+        self.suspend(replicas(view), view);
+    }
+
     /// Rows of all replicas are in, or late.
     pub(crate) fn looked(&mut self, view: &View<'_>) {
         let newest = self.rows.values().flatten().map(|status| status.term.max(status.held)).max().unwrap_or(0);
