Overdue returns judged by the slowest of late, per kind of lane

Slow but healthy map reads (up to 0.4 s) were taken for lost, since one mean over all lanes of a database says little of them, and a read offered again late had no time left to wait.

--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -201,6 +201,7 @@
         (ask.verb, ask.shape, ask.at, ask.limit) = (Some(verb), shape, now, now + lane.expiry_us);
         (ask.tries, ask.db, ask.queued, ask.last_code, ask.is_streamed) = (0, None, None, None, false);
         ask.lane = Some(lane.clone());
+        ask.waits_since = now;
         ask.first_byte = client.first_byte;
         ask.refused.clear();
         ask.ret.clear();
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -25,6 +25,8 @@
     pub returned: u64,
     /// How long statements take there.
     pub work: wv_ease::Work,
+    /// The slowest of late, of lanes that read on replicas and of the others.
+    pub slowest: [wv_ease::Slowest; 2],
     /// When its line is next served while it is being eased in.
     pub wake_at: u64,
 }
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -145,7 +145,9 @@
                 if held.is_doubtful {
                     return self.break_db(db);
                 }
+                let kind = self.clients.get(&client).map_or(0, |client| client.ask.kind());
                 if let Some(pool) = self.pools.get_mut(&spot) {
+                    pool.slowest[kind].note(self.now.saturating_sub(expect.sent));
                     pool.returned = pool.returned.max(expect.sent);
                     pool.work.note(self.now.saturating_sub(expect.sent));
                 }
--- a/crates/wv-access/src/offer.rs
+++ b/crates/wv-access/src/offer.rs
@@ -105,7 +105,7 @@
         let Some(ask) = self.clients.get(&id).map(|client| &client.ask) else { return 0 };
         let Some(lane) = ask.lane.as_ref() else { return ask.at };
         let share = lane.target_us / OFFER_SHARE;
-        ask.at + share - share / 8
+        ask.waits_since + share - share / 8
     }
 
     /// The time for waiting is over.
@@ -126,6 +126,7 @@
         let ask = &mut client.ask;
         (ask.db, ask.queued, ask.last_code) = (None, None, code.or(ask.last_code));
         ask.tries += 1;
+        ask.waits_since = now;
         let bound = ask.lane.as_ref().map_or(1, |lane| lane.max_attempts) + 1;
         // A place in line may have passed while it was away; then the promise is the better return.
         if ask.tries > bound || now >= ask.limit {
--- a/crates/wv-access/src/send.rs
+++ b/crates/wv-access/src/send.rs
@@ -4,8 +4,7 @@
 use crate::types::{Act, Expect, Phase, Verb, What};
 use wv_wire::{put_query, Code, Pos};
 
-/// A return is overdue after this many times what statements take there, within these bounds.
-const OVERDUE_X: f64 = 8.0;
+/// A return is overdue no sooner and no later than this.
 const OVERDUE_MIN_US: u64 = 100_000;
 const OVERDUE_MAX_US: u64 = 600_000;
 /// How soon an overdue return is looked at again while its database says nothing at all.
@@ -79,8 +78,8 @@
             (Verb::Commit, txn) => txn.is_some_and(|txn| !txn.may_have_written),
         };
         if may_be_given_up {
-            let work = self.pools.get(&held.spot).map_or(0.0, |pool| pool.work.us());
-            let wait = ((work * OVERDUE_X) as u64).clamp(OVERDUE_MIN_US, OVERDUE_MAX_US);
+            let slowest = self.pools.get(&held.spot).map(|pool| pool.slowest[ask.kind()]).unwrap_or_default();
+            let wait = slowest.overdue_us().clamp(OVERDUE_MIN_US, OVERDUE_MAX_US);
             self.schedules.put(now + wait, Schedule::Overdue { client: id, number: ask.number });
         }
         let what = What::Ask { client: id, number: ask.number };
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -53,6 +53,8 @@
     /// In the waiting line of this pool.
     pub queued: Option<Spot>,
     pub last_code: Option<Code>,
+    /// Since when it waits to be offered, or offered again.
+    pub waits_since: u64,
     pub lane: Option<Rc<Lane>>,
     pub first_byte: u64,
     pub ret: Vec<u8>,
@@ -65,6 +67,12 @@
     pub fn verb(&self) -> Verb {
         self.verb.unwrap_or(Verb::Write)
     }
+
+    /// Lanes that read on replicas carry other work than those that do not.
+    pub fn kind(&self) -> usize {
+        let is_bounded = |lane: &Rc<Lane>| matches!(lane.category, wv_conf::Category::Bounded { .. });
+        usize::from(self.lane.as_ref().is_some_and(is_bounded))
+    }
 }
 
 /// A failed transaction, and whether its client has heard so.
--- a/crates/wv-ease/src/lib.rs
+++ b/crates/wv-ease/src/lib.rs
@@ -56,6 +56,27 @@
     }
 }
 
+/// The slowest return of late, forgotten little by little: what takes much longer than it is lost.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Slowest(f64);
+
+impl Default for Slowest {
+    fn default() -> Slowest {
+        Slowest(300_000.0)
+    }
+}
+
+impl Slowest {
+    pub fn note(&mut self, us: u64) {
+        self.0 = (self.0 * 0.995).max(us as f64);
+    }
+
+    /// When a return is overdue.
+    pub fn overdue_us(&self) -> u64 {
+        (self.0 * 1.5) as u64
+    }
+}
+
 /// One database being eased in, as one node does it.
 #[derive(Clone, Debug)]
 pub struct Ease {
