--- a/crates/wv-access/src/answer.rs
+++ b/crates/wv-access/src/answer.rs
@@ -140,6 +140,7 @@
         client.ask.db = None;
         client.ask.ret.clear();
         let (verb, is_txn) = (client.ask.verb(), client.txn.is_some());
+        let is_begun = client.txn.as_ref().is_some_and(|txn| txn.is_begun);
         let may_have_written = client.txn.as_ref().is_some_and(|txn| txn.may_have_written);
         match (verb, is_txn) {
             // A commit that left may have happened; it is never sent again.
@@ -148,6 +149,11 @@
             }
             // Nothing was written, so nothing is kept, whatever became of the commit.
             (Verb::Commit, _) => self.fail(id, Code::Aborted, "the connection was lost", b'I'),
+            // Nothing of it was returned yet, and its end rolled back what ran: it begins elsewhere.
+            (_, true) if !is_begun => {
+                client.txn.iter_mut().for_each(|txn| (txn.db, txn.fail) = (None, None));
+                self.retry(id, None);
+            }
             // The connection's end rolled the transaction back.
             (_, true) => self.fail(id, Code::Aborted, "the connection was lost", b'E'),
             (Verb::Write, false) => self.fail(id, Code::Indeterm, "the write's return was lost", b'I'),
--- a/crates/wv-fleet/src/falls.rs
+++ b/crates/wv-fleet/src/falls.rs
@@ -13,6 +13,13 @@
         self.end_conns(base, HOP, Lost::Closed);
     }
 
+    /// All its connections are reset; it goes on.
+    pub fn reset_conns(&mut self, base: usize) {
+        self.bases[base].conns.clear();
+        self.bases[base].busy.clear();
+        self.end_conns(base, HOP, Lost::Closed);
+    }
+
     /// Its machine says nothing any more.
     pub fn darken(&mut self, base: usize) {
         self.bases[base].is_dark = true;
--- a/crates/wv-fleet/tests/traffic.rs
+++ b/crates/wv-fleet/tests/traffic.rs
@@ -225,3 +225,25 @@
     (0..4).for_each(|_| assert!(!asked(&mut world, other, "QUERY b3 READ k").is_empty()));
     expect_that!(world.take(one), is_empty());
 }
+
+#[gtest]
+fn given_connections_reset_under_a_transaction_then_it_begins_elsewhere_only_while_nothing_of_it_was_returned() {
+    let mut world = World::serving(1, 3);
+    let client = world.client(0, "p");
+    asked(&mut world, client, "QUERY a1 BEGIN");
+    world.say(client, "QUERY a2 WRITE k d");
+    world.run(3 * MS);
+    world.reset_conns(0);
+    world.run(100 * MS);
+    expect_that!(world.take(client)[0], starts_with("COMPLETE stamp"));
+    expect_that!(asked(&mut world, client, "QUERY a3 COMMIT")[0], starts_with("COMPLETE stamp"));
+    expect_that!(world.bases[0].log.iter().filter(|entry| entry.tag == "a2").count(), eq(1));
+    asked(&mut world, client, "QUERY b1 BEGIN");
+    asked(&mut world, client, "QUERY b2 WRITE k d");
+    world.say(client, "QUERY b3 READ k");
+    world.run(3 * MS);
+    world.reset_conns(0);
+    world.run(100 * MS);
+    expect_that!(world.take(client)[0], starts_with("ERROR ABORTED"));
+    expect_that!(world.bases[0].log.iter().any(|entry| entry.tag == "b2"), eq(false));
+}
