--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -48,7 +48,12 @@
                 }
             }
             News::Inst(inst) => {
+                let is_new = self.checks.spot(&inst.id).is_none();
                 let spot = self.checks.inst(&inst, self.now);
+                // One that says it is slow from its start is eased in from the first word of it.
+                if let Some(spot) = spot.filter(|_| is_new && inst.cold_us > 0) {
+                    self.ease_in(spot, 1);
+                }
                 if let Some(spot) = spot.filter(|_| inst.gone || inst.draining) {
                     self.clear_idle(spot);
                 }
--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -83,6 +83,7 @@
             self.publish(News::Inst(inst.clone()));
             self.fold_lead(inst, is_own_word);
         }
+        self.watch_places(insts);
     }
 
     fn fold_lead(&mut self, inst: &Inst, is_own_word: bool) {
--- a/crates/wv-control/src/falls.rs
+++ b/crates/wv-control/src/falls.rs
@@ -34,6 +34,17 @@
         self.fallen.retain(|_, fall| fall.is_down || fall.last + LATELY_US > now);
     }
 
+    /// A database that restarts may come back under another id at its old address: it is the same return.
+    pub(crate) fn watch_places(&mut self, changed: &[wv_inner::Inst]) {
+        let now = self.now;
+        for inst in changed.iter().filter(|inst| !inst.gone) {
+            let Some(old) = changed.iter().find(|old| old.gone && old.addr == inst.addr) else { continue };
+            let falls = self.fallen.remove(&old.id).map_or(1, |fall| fall.falls);
+            self.fallen.insert(inst.id.clone(), Fall { falls, last: now, is_down: false });
+            self.publish(News::Ease { id: inst.id.clone(), falls });
+        }
+    }
+
     /// Another control node saw the return first.
     pub(crate) fn eased(&mut self, id: String, falls: u32) {
         let now = self.now;
--- a/crates/wv-fleet/tests/recovery.rs
+++ b/crates/wv-fleet/tests/recovery.rs
@@ -99,3 +99,22 @@
     expect_that!(eased, eq(0));
     expect_that!(end(&mut world), is_empty());
 }
+
+#[gtest]
+fn given_a_restart_under_another_id_at_the_old_address_then_it_is_eased_in_all_the_same() {
+    let mut world = loaded(true);
+    world.crash(2);
+    world.run(S);
+    // It comes back as another: the place is the old one, the log its own.
+    world.bases[2].id = "i-again".to_owned();
+    world.bases[2].sequence = 0;
+    world.revive(2);
+    world.run(500 * MS);
+    let eased = |world: &World| {
+        world.access.iter().filter_map(|node| node.core.as_ref()).filter(|core| core.is_eased("i-again")).count()
+    };
+    expect_that!(eased(&world), eq(6));
+    world.run(6 * S);
+    expect_that!(eased(&world), eq(0));
+    expect_that!(end(&mut world), is_empty());
+}
