--- a/crates/wv-replay/src/day.rs
+++ b/crates/wv-replay/src/day.rs
@@ -180,6 +180,9 @@
         let mut day = Day { access: 3, control: 3, services: vec!["s".to_owned()], is_eased: true, events: Vec::new() };
         for (at, text) in text.lines().enumerate().take(LINES_MAX) {
             let line = at + 1;
+            // A comment may follow an event, but not what is in somebody's own words.
+            let is_own_words = [" put ", " say "].iter().any(|verb| text.contains(verb));
+            let text = text.split_once(" #").filter(|_| !is_own_words).map_or(text, |(event, _)| event);
             let trimmed = text.trim();
             if trimmed.is_empty() || trimmed.starts_with('#') {
                 continue;
--- a/crates/wv-replay/src/play.rs
+++ b/crates/wv-replay/src/play.rs
@@ -223,6 +223,7 @@
 
     fn report(mut self, service: Option<&str>, services: &[String]) -> Report {
         let broken = self.world.judge();
+        self.lines.sort_by_key(|line| line.at_us);
         let (done, failed) = self.world.load_done();
         let others = services.iter().filter(|name| service.is_some_and(|wanted| wanted != name.as_str()));
         let hidden: Vec<String> = others.map(|name| format!("i-{name}")).collect();
