--- a/crates/wv-fleet/src/lib.rs
+++ b/crates/wv-fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub use base::{Base, Conn};
 pub use clients::REST;
 pub use load::Load;
+pub use log::Answer;
 pub use oracle::Oracle;
 pub use world::World;
 
--- a/crates/wv-fleet/src/log.rs
+++ b/crates/wv-fleet/src/log.rs
@@ -1,5 +1,5 @@
 //! A stand-in database's log and what the control side asks of it.
-use crate::base::Base;
+use crate::base::{Base, Entry, Outcome};
 use wv_wire::Pos;
 
 impl Base {
@@ -40,3 +40,45 @@
         format!("{rows}COMPLETE {stamp}\r\n{}", self.idle(state))
     }
 }
+
+/// What a stand-in on its own says to a text.
+pub enum Answer {
+    Text(String),
+    Unknown,
+}
+
+impl Base {
+    /// Takes a connection in.
+    pub fn set_up(&mut self, conn: u64) -> String {
+        self.conns.insert(conn, crate::Conn { state: b'I', ..Default::default() });
+        self.idle(b'I')
+    }
+
+    /// Runs a text with nobody to replicate to: a commit stands at once.
+    pub fn answer(&mut self, conn: u64, id: &str, text: &str) -> Answer {
+        if !self.conns.contains_key(&conn) {
+            return Answer::Unknown;
+        }
+        let stamp = format!("stamp.{}.{id}", self.id);
+        let outcome = self.run(conn, text);
+        let state = self.conns.get(&conn).map_or(b'I', |held| held.state);
+        Answer::Text(match outcome {
+            Outcome::Say(said) if said.is_empty() => {
+                self.conns.get_mut(&conn).into_iter().for_each(|held| held.writes.push(id.to_owned()));
+                self.complete("", &stamp, state)
+            }
+            Outcome::Say(said) => said,
+            Outcome::Row => self.row(),
+            Outcome::Read(rows) => self.complete(&rows, &stamp, state),
+            Outcome::Commit(tags) => {
+                let tags = if text == "COMMIT" { tags } else { vec![id.to_owned()] };
+                for tag in tags {
+                    let pos = Pos { term: self.term, number: self.received().number + 1 };
+                    self.log.push(Entry { pos, tag });
+                }
+                self.applied = self.log.len();
+                self.complete("", &stamp, b'I')
+            }
+        })
+    }
+}
