--- a/crates/wv-access/src/link.rs
+++ b/crates/wv-access/src/link.rs
@@ -9,7 +9,7 @@
 const CONNECT: std::time::Duration = std::time::Duration::from_millis(300);
 /// Every so many beats all sightings are told, changed or not.
 const WHOLE_EVERY: u32 = 10;
-const FIRST_PAUSE: u64 = 50;
+const FIRST_PAUSE: u64 = 30;
 const LAST_PAUSE: u64 = 250;
 
 /// What the session needs of the boot file; reread files change it.
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -3,6 +3,7 @@
 use crate::link::{keep, Place, Shared};
 use crate::{AccessError, Core};
 use actix::prelude::*;
+use wv_proc::{watch_signals, BootFile, Signal};
 
 const CARE: std::time::Duration = std::time::Duration::from_millis(100);
 /// The boot file's own time of change is looked at every so many rounds of care.
@@ -14,35 +15,17 @@
 struct Access {
     node: Node,
     place: Shared,
-    boot_path: String,
-    boot_seen: Option<std::time::SystemTime>,
+    file: BootFile,
     rounds: u32,
     calendar: wv_when::Calendar,
 }
 
-#[derive(Message)]
-#[rtype(result = "()")]
-enum Signal {
-    Leave,
-    Reread,
-}
-
-fn changed(path: &str) -> Option<std::time::SystemTime> {
-    std::fs::metadata(path).and_then(|meta| meta.modified()).ok()
-}
-
 impl Access {
     fn reread(&mut self) {
-        self.boot_seen = changed(&self.boot_path);
-        match wv_boot::Boot::load(&self.boot_path) {
-            Ok(boot) => {
-                let mut place = self.place.borrow_mut();
-                (place.seeds, place.inner_port) = (boot.seeds, boot.inner_port);
-                self.node.core.borrow_mut().set_grace(boot.grace_us);
-                log::info!("boot file read again");
-            }
-            // What runs goes on with what it had: a bad file must not take a node down.
-            Err(error) => log::warn!("boot file not taken, the old settings stay: {error}"),
+        if let Some(boot) = self.file.reread() {
+            let mut place = self.place.borrow_mut();
+            (place.seeds, place.inner_port) = (boot.seeds, boot.inner_port);
+            self.node.core.borrow_mut().set_grace(boot.grace_us);
         }
     }
 }
@@ -53,7 +36,7 @@
     fn started(&mut self, ctx: &mut Context<Self>) {
         ctx.run_interval(CARE, |access, _| {
             access.rounds += 1;
-            if access.rounds % BOOT_EVERY == 0 && changed(&access.boot_path) != access.boot_seen {
+            if access.rounds % BOOT_EVERY == 0 && access.file.is_changed() {
                 access.reread();
             }
             if access.rounds.is_multiple_of(RECYCLE_EVERY) && access.calendar.is_open_now() {
@@ -82,18 +65,6 @@
     }
 }
 
-async fn watch_signals(access: Addr<Access>) -> std::io::Result<()> {
-    use tokio::signal::unix::{signal, SignalKind};
-    let (mut term, mut hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    loop {
-        let signal = tokio::select! {
-            _ = term.recv() => Signal::Leave,
-            _ = hup.recv() => Signal::Reread,
-        };
-        access.do_send(signal);
-    }
-}
-
 /// What the command line sets.
 #[derive(Clone, Debug, Default)]
 pub struct Options {
@@ -105,10 +76,9 @@
 pub fn run(boot: wv_boot::Boot, boot_path: &str, options: Options) -> Result<(), AccessError> {
     let front = boot.front.ok_or(AccessError::NoAddress("front"))?;
     let readiness = boot.readiness.ok_or(AccessError::NoAddress("readiness"))?;
-    let life = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(1, |since| since.as_micros() as u64)
-        .wrapping_add(boot.node.bytes().fold(0u64, |sum, byte| sum.wrapping_mul(131).wrapping_add(u64::from(byte))));
+    // Nodes begin with different seeds, so that their sessions are spread.
+    let spread = boot.node.bytes().fold(0u64, |sum, byte| sum.wrapping_mul(131).wrapping_add(u64::from(byte)));
+    let life = wv_proc::life().wrapping_add(spread);
     let system = System::new();
     system.block_on(async {
         let front_listener = wv_http::listen(front).map_err(|error| AccessError::Listen(front, error))?;
@@ -131,10 +101,8 @@
         tokio::task::spawn_local(node.clone().accept(front_listener, clients_max));
         tokio::task::spawn_local(node.clone().keep_time());
         tokio::task::spawn_local(keep(node.clone(), place.clone(), life));
-        let boot_seen = changed(boot_path);
         let access =
-            Access { node, place, boot_path: boot_path.to_owned(), boot_seen, rounds: 0, calendar: options.calendar }
-                .start();
+            Access { node, place, file: BootFile::new(boot_path), rounds: 0, calendar: options.calendar }.start();
         tokio::task::spawn_local(watch_signals(access));
         log::info!("access node {} serves {front}", boot.node);
         Ok::<(), AccessError>(())
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -76,6 +76,7 @@
             (Waiting::Sync, outcome) => {
                 self.is_syncing = false;
                 self.is_caught_up |= matches!(outcome, Outcome::Read(_));
+                self.serve_follows();
             }
             (_, _) => self.ret(done.token, 503, "{\"cause\":\"no majority of the voters answers\"}"),
         }
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -3,12 +3,15 @@
 use crate::types::Link;
 use wv_inner::{Inst, Msg};
 
+/// How long a node that has just started lets followers wait for it.
+const AWAIT_US: u64 = 900_000;
+
 impl Core {
     /// A link came in.
     pub fn link_in(&mut self, now: u64) -> u64 {
         self.now = self.now.max(now);
         let link = self.fresh_id();
-        self.links.insert(link, Link { peer: None, node: None, is_follower: false });
+        self.links.insert(link, Link { peer: None, node: None, is_follower: false, awaited: None });
         link
     }
 
@@ -67,10 +70,10 @@
             if control != self.me {
                 self.peers.entry(control.clone()).or_default();
             }
-            self.links.insert(link, Link { peer: Some(control), node: None, is_follower: false });
+            self.links.insert(link, Link { peer: Some(control), node: None, is_follower: false, awaited: None });
         } else {
             self.roster.beat(&node, self.now);
-            self.links.insert(link, Link { peer: None, node: Some(node), is_follower: false });
+            self.links.insert(link, Link { peer: None, node: Some(node), is_follower: false, awaited: None });
             self.tell_nodes();
         }
         self.send(link, self.peers_msg());
@@ -82,13 +85,10 @@
                 self.roster.beat(node, self.now);
             }
             Msg::Follow { life, place } => {
-                // Without a majority in contact what is known here may be old: the node asks elsewhere.
-                if !self.is_fresh() || !self.is_caught_up || self.is_leaving {
-                    return self.send(link, Msg::Beat { fresh: false });
+                if let Some(held) = self.links.get_mut(&link) {
+                    (held.is_follower, held.awaited) = (false, Some((life, place)));
                 }
-                self.links.get_mut(&link).into_iter().for_each(|held| held.is_follower = true);
-                let msgs = self.feed.since(life, place, &self.table);
-                msgs.into_iter().for_each(|msg| self.send(link, msg));
+                self.serve_follows();
             }
             Msg::Sights(sights) => {
                 self.send_peers(&Msg::PeerSights { node: node.to_owned(), sights: sights.clone() });
@@ -98,6 +98,26 @@
         }
     }
 
+    /// Followers are served once a majority is in fresh contact. Without one what is known here may be old: they ask
+    /// elsewhere, unless this node has only just started, when all others may be no further.
+    pub(crate) fn serve_follows(&mut self) {
+        let is_ready = self.is_fresh() && self.is_caught_up && !self.is_leaving;
+        let is_young = self.now < self.born + AWAIT_US && !self.is_leaving;
+        if !is_ready && is_young {
+            return;
+        }
+        let awaiting = self.links.iter_mut().filter_map(|(id, link)| link.awaited.take().map(|from| (*id, from)));
+        for (link, (life, place)) in awaiting.collect::<Vec<_>>() {
+            if !is_ready {
+                self.send(link, Msg::Beat { fresh: false });
+                continue;
+            }
+            self.links.get_mut(&link).into_iter().for_each(|held| held.is_follower = true);
+            let msgs = self.feed.since(life, place, &self.table);
+            msgs.into_iter().for_each(|msg| self.send(link, msg));
+        }
+    }
+
     fn peer_msg(&mut self, link: u64, addr: &str, msg: Msg) {
         match msg {
             Msg::Peers { addrs, voters } => {
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -2,42 +2,26 @@
 use crate::exec::Node;
 use crate::{ControlError, Core, Start};
 use actix::prelude::*;
+use wv_proc::{watch_signals, BootFile, Signal};
 
 const TICK: std::time::Duration = std::time::Duration::from_millis(100);
 const BOOT_EVERY: u32 = 10;
 
 struct Control {
     node: Node,
-    boot_path: String,
-    boot_seen: Option<std::time::SystemTime>,
+    file: BootFile,
     rounds: u32,
     leave_us: u64,
     leaving_since: Option<u64>,
     calendar: wv_when::Calendar,
 }
 
-#[derive(Message)]
-#[rtype(result = "()")]
-enum Signal {
-    Leave,
-    Reread,
-}
-
-fn changed(path: &str) -> Option<std::time::SystemTime> {
-    std::fs::metadata(path).and_then(|meta| meta.modified()).ok()
-}
-
 impl Control {
     fn reread(&mut self) {
-        self.boot_seen = changed(&self.boot_path);
-        match wv_boot::Boot::load(&self.boot_path) {
-            Ok(boot) => {
-                let seeds = boot.seeds.iter().map(|seed| seed.to_string()).collect();
-                self.node.core.borrow_mut().set_seeds(seeds);
-                self.leave_us = boot.grace_us / 4;
-                log::info!("boot file read again");
-            }
-            Err(error) => log::warn!("boot file not taken, the old settings stay: {error}"),
+        if let Some(boot) = self.file.reread() {
+            let seeds = boot.seeds.iter().map(|seed| seed.to_string()).collect();
+            self.node.core.borrow_mut().set_seeds(seeds);
+            self.leave_us = boot.grace_us / 4;
         }
     }
 }
@@ -46,9 +30,11 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Context<Self>) {
+        // The first turn comes at once: after an outage others wait for this node.
+        self.node.with(|core, now| core.tick(now));
         ctx.run_interval(TICK, |control, _| {
             control.rounds += 1;
-            if control.rounds % BOOT_EVERY == 0 && changed(&control.boot_path) != control.boot_seen {
+            if control.rounds % BOOT_EVERY == 0 && control.file.is_changed() {
                 control.reread();
             }
             if control.rounds % BOOT_EVERY == 1 {
@@ -77,18 +63,6 @@
     }
 }
 
-async fn watch_signals(control: Addr<Control>) -> std::io::Result<()> {
-    use tokio::signal::unix::{signal, SignalKind};
-    let (mut term, mut hup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
-    loop {
-        let signal = tokio::select! {
-            _ = term.recv() => Signal::Leave,
-            _ = hup.recv() => Signal::Reread,
-        };
-        control.do_send(signal);
-    }
-}
-
 fn open_store(boot: &wv_boot::Boot) -> Result<wv_reg::Store, wv_reg::RegError> {
     let files: Box<dyn wv_reg::Files> = match &boot.data_dir {
         Some(dir) => Box::new(wv_reg::DirFiles::open(dir)?),
@@ -101,14 +75,18 @@
 /// Runs until the platform ends the process; `calendar` says when sweeps of repair prefer to run.
 pub fn run(boot: wv_boot::Boot, boot_path: &str, calendar: wv_when::Calendar) -> Result<(), ControlError> {
     let addr = boot.control.ok_or(ControlError::NoAddress)?;
-    let life =
-        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(1, |since| since.as_micros() as u64);
     let seeds: Vec<String> = boot.seeds.iter().map(|seed| seed.to_string()).collect();
     if boot.initial_start && boot.tolerate_machines as usize > seeds.len().saturating_sub(1) / 2 {
         log::error!("{} voters do not bear the loss of {} machines", seeds.len(), boot.tolerate_machines);
     }
     let store = open_store(&boot)?;
-    let start = Start { me: addr.to_string(), node: boot.node.clone(), life, seeds, is_first: boot.initial_start };
+    let start = Start {
+        me: addr.to_string(),
+        node: boot.node.clone(),
+        life: wv_proc::life(),
+        seeds,
+        is_first: boot.initial_start,
+    };
     let core = Core::new(start, store)?;
     let system = System::new();
     system.block_on(async {
@@ -123,8 +101,7 @@
         tokio::task::spawn_local(node.clone().accept(inner_listener));
         let control = Control {
             node,
-            boot_path: boot_path.to_owned(),
-            boot_seen: changed(boot_path),
+            file: BootFile::new(boot_path),
             rounds: 0,
             leave_us: boot.grace_us / 4,
             leaving_since: None,
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -45,6 +45,7 @@
         if !self.is_caught_up && self.is_fresh() {
             self.sync_conf();
         }
+        self.serve_follows();
         self.keep_table();
         self.roster.tick(self.now);
         self.run_duties();
@@ -68,7 +69,7 @@
             if let Some(peer) = self.peers.get_mut(&addr) {
                 (peer.link, peer.dialed, peer.is_up) = (Some(link), now.max(1), false);
             }
-            self.links.insert(link, Link { peer: Some(addr.clone()), node: None, is_follower: false });
+            self.links.insert(link, Link { peer: Some(addr.clone()), node: None, is_follower: false, awaited: None });
             self.acts.push(Act::Dial { link, addr });
         }
     }
@@ -85,8 +86,9 @@
 
     pub(crate) fn beat_followers(&mut self) {
         let fresh = self.is_fresh() && self.is_caught_up && !self.is_leaving;
-        let followers: Vec<u64> =
-            self.links.iter().filter(|(_, link)| link.node.is_some()).map(|(id, _)| *id).collect();
+        // Who still waits for this young node is told nothing yet.
+        let is_told = |link: &Link| link.node.is_some() && link.awaited.is_none();
+        let followers: Vec<u64> = self.links.iter().filter(|(_, link)| is_told(link)).map(|(id, _)| *id).collect();
         followers.into_iter().for_each(|link| self.send(link, Msg::Beat { fresh }));
     }
 
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -6,6 +6,8 @@
     /// The name of an access node, once it follows.
     pub node: Option<String>,
     pub is_follower: bool,
+    /// Where it wants to follow from, while this node is too young to say.
+    pub awaited: Option<(u64, u64)>,
 }
 
 #[derive(Default)]
