--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use wv_check::{Checks, Spot};
 
+/// A node is young for this long from the start of its process.
+const YOUNG_US: u64 = 3_500_000;
 /// The pause after a failed opening doubles between these.
 const HOLD_FIRST_US: u64 = 15_000;
 const HOLD_LAST_US: u64 = 400_000;
@@ -113,10 +115,6 @@
         self.dbs.get_mut(&db).map(|db| &mut db.out)
     }
 
-    pub fn open_clients(&self) -> usize {
-        self.clients.len()
-    }
-
     /// When `tick` wants to be called next.
     pub fn next_limit(&mut self) -> Option<u64> {
         let (clients, pools) = (&self.clients, &self.pools);
@@ -154,8 +152,10 @@
         let service = self.checks.checker(spot.service).map(|checker| checker.service.as_str()).unwrap_or_default();
         let bound =
             self.conf.as_ref().and_then(|conf| conf.services.get(service)).map_or(16, |held| held.max_connections);
-        // A tenth stays free for the control side and for connections that die out elsewhere.
-        (bound * 9 / 10 / self.nodes.max(1)).max(1)
+        // A tenth stays free for the control side. After an outage connections of the lives before still stand at the
+        // databases: a young node takes half of its share.
+        let part = if self.now < YOUNG_US { 2 } else { 1 };
+        (bound * 9 / 10 / self.nodes.max(1) / part).max(1)
     }
 
     /// Opens one connection more to `spot` where its share allows.
