--- a/crates/wv-access/src/link.rs
+++ b/crates/wv-access/src/link.rs
@@ -26,11 +26,15 @@
     let mut known: Vec<SocketAddr> = Vec::new();
     let mut at = life as usize;
     let mut pause = FIRST_PAUSE;
+    let mut last: Option<SocketAddr> = None;
     loop {
         let (seeds, port) = (place.borrow().seeds.clone(), place.borrow().inner_port);
         let all: Vec<SocketAddr> =
             known.iter().chain(seeds.iter().filter(|seed| !known.contains(seed))).copied().collect();
-        if let Some(control) = all.get(at % all.len().max(1)).copied() {
+        // The one that has just failed is not asked again at once, wherever the list was rearranged.
+        let next = all.get(at % all.len().max(1)).copied().filter(|next| Some(*next) != last || all.len() == 1);
+        last = next;
+        if let Some(control) = next {
             let inner = SocketAddr::new(control.ip(), port);
             let name = place.borrow().node.clone();
             let is_heard = session(&node, inner, &name, life, &mut known).await;
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -56,6 +56,13 @@
     pub is_first: bool,
 }
 
+/// Machines that start together may read one time: the place in one node's feed must never pass for another's.
+fn own_life(life: u64, me: &str) -> u64 {
+    let own =
+        me.bytes().fold(0xcbf2_9ce4_8422_2325u64, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3));
+    (life << 16) | (own >> 48)
+}
+
 /// All state of a control node.
 pub struct Core {
     pub(crate) now: u64,
@@ -118,7 +125,7 @@
         let mut core = Core {
             now: 0,
             roster: Roster::new(&start.me),
-            feed: Feed::new(start.life),
+            feed: Feed::new(own_life(start.life, &start.me)),
             me: start.me,
             node: start.node,
             life: start.life,
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -110,7 +110,8 @@
         let start = wv_control::Start {
             me: node.addr.clone(),
             node: node.name.clone(),
-            life: self.life,
+            // As in a process: the time of the start, the same for all that start together.
+            life: self.now,
             seeds: node.seeds.clone(),
             is_first,
         };
--- a/crates/wv-fleet/tests/control.rs
+++ b/crates/wv-fleet/tests/control.rs
@@ -172,3 +172,29 @@
     let token = world.call(1, "GET", "/instances", b"");
     expect_that!(String::from_utf8_lossy(&world.returns[&token].1), not(contains_substring("i-s0")));
 }
+
+#[gtest]
+fn given_control_nodes_started_at_one_time_when_a_node_moves_between_them_then_it_misses_no_change() {
+    for (followed, extra) in (0..3).flat_map(|at| (1..6).map(move |extra| (at, extra))) {
+        let mut world = World::serving(1, 3);
+        let others: Vec<usize> = (0..3).filter(|at| *at != followed).collect();
+        // The one it follows has a few changes more than the others when it dies: its places run ahead of theirs.
+        for other in &others {
+            world.cut.insert((format!("c{followed}"), format!("c{other}")));
+        }
+        for at in 0..extra {
+            let body = format!(
+                "{{\"destination\":\"s\",\"address\":\"10.9.9.{at}:1\",\"state\":\"in_service\",\"sequence\":1}}"
+            );
+            world.call(followed, "PUT", &format!("/instances/extra{at}"), body.as_bytes());
+        }
+        world.run(50 * MS);
+        world.kill_control(followed);
+        world.cut.clear();
+        let text = String::from_utf8_lossy(&World::conf(9)).replace("\"host\":\"b\"", "\"host\":\"c\"");
+        expect_that!(put(&mut world, others[0], text.as_bytes()), eq(200));
+        world.run(2 * S);
+        let client = world.client(0, "c");
+        expect_that!(world.take(client), elements_are![eq("IDLE I -")], "without control {followed}, {extra} ahead");
+    }
+}
