A full disk is no vote rather than a refusal; a young control node takes up duties sooner

After a herd of kills control nodes held no duty for 2 s; now 0.8 s, which is ample to hear of each other; two holders are kept apart by the fence in any case.

--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -9,7 +9,7 @@
 /// Sightings older than this count no more.
 const SIGHT_US: u64 = 9_000_000;
 /// A node that has just started first hears who is there.
-const SETTLE_US: u64 = 2_000_000;
+const SETTLE_US: u64 = 800_000;
 
 /// How long nodes may count on a writer after the platform was called.
 const PROMOTING_US: u64 = 1_500_000;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -152,10 +152,9 @@
                 self.send(link, Msg::Got { ask, cell, mended });
             }
             Msg::Got { ask, cell, mended } => self.quorum.got(addr, ask, cell, mended),
-            // An unmended voter stays silent: a refusal would only make the writer read again.
-            Msg::Put { ask, key, cell } if self.is_mended => {
-                let ok = self.local_put(&key, &cell);
-                self.send(link, Msg::PutDone { ask, ok, sequence: cell.sequence });
+            Msg::Put { ask, key, cell } => {
+                let vote = self.local_put(&key, &cell);
+                vote.into_iter().for_each(|ok| self.send(link, Msg::PutDone { ask, ok, sequence: cell.sequence }));
             }
             Msg::PutDone { ask, ok, .. } => self.quorum.put_done(addr, ask, ok),
             Msg::GetAll { ask } if self.is_mended && self.is_voter() => {
--- a/crates/wv-control/src/voter.rs
+++ b/crates/wv-control/src/voter.rs
@@ -8,15 +8,13 @@
         (self.store.get(key).cloned().unwrap_or_default(), self.is_mended && self.is_voter())
     }
 
-    /// Keeps a cell on this disk; a disk that fails is no vote.
-    pub(crate) fn local_put(&mut self, key: &str, cell: &Cell) -> bool {
+    /// Keeps a cell on this disk. `None` is no vote at all, neither for nor against: an unmended voter's, or that of a
+    /// disk that fails. A refusal would only make the writer read again, and never end while the disk is full.
+    pub(crate) fn local_put(&mut self, key: &str, cell: &Cell) -> Option<bool> {
         if !self.is_mended || !self.is_voter() {
-            return false;
+            return None;
         }
-        self.store.put(key, cell).unwrap_or_else(|error| {
-            log::error!("register {key} not kept: {error}");
-            false
-        })
+        self.store.put(key, cell).map_err(|error| log::error!("register {key} not kept: {error}")).ok()
     }
 
     /// Carries the quorum's messages and takes up what is done.
@@ -39,9 +37,9 @@
                         let (cell, mended) = self.local_get(&key);
                         self.quorum.got(&me, ask, cell, mended);
                     }
-                    Msg::Put { ask, key, cell } if self.is_mended => {
-                        let ok = self.local_put(&key, &cell);
-                        self.quorum.put_done(&me, ask, ok);
+                    Msg::Put { ask, key, cell } => {
+                        let vote = self.local_put(&key, &cell);
+                        vote.into_iter().for_each(|ok| self.quorum.put_done(&me, ask, ok));
                     }
                     _ => {}
                 }
--- a/crates/wv-fleet/tests/control.rs
+++ b/crates/wv-fleet/tests/control.rs
@@ -198,3 +198,26 @@
         expect_that!(world.take(client), elements_are![eq("IDLE I -")], "without control {followed}, {extra} ahead");
     }
 }
+
+#[gtest]
+fn given_a_voter_whose_disk_is_full_then_the_others_take_configurations_and_promotions_go_on() {
+    for full in 0..3 {
+        let mut world = World::serving(3, 3);
+        world.load(9, "p");
+        world.run(S);
+        world.controls[full].files.is_full.set(true);
+        for at in 0..3 {
+            expect_that!(put(&mut world, at, &World::conf(50 + at as u64)), eq(200), "full {full}, put at {at}");
+        }
+        world.crash(0);
+        world.run(2 * S);
+        expect_that!(world.primary(), not(eq(0)), "full {full}");
+        world.controls[full].files.is_full.set(false);
+        world.kill_control((full + 1) % 3);
+        expect_that!(put(&mut world, (full + 2) % 3, &World::conf(60)), eq(200), "full {full}");
+        world.revive(0);
+        world.stop_load();
+        world.run(wv_fleet::REST);
+        expect_that!(world.judge(), is_empty());
+    }
+}
--- a/crates/wv-reg/src/files.rs
+++ b/crates/wv-reg/src/files.rs
@@ -67,6 +67,8 @@
 /// Files in memory: for nodes without a disk and for the in-memory fleet, which tears and wipes them.
 #[derive(Clone, Default)]
 pub struct MemFiles {
+    /// Set where the disk takes nothing more.
+    pub is_full: std::rc::Rc<std::cell::Cell<bool>>,
     pub files: std::rc::Rc<std::cell::RefCell<std::collections::BTreeMap<String, Vec<u8>>>>,
 }
 
@@ -76,11 +78,17 @@
     }
 
     fn write(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
+        if self.is_full.get() {
+            return Err(std::io::ErrorKind::StorageFull.into());
+        }
         self.files.borrow_mut().insert(name.to_owned(), bytes.to_vec());
         Ok(())
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
+        if self.is_full.get() {
+            return Err(std::io::ErrorKind::StorageFull.into());
+        }
         self.files.borrow_mut().entry(name.to_owned()).or_default().extend_from_slice(bytes);
         Ok(())
     }
