--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -13,6 +13,8 @@
 const WATCH_US: u64 = 2_500_000;
 /// After an attempt that led nowhere.
 const PAUSE_FIRST_US: u64 = 150_000;
+/// Between looks at a lead that some doubt and that answers.
+const PAUSE_UP_US: u64 = 500_000;
 const PAUSE_LAST_US: u64 = 1_200_000;
 
 #[derive(Clone, PartialEq, Debug)]
@@ -158,7 +160,9 @@
         // A planned end needs no second look; a lead that anyone calls down gets one from here.
         if seat.is_none_or(|seat| seat.is_draining) {
             self.claim(view.now);
-        } else if view.is_lead_doubted {
+        } else if !view.is_lead_doubted {
+            self.pause = PAUSE_FIRST_US;
+        } else {
             self.orders.push(Order::Look { id: lead.to_owned() });
             self.step = Step::Probing { limit: view.now + ROWS_US };
         }
@@ -209,6 +213,11 @@
         self.step = Step::Rest { until: now + PAUSE_FIRST_US };
     }
 
+    pub(crate) fn rest_longer(&mut self, now: u64) {
+        self.pause = (self.pause * 2).min(PAUSE_UP_US);
+        self.step = Step::Rest { until: now + self.pause };
+    }
+
     /// Nothing is left suspended behind an attempt that led nowhere.
     pub(crate) fn give_up(&mut self, now: u64) {
         self.release(None);
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -7,9 +7,9 @@
         let now = view.now;
         match (self.step.clone(), event) {
             (Step::Probing { .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => match word {
-                Ok(status) if status.is_primary => self.rest(now),
-                // It answers and does not lead: whoever leads will be told by beats.
-                Ok(_) => self.rest(now),
+                // It lives, or does not lead and beats will tell who does: the doubt of some nodes is looked into more
+                // and more rarely.
+                Ok(_) => self.rest_longer(now),
                 Err(_) => self.probed_down(view),
             },
             (Step::Claiming { .. }, Event::Claimed(Some((fence, is_succession)))) => {
