--- a/crates/wv-fleet/tests/control.rs
+++ b/crates/wv-fleet/tests/control.rs
@@ -221,3 +221,23 @@
         expect_that!(world.judge(), is_empty());
     }
 }
+
+#[gtest]
+fn given_a_write_that_reached_one_disk_when_it_was_once_read_then_it_is_never_unread_again() {
+    let mut world = World::serving(1, 3);
+    // The others are lost to c0 just as its write leaves: one disk holds it, and the operator hears 503.
+    let token = world.call(0, "PUT", "/configuration", &World::conf(70));
+    world.run(1100);
+    world.cut.insert(("c0".to_owned(), "c1".to_owned()));
+    world.cut.insert(("c0".to_owned(), "c2".to_owned()));
+    world.run(1500 * MS);
+    expect_that!(world.returns.get(&token).map(|ret| ret.0), some(eq(503)));
+    world.kill_control(2);
+    world.cut.clear();
+    world.run(2 * S);
+    expect_that!(get(&mut world, 1), eq(&(200, World::conf(70))));
+    world.kill_control(0);
+    world.start_control(2, false);
+    world.run(2 * S);
+    expect_that!(get(&mut world, 1), eq(&(200, World::conf(70))));
+}
--- a/crates/wv-fleet/tests/failover.rs
+++ b/crates/wv-fleet/tests/failover.rs
@@ -170,3 +170,40 @@
     expect_that!(world.bases.iter().all(|base| base.held == 0), eq(true));
     expect_that!(end(&mut world), is_empty());
 }
+
+#[gtest]
+fn given_a_node_alone_with_a_primary_that_was_replaced_then_none_of_its_reads_is_stale() {
+    let mut world = busy(4, 3);
+    // Node a0 and the old primary hear each other and nobody else: a0 cannot learn of the new one.
+    let old = world.bases[0].id.clone();
+    for other in ["a1", "a2", "a3", "c0", "c1", "c2", "i-s1", "i-s2"] {
+        world.cut.insert((other.to_owned(), old.clone()));
+        world.cut.insert((other.to_owned(), "a0".to_owned()));
+    }
+    world.run(3 * S);
+    expect_that!(world.bases[1].is_primary || world.bases[2].is_primary, eq(true));
+    let client = world.client(0, "p");
+    for _ in 0..20 {
+        world.run(100 * MS);
+        world.say(client, "QUERY x READ k");
+    }
+    world.cut.clear();
+    world.run(2 * S);
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_nominee_that_falls_deaf_as_the_platform_is_called_then_nothing_more_is_acknowledged_past_it() {
+    let mut world = busy(4, 3);
+    world.bases[0].is_draining = true;
+    while world.posts.is_empty() {
+        world.run(MS);
+    }
+    let nominee = world.posts[0].1.clone();
+    let at = world.base(&nominee).unwrap_or(0);
+    world.bases[at].is_deaf = true;
+    world.run(500 * MS);
+    expect_that!(world.bases[at].is_primary, eq(true));
+    world.run(S);
+    expect_that!(end(&mut world), is_empty());
+}
