--- a/crates/wv-fleet/src/log.rs
+++ b/crates/wv-fleet/src/log.rs
@@ -9,6 +9,7 @@
         match verb {
             "SUSPEND" => self.held = rest.parse().unwrap_or(0),
             "CONTINUE" => self.held = 0,
+            "YIELD" if rest.parse().is_ok_and(|term: u64| term > self.term) => self.is_primary = false,
             _ => {}
         }
         let row = self.row();
--- a/crates/wv-fleet/tests/failover.rs
+++ b/crates/wv-fleet/tests/failover.rs
@@ -207,3 +207,21 @@
     world.run(S);
     expect_that!(end(&mut world), is_empty());
 }
+
+#[gtest]
+fn given_a_stray_primary_of_an_older_term_when_the_duty_looks_then_it_is_told_to_yield() {
+    let mut world = busy(4, 3);
+    world.crash(0);
+    world.run(2 * S);
+    world.revive(0);
+    world.run(S);
+    let lead = world.primary();
+    // It returned, and for some reason of its own believes in its old term.
+    (world.bases[0].is_primary, world.bases[0].term) = (true, 1);
+    world.bases[lead].is_draining = true;
+    world.run(2 * S);
+    expect_that!(world.course.iter().any(|(_, text)| text.contains("asks i-s0: YIELD 2")), eq(true));
+    expect_that!(world.bases[0].is_primary && world.bases[0].term == 1, eq(false));
+    // No rules are judged here: a database that forgets its deposition has broken the fence they rest on.
+    expect_that!(world.bases[lead].is_primary, eq(false));
+}
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -81,8 +81,15 @@
             self.release(None);
             return self.rest(view.now);
         };
+        // A primary of a term that is over is told so. Only a place in a log proves a term: terms of suspensions and
+        // of calls may never have come to be, and a rightful primary must not be told to yield for them.
+        let known = view.fenced.map_or(0, |(_, place)| place.term);
+        let is_stray = |word: &crate::Word| word.is_ok_and(|status| status.is_primary && status.term < known);
+        let strays = self.rows.iter().filter(|(_, word)| is_stray(word)).map(|(id, _)| id.clone());
+        self.orders.extend(strays.map(|id| Order::Yield { id, term: known }));
         // One that leads already ends the matter: a predecessor's call went through.
-        let led = self.rows.iter().find(|(_, status)| status.is_ok_and(|status| status.is_primary));
+        let is_led = |word: &crate::Word| word.is_ok_and(|status| status.is_primary && status.term >= known);
+        let led = self.rows.iter().find(|(_, word)| is_led(word));
         if let Some((id, status)) = led.map(|(id, status)| (id.clone(), *status)) {
             return self.done(&id, status.ok().map(|status| status.term), view.now);
         }
