Voters can be replaced: a numbered set, its successor agreed on by a majority of the set before

Cause: the voters were fixed by the first start, so replaced core machines took the majority away for good.

--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -19,7 +19,8 @@
             ("PUT", ["instances", id]) if !id.is_empty() => self.put_inst(token, id, body),
             ("DELETE", ["instances", id]) if !id.is_empty() => self.delete_inst(token, id),
             ("GET", ["instances"]) => self.list_insts(token),
-            (_, ["configuration"] | ["instances"] | ["instances", _]) => {
+            ("GET", ["voters"]) => self.list_voters(token),
+            (_, ["voters"] | ["configuration"] | ["instances"] | ["instances", _]) => {
                 self.ret(token, 405, "{\"cause\":\"this method is not served here\"}")
             }
             _ => self.ret(token, 404, "{\"cause\":\"no such path\"}"),
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -2,12 +2,11 @@
 use std::collections::BTreeMap;
 use wv_feed::{Feed, Table};
 use wv_inner::{Cell, Msg, News};
-use wv_reg::{Quorum, Store};
+use wv_reg::{Change, Quorum, Seat, Store};
 use wv_roster::Roster;
 
 pub const CONF: &str = "conf";
-/// Registers under this stand on this disk alone and are no part of any quorum.
-pub const LOCAL: &str = "local/";
+pub use wv_reg::LOCAL;
 /// The configuration's body is read up to this bound.
 pub const BODY_MAX: usize = wv_conf::BODY_MAX;
 /// A majority heard within this is fresh contact.
@@ -54,6 +53,10 @@
     pub life: u64,
     pub seeds: Vec<String>,
     pub is_first: bool,
+    /// Whether what this node keeps outlives its process, so that it may vote.
+    pub is_core: bool,
+    /// A number drawn at random for a disk that is written for the first time.
+    pub disk: u64,
 }
 
 /// Machines that start together may read one time: the place in one node's feed must never pass for another's.
@@ -71,8 +74,14 @@
     pub(crate) life: u64,
     pub(crate) seeds: Vec<String>,
     pub(crate) store: Store,
-    pub(crate) is_mended: bool,
-    pub(crate) mends: BTreeMap<String, Vec<(String, Cell)>>,
+    pub(crate) is_core: bool,
+    pub(crate) seat: Seat,
+    /// What members of the newest set and of the one before it hold, for a disk that is to vote.
+    pub(crate) pulls: BTreeMap<String, (u64, Vec<(String, Cell)>)>,
+    pub(crate) change: Option<Change>,
+    /// The highest fence met over the next set.
+    pub(crate) met: u64,
+    pub(crate) changed: u64,
     pub(crate) quorum: Quorum,
     pub(crate) feed: Feed,
     pub(crate) table: Table,
@@ -110,17 +119,13 @@
 
 impl Core {
     pub fn new(start: Start, mut store: Store) -> Result<Core, wv_reg::RegError> {
-        // The voters are the seeds of the first start; the disk remembers them, whatever later boots say.
-        if store.state().is_none() && start.is_first {
-            let state = wv_reg::State { me: start.me.clone(), voters: start.seeds.clone(), cells: Vec::new() };
-            store.reset(state)?;
-        }
+        let seat = Seat::open(&mut store, &start.me, &start.seeds, start.is_first, start.disk)?;
         let mut quorum = Quorum::default();
-        let is_mended = store.state().is_some();
-        store.state().into_iter().for_each(|state| quorum.set_voters(state.voters.clone()));
+        quorum.set_voters(seat.voters.clone());
         let mut peers = BTreeMap::new();
-        for addr in start.seeds.iter().chain(quorum.voters()).filter(|addr| **addr != start.me) {
-            peers.insert(addr.clone(), Peer::default());
+        let known = seat.voters.addrs().chain(seat.before.addrs());
+        for addr in start.seeds.iter().map(String::as_str).chain(known).filter(|addr| *addr != start.me) {
+            peers.insert(addr.to_owned(), Peer::default());
         }
         let mut core = Core {
             now: 0,
@@ -131,8 +136,12 @@
             life: start.life,
             seeds: start.seeds,
             store,
-            is_mended,
-            mends: BTreeMap::new(),
+            is_core: start.is_core,
+            seat,
+            pulls: BTreeMap::new(),
+            change: None,
+            met: 0,
+            changed: 0,
             quorum,
             table: Table::default(),
             links: BTreeMap::new(),
@@ -174,16 +183,13 @@
         self.next_id
     }
 
-    pub(crate) fn is_voter(&self) -> bool {
-        self.quorum.voters().contains(&self.me)
-    }
-
     /// Whether a majority of voters is in fresh contact, this node counted where it votes.
     pub fn is_fresh(&self) -> bool {
-        let own = usize::from(self.is_voter() && self.is_mended);
-        let others = self.quorum.voters().iter().filter_map(|voter| self.peers.get(voter));
-        let heard = others.filter(|peer| peer.is_up && peer.is_mended && peer.ponged + FRESH_US > self.now).count();
-        !self.quorum.voters().is_empty() && own + heard >= self.quorum.majority()
+        let voters = self.quorum.voters();
+        let own = usize::from(voters.number > 0 && self.seat.votes_in(&self.me) == voters.number);
+        let others = voters.addrs().filter_map(|voter| self.peers.get(voter));
+        let is_heard = |peer: &&Peer| peer.is_up && peer.set == voters.number && peer.ponged + FRESH_US > self.now;
+        !voters.members.is_empty() && own + others.filter(is_heard).count() >= self.quorum.majority()
     }
 
     pub(crate) fn send(&mut self, link: u64, msg: Msg) {
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -12,6 +12,7 @@
 mod tick;
 mod types;
 mod voter;
+mod voters;
 
 pub use crate::core::{Act, Core, Start};
 pub use run::run;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -26,7 +26,7 @@
         self.send(link, Msg::Ping { ask });
         self.send(link, Msg::Digests { ranges: self.table.digests() });
         self.send(link, Msg::Sessions { nodes: self.roster.sessions() });
-        self.mend();
+        self.pull();
     }
 
     pub fn link_down(&mut self, link: u64, now: u64) {
@@ -43,11 +43,6 @@
         }
     }
 
-    fn peers_msg(&self) -> Msg {
-        let addrs = self.peers.keys().cloned().chain([self.me.clone()]).collect();
-        Msg::Peers { addrs, voters: self.quorum.voters().to_vec() }
-    }
-
     pub fn msg(&mut self, link: u64, msg: Msg, now: u64) {
         self.now = self.now.max(now);
         let Some(held) = self.links.get(&link) else { return };
@@ -67,9 +62,7 @@
     fn hello(&mut self, link: u64, node: String, control: String) {
         let is_control = !control.is_empty();
         if is_control {
-            if control != self.me {
-                self.peers.entry(control.clone()).or_default();
-            }
+            self.know_peer(control.clone());
             self.links.insert(link, Link { peer: Some(control), node: None, is_follower: false, awaited: None });
         } else {
             self.roster.beat(&node, self.now);
@@ -79,6 +72,13 @@
         self.send(link, self.peers_msg());
     }
 
+    pub(crate) fn know_peer(&mut self, addr: String) {
+        let since = self.now;
+        if addr != self.me {
+            self.peers.entry(addr).or_insert_with(|| crate::types::Peer { since, ..Default::default() });
+        }
+    }
+
     fn node_msg(&mut self, link: u64, node: &str, msg: Msg) {
         match msg {
             Msg::Here => {
@@ -120,11 +120,14 @@
 
     fn peer_msg(&mut self, link: u64, addr: &str, msg: Msg) {
         match msg {
-            Msg::Peers { addrs, voters } => {
-                for addr in addrs.into_iter().filter(|addr| *addr != self.me) {
-                    self.peers.entry(addr).or_default();
+            Msg::Peers { addrs, voters, before } => {
+                addrs.into_iter().for_each(|addr| self.know_peer(addr));
+                self.learn_voters(&voters, &before);
+                // Who speaks of an older set is told of the newest.
+                if voters.number < self.seat.voters.number {
+                    let msg = self.peers_msg();
+                    self.send(link, msg);
                 }
-                self.learn_voters(voters);
             }
             Msg::Sessions { nodes } => {
                 self.roster.peer_sessions(addr, nodes, self.now);
@@ -132,11 +135,13 @@
             }
             Msg::Ping { ask } => {
                 let conf = self.store.get(crate::core::CONF).map_or(0, |cell| cell.sequence);
-                self.send(link, Msg::Pong { ask, conf, mended: self.is_mended });
+                let disk = self.is_core.then_some(self.seat.disk);
+                let set = self.seat.votes_in(&self.me);
+                self.send(link, Msg::Pong { ask, conf, disk, set });
             }
-            Msg::Pong { conf, mended, .. } => {
+            Msg::Pong { conf, disk, set, .. } => {
                 if let Some(peer) = self.peers.get_mut(addr) {
-                    (peer.ponged, peer.is_mended) = (self.now, mended);
+                    (peer.ponged, peer.disk, peer.set) = (self.now, disk, set);
                 }
                 // Just started: what is in force is read as soon as a majority is there.
                 if !self.is_caught_up && self.is_fresh() {
@@ -147,21 +152,23 @@
                     self.sync_conf();
                 }
             }
-            Msg::Get { ask, key } => {
-                let (cell, mended) = self.local_get(&key);
-                self.send(link, Msg::Got { ask, cell, mended });
+            Msg::Get { ask, set, key } => {
+                let cell = self.local_get(set, &key);
+                cell.into_iter().for_each(|cell| self.send(link, Msg::Got { ask, cell }));
             }
-            Msg::Got { ask, cell, mended } => self.quorum.got(addr, ask, cell, mended),
-            Msg::Put { ask, key, cell } => {
-                let vote = self.local_put(&key, &cell);
+            Msg::Got { ask, cell } => self.quorum.got(addr, ask, cell),
+            Msg::Put { ask, set, key, cell } => {
+                let vote = self.local_put(set, &key, &cell);
                 vote.into_iter().for_each(|ok| self.send(link, Msg::PutDone { ask, ok, sequence: cell.sequence }));
             }
             Msg::PutDone { ask, ok, .. } => self.quorum.put_done(addr, ask, ok),
-            Msg::GetAll { ask } if self.is_mended && self.is_voter() => {
-                let cells = self.store.state().map(|state| state.cells.clone()).unwrap_or_default();
-                self.send(link, Msg::GotAll { ask, cells, mended: true });
+            Msg::GetAll { voters, before, held } => self.give_all(link, &voters, &before, &held),
+            Msg::GotAll { set, cells } => self.pulled(addr, set, cells),
+            msg @ (Msg::Claim { .. } | Msg::Settle { .. }) => {
+                let word = self.change_word(msg);
+                word.into_iter().for_each(|word| self.send(link, word));
             }
-            Msg::GotAll { cells, mended: true, .. } => self.mended_by(addr, cells),
+            msg @ (Msg::Claimed { .. } | Msg::Settled { .. }) => self.change_heard(addr, msg),
             Msg::Committed { key, cell } if key == crate::core::CONF => self.in_force(&cell),
             Msg::Inst { ask, inst } => {
                 self.inst_from_peer(inst);
--- a/crates/wv-control/src/recall.rs
+++ b/crates/wv-control/src/recall.rs
@@ -19,7 +19,7 @@
 impl Core {
     /// Puts the table on this disk when it changed.
     pub(crate) fn keep_table(&mut self) {
-        if !std::mem::take(&mut self.is_table_due) || !self.is_mended {
+        if !std::mem::take(&mut self.is_table_due) {
             return;
         }
         let kept = Kept {
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -86,6 +86,8 @@
         life: wv_proc::life(),
         seeds,
         is_first: boot.initial_start,
+        is_core: boot.data_dir.is_some(),
+        disk: wv_proc::draw(),
     };
     let core = Core::new(start, store)?;
     let system = System::new();
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -24,12 +24,10 @@
         }
         self.dial();
         if self.pinged + PING_US <= self.now {
-            self.pinged = self.now;
-            let ask = self.quorum.next_ask();
-            self.send_peers(&Msg::Ping { ask });
+            self.ping();
+            self.pull();
             self.tell_sessions();
             self.beat_followers();
-            self.mend();
         }
         // Outside its window a sweep is rarer, never absent; links that come up compare at once in any case.
         let gap = if self.is_window_open { REPAIR_US } else { REPAIR_SHUT_US };
@@ -41,6 +39,7 @@
         if self.forgot + FORGET_US <= self.now {
             self.forgot = self.now;
             self.table.forget();
+            self.forget_peers();
         }
         if !self.is_caught_up && self.is_fresh() {
             self.sync_conf();
@@ -48,6 +47,7 @@
         self.serve_follows();
         self.keep_table();
         self.roster.tick(self.now);
+        self.run_voters();
         self.run_duties();
         self.tell_nodes();
         self.quorum.tick(self.now);
@@ -55,6 +55,12 @@
         self.end_holds();
     }
 
+    pub(crate) fn ping(&mut self) {
+        self.pinged = self.now;
+        let ask = self.quorum.next_ask();
+        self.send_peers(&Msg::Ping { ask });
+    }
+
     fn dial(&mut self) {
         let now = self.now;
         let gap = if now < self.born + YOUNG_US { DIAL_YOUNG_US } else { DIAL_US };
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -17,7 +17,10 @@
     pub is_up: bool,
     pub dialed: u64,
     pub ponged: u64,
-    pub is_mended: bool,
+    /// The set it votes in and its disk, as it last said; `since` when it was first heard of.
+    pub set: u64,
+    pub disk: Option<u64>,
+    pub since: u64,
 }
 
 pub(crate) enum Waiting {
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -114,6 +114,9 @@
             life: self.now,
             seeds: node.seeds.clone(),
             is_first,
+            is_core: true,
+            // Drawn at random in a process; here no two are ever the same.
+            disk: self.life + 1000,
         };
         let store = wv_reg::Store::open(Box::new(node.files.clone()));
         node.core = store.and_then(|store| wv_control::Core::new(start, store)).ok();
--- a/crates/wv-fleet/src/states.rs
+++ b/crates/wv-fleet/src/states.rs
@@ -1,4 +1,5 @@
 //! What stands where, in words, and the platform's side of a promotion.
+use crate::nodes::Control;
 use crate::world::{Ev, World};
 use crate::MS;
 
@@ -27,6 +28,20 @@
         states
     }
 
+    /// An empty machine that serves control at an address of its own, told of the seeds at `seeds`.
+    pub fn add_control(&mut self, seeds: &[usize]) -> usize {
+        let at = self.controls.len();
+        let seeds: Vec<String> = seeds.iter().map(|seed| self.controls[*seed].addr.clone()).collect();
+        self.controls.push(Control::new(at, &format!("10.1.0.{}:80", at + 1), &seeds));
+        self.start_control(at, false);
+        at
+    }
+
+    /// Whether this control node is agreeing on the next voters.
+    pub fn is_changing(&self, at: usize) -> bool {
+        self.controls[at].core.as_ref().is_some_and(|core| core.is_changing())
+    }
+
     pub(crate) fn post(&mut self, control: usize, service: String, id: String, fence: u64) {
         let base = self.base(&id);
         let seen = self.fences.get(&service).copied().unwrap_or(0);
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -1,16 +1,10 @@
 //! What windvalve's own processes say to each other: nanoserde binary in length-prefixed frames.
-use nanoserde::{DeBin, SerBin};
-
-/// No frame is ever longer than this.
-pub const FRAME_MAX: usize = 2 << 20;
+mod frame;
+mod voters;
 
-#[derive(thiserror::Error, Debug, PartialEq, Eq)]
-pub enum InnerError {
-    #[error("a frame of {0} bytes is over the bound")]
-    Oversize(usize),
-    #[error("a frame could not be read")]
-    Malformed,
-}
+pub use frame::{cut_frame, put_frame, InnerError, FRAME_MAX};
+use nanoserde::{DeBin, SerBin};
+pub use voters::{Member, Voters};
 
 /// A database as its beats describe it.
 #[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
@@ -118,10 +112,11 @@
     /// Session beat of an access node.
     Here,
     Sights(Vec<Sighting>),
-    /// Control nodes tell each other: known control addresses, voters, sessions.
+    /// Control nodes tell each other: known control addresses, the newest settled voters and those before them.
     Peers {
         addrs: Vec<String>,
-        voters: Vec<String>,
+        voters: Voters,
+        before: Voters,
     },
     Sessions {
         nodes: Vec<String>,
@@ -133,39 +128,69 @@
     Ping {
         ask: u64,
     },
+    /// `disk` is the speaker's own (none where it keeps nothing), `set` the one it votes in, 0 for none.
     Pong {
         ask: u64,
         conf: u64,
-        mended: bool,
+        disk: Option<u64>,
+        set: u64,
     },
+    /// Register calls name the set they are counted in; voters of another one do not answer.
     Get {
         ask: u64,
+        set: u64,
         key: String,
     },
     Got {
         ask: u64,
         cell: Cell,
-        mended: bool,
     },
     Put {
         ask: u64,
+        set: u64,
         key: String,
         cell: Cell,
     },
-    /// `ok` false where the copy here is newer or the voter is not mended.
+    /// `ok` false where the copy here is newer.
     PutDone {
         ask: u64,
         ok: bool,
         sequence: u64,
     },
-    /// All registers, for a voter whose disk was lost.
-    GetAll {
+    /// The right to name the successor of `set`, under a fence.
+    Claim {
         ask: u64,
+        set: u64,
+        fence: u64,
     },
-    GotAll {
+    /// What this voter last accepted as the successor; `ok` false where it has seen a higher fence.
+    Claimed {
+        ask: u64,
+        ok: bool,
+        fence: u64,
+        next: Option<(u64, Voters)>,
+    },
+    Settle {
+        ask: u64,
+        set: u64,
+        fence: u64,
+        next: Voters,
+    },
+    Settled {
         ask: u64,
+        ok: bool,
+    },
+    /// All registers, for a member of a settled set that does not vote in it yet.
+    GetAll {
+        voters: Voters,
+        before: Voters,
+        /// What the asker holds of each: key, sequence and tie. Only what is newer is returned.
+        held: Vec<(String, u64, u32)>,
+    },
+    /// `set` is the one in which the speaker voted last.
+    GotAll {
+        set: u64,
         cells: Vec<(String, Cell)>,
-        mended: bool,
     },
     Committed {
         key: String,
@@ -198,23 +223,3 @@
         falls: u32,
     },
 }
-
-/// Appends `msg` as one frame.
-pub fn put_frame(out: &mut Vec<u8>, msg: &Msg) {
-    let body = nanoserde::SerBin::serialize_bin(msg);
-    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    out.extend_from_slice(&body);
-}
-
-/// Cuts one frame off `buf`; `None` while it is not whole.
-pub fn cut_frame(buf: &[u8]) -> Result<Option<(Msg, usize)>, InnerError> {
-    let Some(head) = buf.first_chunk::<4>() else { return Ok(None) };
-    let len = u32::from_le_bytes(*head) as usize;
-    // A length beyond the bound is a foreign or broken speaker: the link is closed, nothing is read on.
-    if len > FRAME_MAX {
-        return Err(InnerError::Oversize(len));
-    }
-    buf.get(4..4 + len)
-        .map(|body| DeBin::deserialize_bin(body).map(|msg| (msg, 4 + len)).map_err(|_| InnerError::Malformed))
-        .transpose()
-}
--- a/crates/wv-proc/src/lib.rs
+++ b/crates/wv-proc/src/lib.rs
@@ -24,6 +24,12 @@
     }
 }
 
+/// A number drawn at random, the same for no two disks.
+pub fn draw() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::collections::hash_map::RandomState::new().build_hasher().finish()
+}
+
 /// The boot file and when it last changed.
 pub struct BootFile {
     path: String,
--- a/crates/wv-reg/src/lib.rs
+++ b/crates/wv-reg/src/lib.rs
@@ -1,10 +1,14 @@
 //! The control state: a register written to and read from a majority of disks, highest sequence wins.
+mod change;
 mod files;
 mod quorum;
+mod seat;
 mod store;
 
+pub use change::{plan, Change, Core, End, AWAY_US};
 pub use files::{DirFiles, Files, MemFiles};
 pub use quorum::{Done, Outcome, Quorum};
+pub use seat::{Claimed, Seat};
 pub use store::{State, Store};
 
 #[derive(thiserror::Error, Debug)]
@@ -15,6 +19,8 @@
     Oversize(usize),
 }
 
+/// Registers under this stand on one disk alone and are no part of any quorum.
+pub const LOCAL: &str = "local/";
 /// No store grows over this; far under the smallest data folder.
 pub const STORE_MAX: usize = 8 << 20;
 
--- a/crates/wv-reg/src/quorum.rs
+++ b/crates/wv-reg/src/quorum.rs
@@ -1,9 +1,9 @@
 use crate::newer;
-use wv_inner::{Cell, Msg};
+use wv_inner::{Cell, Msg, Voters};
 
 /// How long one quorum operation may take; callers of the operator wait a second.
 const LIMIT_US: u64 = 900_000;
-const RESEND_US: u64 = 250_000;
+const RESEND_US: u64 = 150_000;
 /// No node runs more operations than this at once.
 const OPS_MAX: usize = 256;
 
@@ -44,7 +44,7 @@
 /// Runs reads and writes over the voters; the caller carries the messages.
 #[derive(Default)]
 pub struct Quorum {
-    voters: Vec<String>,
+    voters: Voters,
     next_ask: u64,
     ops: Vec<Op>,
     out: Vec<(String, Msg)>,
@@ -52,16 +52,22 @@
 }
 
 impl Quorum {
-    pub fn set_voters(&mut self, voters: Vec<String>) {
+    /// A newer set counts from now on: whatever is under way begins again there. What it wrote to too few of the set
+    /// before is either found again or was never promised.
+    pub fn set_voters(&mut self, voters: Voters) {
         self.voters = voters;
+        for op in &mut self.ops {
+            self.next_ask += 1;
+            (op.ask, op.resend, op.phase) = (self.next_ask, 0, Phase::Reading { acks: Vec::new() });
+        }
     }
 
-    pub fn voters(&self) -> &[String] {
+    pub fn voters(&self) -> &Voters {
         &self.voters
     }
 
     pub fn majority(&self) -> usize {
-        self.voters.len() / 2 + 1
+        self.voters.majority()
     }
 
     pub fn next_ask(&mut self) -> u64 {
@@ -71,7 +77,7 @@
 
     /// Reads `key`; with `wanted`, writes it where nothing newer is found.
     pub fn start(&mut self, token: u64, key: &str, wanted: Option<Cell>, now: u64) {
-        if self.voters.is_empty() || self.ops.len() >= OPS_MAX {
+        if self.voters.members.is_empty() || self.ops.len() >= OPS_MAX {
             self.done.push(Done { token, key: key.to_owned(), outcome: Outcome::Unsure });
             return;
         }
@@ -81,12 +87,11 @@
         self.tick(now);
     }
 
-    pub fn got(&mut self, voter: &str, ask: u64, cell: Cell, mended: bool) {
+    pub fn got(&mut self, voter: &str, ask: u64, cell: Cell) {
         let (majority, next_ask) = (self.majority(), self.next_ask + 1);
         let Some(op) = self.ops.iter_mut().find(|op| op.ask == ask) else { return };
         let Phase::Reading { acks } = &mut op.phase else { return };
-        // A voter whose disk is not mended may have forgotten what it acknowledged: it does not count.
-        if !mended || acks.iter().any(|(known, _)| known == voter) {
+        if acks.iter().any(|(known, _)| known == voter) {
             return;
         }
         acks.push((voter.to_owned(), cell));
@@ -153,17 +158,17 @@
         over.into_iter().for_each(|ask| self.finish(ask, Outcome::Unsure));
         for op in self.ops.iter_mut().filter(|op| op.resend <= now) {
             op.resend = now + RESEND_US;
-            for voter in &self.voters {
+            for voter in self.voters.addrs() {
                 let msg = match &op.phase {
                     Phase::Reading { acks } if !acks.iter().any(|(known, _)| known == voter) => {
-                        Msg::Get { ask: op.ask, key: op.key.clone() }
+                        Msg::Get { ask: op.ask, set: self.voters.number, key: op.key.clone() }
                     }
-                    Phase::Writing { cell, acks, .. } if !acks.contains(voter) => {
-                        Msg::Put { ask: op.ask, key: op.key.clone(), cell: cell.clone() }
+                    Phase::Writing { cell, acks, .. } if !acks.iter().any(|known| known == voter) => {
+                        Msg::Put { ask: op.ask, set: self.voters.number, key: op.key.clone(), cell: cell.clone() }
                     }
                     _ => continue,
                 };
-                self.out.push((voter.clone(), msg));
+                self.out.push((voter.to_owned(), msg));
             }
         }
     }
