--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -80,6 +80,9 @@
     pub(crate) fn announce(&mut self, insts: &[Inst], is_own_word: bool) {
         self.is_table_due |= !insts.is_empty();
         for inst in insts {
+            if inst.gone {
+                self.left.insert(inst.id.clone(), self.now);
+            }
             self.publish(News::Inst(inst.clone()));
             self.fold_lead(inst, is_own_word);
         }
@@ -92,7 +95,9 @@
         let is_new = lead.is_none_or(|lead| lead.id != inst.id);
         if inst.primary && !inst.gone && is_new && (is_own_word || !is_led) {
             let term = lead.map_or(0, |lead| lead.term);
-            self.publish(News::Lead(Lead { service: inst.service.clone(), id: inst.id.clone(), term }));
+            let lead = Lead { service: inst.service.clone(), id: inst.id.clone(), term };
+            self.note_led(&lead);
+            self.publish(News::Lead(lead));
             self.is_table_due = true;
         }
     }
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -103,6 +103,9 @@
     pub(crate) duties: BTreeMap<String, wv_promo::Duty>,
     pub(crate) fences: BTreeMap<String, u64>,
     pub(crate) sights: BTreeMap<String, (u64, Vec<wv_inner::Sighting>)>,
+    /// When databases left, and when each service last came to be led by another.
+    pub(crate) left: BTreeMap<String, u64>,
+    pub(crate) led: BTreeMap<String, u64>,
     pub(crate) born: u64,
     /// Databases that fell: how often lately, when last, and whether they are still down.
     pub(crate) fallen: BTreeMap<String, Fall>,
@@ -159,6 +162,8 @@
             duties: BTreeMap::new(),
             fences: BTreeMap::new(),
             sights: BTreeMap::new(),
+            left: BTreeMap::new(),
+            led: BTreeMap::new(),
             born: 0,
             fallen: BTreeMap::new(),
             is_table_due: false,
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -2,7 +2,7 @@
 use crate::core::{Act, Core};
 use crate::types::Waiting;
 use wv_inner::{Lead, Msg, News, Sight, Sighting};
-use wv_promo::{Event, Order, Seat, Silent, View, Word};
+use wv_promo::{Event, Left, Order, Seat, Silent, View, Word};
 use wv_reg::Outcome;
 use wv_wire::Pos;
 
@@ -68,15 +68,31 @@
         seen.map(|pos| pos.term).max().unwrap_or(0).max(told)
     }
 
+    /// The databases of a service, and those that left it under the present lead.
+    fn seats(&self, service: &str, lead: Option<&str>) -> Vec<Seat> {
+        let led = self.led.get(service).copied().unwrap_or(0);
+        let left = |inst: &wv_inner::Inst| {
+            let at = self.left.get(&inst.id).copied().unwrap_or(self.now);
+            let heir = self.table.iter().find(|new| !new.gone && new.addr == inst.addr).map(|new| new.id.clone());
+            Left { ago_us: self.now.saturating_sub(at), heir }
+        };
+        let is_counted = |inst: &&wv_inner::Inst| {
+            let is_left = inst.gone && self.left.get(&inst.id).is_some_and(|at| *at > led);
+            inst.service == service && (!inst.gone || (is_left && Some(inst.id.as_str()) != lead))
+        };
+        let seat = |inst: &wv_inner::Inst| Seat {
+            id: inst.id.clone(),
+            is_draining: inst.draining,
+            refused_us: self.refused_us(&inst.id),
+            left: inst.gone.then(|| left(inst)),
+        };
+        self.table.iter().filter(is_counted).map(seat).collect()
+    }
+
     fn with_duty(&mut self, service: &str, turn: impl FnOnce(&mut wv_promo::Duty, &View<'_>)) {
         let Some(mut duty) = self.duties.remove(service) else { return };
         let lead = self.feed.lead(service).map(|lead| lead.id.clone());
-        let seats: Vec<Seat> = self
-            .table
-            .iter()
-            .filter(|inst| inst.service == service && !inst.gone)
-            .map(|inst| Seat { id: inst.id.clone(), is_draining: inst.draining, refused_us: self.refused_us(&inst.id) })
-            .collect();
+        let seats = self.seats(service, lead.as_deref());
         let service_conf = self.conf.as_ref().and_then(|conf| conf.services.get(service));
         let view = View {
             now: self.now,
@@ -141,11 +157,19 @@
         let held = self.feed.lead(&lead.service);
         // A term already known to be over is old news; the same word again is none.
         if held.is_none_or(|held| held.term < lead.term && !(held.id == lead.id && held.term == lead.term)) {
+            self.note_led(&lead);
             self.is_table_due = true;
             self.publish(News::Lead(lead));
         }
     }
 
+    /// What left before this one came to lead matters no more: all that was acknowledged stands in its log.
+    pub(crate) fn note_led(&mut self, lead: &Lead) {
+        if self.feed.lead(&lead.service).is_some_and(|held| held.id != lead.id) {
+            self.led.insert(lead.service.clone(), self.now);
+        }
+    }
+
     fn ask_db(&mut self, service: &str, id: String, text: String) {
         match self.table.get(&id).map(|inst| inst.addr.clone()) {
             Some(addr) => self.acts.push(Act::Ask { service: service.to_owned(), id, addr, text }),
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -39,6 +39,8 @@
         if self.forgot + FORGET_US <= self.now {
             self.forgot = self.now;
             self.table.forget();
+            let table = &self.table;
+            self.left.retain(|id, _| table.get(id).is_some());
             self.forget_peers();
         }
         if !self.is_caught_up && self.is_fresh() {
--- /dev/null
+++ b/crates/wv-fleet/tests/leaving.rs
@@ -0,0 +1,76 @@
+//! Stories of databases that leave for good while they know what no other knows.
+use googletest::prelude::*;
+use wv_fleet::{World, MS, S};
+
+fn busy() -> World {
+    let mut world = World::serving(4, 3);
+    world.load(10, "p");
+    world.load(5, "b");
+    world.run(3 * S);
+    world
+}
+
+/// It says so, and ends.
+fn leave(world: &mut World, base: usize) {
+    let id = world.bases[base].id.clone();
+    world.bases[base].is_left = true;
+    world.call(1, "DELETE", &format!("/instances/{id}"), b"");
+    world.run(20 * MS);
+    world.crash(base);
+}
+
+fn end(world: &mut World) -> Vec<String> {
+    world.stop_load();
+    world.run(wv_fleet::REST);
+    world.judge()
+}
+
+#[gtest]
+fn given_a_draining_replica_that_alone_received_when_the_primary_crashes_then_it_leads_until_another_can() {
+    let mut world = busy();
+    world.bases[1].is_deaf = true;
+    world.bases[2].is_draining = true;
+    world.run(S);
+    world.crash(0);
+    world.run(2 * S);
+    expect_that!(world.primary(), eq(2));
+    // The other receives again: now the planned end goes its usual way.
+    world.bases[1].is_deaf = false;
+    world.run(3 * S);
+    expect_that!(world.primary(), eq(1));
+    world.revive(0);
+    world.run(S);
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_replica_that_alone_received_and_left_when_the_primary_crashes_then_its_heir_is_waited_for() {
+    let mut world = busy();
+    world.bases[1].is_deaf = true;
+    world.run(S);
+    world.crash(0);
+    leave(&mut world, 2);
+    world.run(4 * S);
+    expect_that!(world.posts, is_empty());
+    // Another database takes its place, and its log with it.
+    world.bases[2].id = "i-heir".to_owned();
+    world.bases[2].is_left = false;
+    world.revive(2);
+    world.run(3 * S);
+    expect_that!(world.primary(), eq(2));
+    world.bases[1].is_deaf = false;
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_replica_that_left_and_a_primary_seen_after_it_then_the_other_may_lead_without_it() {
+    let mut world = busy();
+    leave(&mut world, 2);
+    world.run(3 * S);
+    world.crash(0);
+    world.run(2 * S);
+    expect_that!(world.primary(), eq(1));
+    world.revive(0);
+    world.run(S);
+    expect_that!(end(&mut world), is_empty());
+}
--- a/crates/wv-promo/src/choice.rs
+++ b/crates/wv-promo/src/choice.rs
@@ -20,25 +20,37 @@
     rows: &BTreeMap<String, Word>,
     sync_replicas: u32,
     fenced: Option<(u64, Pos)>,
+    is_lead_down: bool,
 ) -> Verdict {
-    let best = rows
-        .iter()
-        .filter_map(|(id, status)| status.ok().map(|status| (id, status.received)))
-        .filter(|(id, _)| seats.iter().any(|seat| seat.id == **id && !seat.is_draining))
-        .max_by_key(|(id, received)| (*received, std::cmp::Reverse(id.as_str())));
+    let furthest = |may_drain: bool| {
+        rows.iter()
+            .filter_map(|(id, status)| status.ok().map(|status| (id, status.received)))
+            .filter(|(id, _)| {
+                let is_fit = |seat: &Seat| seat.id == **id && seat.left.is_none() && (may_drain || !seat.is_draining);
+                seats.iter().any(is_fit)
+            })
+            .max_by_key(|(id, received)| (*received, std::cmp::Reverse(id.as_str())))
+    };
+    let is_behind =
+        |best: &(&String, Pos)| sync_replicas > 0 && rows.values().flatten().any(|status| status.received > best.1);
+    // A draining replica that received more keeps the rest waiting until the others caught up. From a lead that is
+    // down they never will: then it leads itself, and is replaced as any lead that drains.
+    let best = furthest(false)
+        .filter(|best| !is_behind(best))
+        .or_else(|| is_lead_down.then(|| furthest(true)).flatten().filter(|best| !is_behind(best)));
     let Some((id, received)) = best else { return Verdict::Blocked };
-    let is_behind = rows.values().flatten().any(|status| status.received > received);
-    // A draining replica that received more keeps the rest waiting until the others caught up.
-    if is_behind && sync_replicas > 0 {
-        return Verdict::Blocked;
-    }
     let is_silent = |seat: &&Seat| Some(seat.id.as_str()) != lead && rows.get(&seat.id).is_none_or(Result::is_err);
     // Still refused, and refused since before a fenced sighting of the primary that the best one has reached: all that was
     // acknowledged before stands there, and nothing since can have been acknowledged by one that was down.
     let is_harmless = |seat: &Seat| {
-        let is_refused = rows.get(&seat.id) == Some(&Err(Silent::Refused));
+        let is_refused = rows.get(&seat.id) == Some(&Err(Silent::Refused)) || seat.left.is_some();
+        // Who took over the place of one that left has its log, and has told what stands in it.
+        let heir = seat.left.as_ref().and_then(|left| left.heir.as_ref());
+        if heir.and_then(|heir| rows.get(heir)).is_some_and(Result::is_ok) {
+            return true;
+        }
         is_refused
-            && seat.refused_us.is_some_and(|refused| {
+            && seat.left.as_ref().map(|left| left.ago_us).or(seat.refused_us).is_some_and(|refused| {
                 fenced.is_some_and(|(ago, place)| refused > ago.saturating_add(MARGIN_US) && received >= place)
             })
     };
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -153,7 +153,7 @@
     fn trigger(&mut self, view: &View<'_>) {
         let Some(lead) = view.lead else { return };
         let seat = view.seats.iter().find(|seat| seat.id == lead);
-        let has_other = view.seats.iter().any(|seat| seat.id != lead && !seat.is_draining);
+        let has_other = view.seats.iter().any(|seat| seat.id != lead && seat.left.is_none());
         if !has_other {
             return;
         }
@@ -228,5 +228,9 @@
 }
 
 pub(crate) fn replicas(view: &View<'_>) -> Vec<String> {
-    view.seats.iter().filter(|seat| Some(seat.id.as_str()) != view.lead).map(|seat| seat.id.clone()).collect()
+    view.seats
+        .iter()
+        .filter(|seat| Some(seat.id.as_str()) != view.lead && seat.left.is_none())
+        .map(|seat| seat.id.clone())
+        .collect()
 }
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -15,6 +15,15 @@
     pub is_draining: bool,
     /// Whoever looks at it from an access node says its connections are refused, and has said so for this long.
     pub refused_us: Option<u64>,
+    /// It left since the present lead came to lead: no longer to be asked, but what it had received still counts.
+    pub left: Option<Left>,
+}
+
+/// A database that left: how long ago, and which one took over its place and with it its log.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Left {
+    pub ago_us: u64,
+    pub heir: Option<String>,
 }
 
 /// What the duty reads at each turn.
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -94,7 +94,7 @@
             return self.done(&id, status.ok().map(|status| status.term), view.now);
         }
         let lead = view.lead;
-        let verdict = nominate(view.seats, lead, &self.rows, view.sync_replicas, view.fenced);
+        let verdict = nominate(view.seats, lead, &self.rows, view.sync_replicas, view.fenced, view.is_lead_down);
         let Verdict::Nominee(nominee) = verdict else { return self.give_up(view.now) };
         // The nominee goes on receiving: what the old primary can still get acknowledged then stands in its log.
         let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != nominee).collect();
@@ -117,7 +117,7 @@
 
     /// All others are suspended: whoever has received most leads on.
     pub(crate) fn settle(&mut self, view: &View<'_>) {
-        match nominate(view.seats, view.lead, &self.rows, view.sync_replicas, view.fenced) {
+        match nominate(view.seats, view.lead, &self.rows, view.sync_replicas, view.fenced, view.is_lead_down) {
             // Only the one that was left receiving may have grown since its row; any other must be suspended.
             Verdict::Nominee(nominee) => {
                 let loose: Vec<String> =
