--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -38,6 +38,8 @@
     pub(crate) now: u64,
     pub(crate) zone: String,
     pub(crate) conf: Option<Rc<wv_conf::Conf>>,
+    /// The configuration's sequence and body as they came, for changes to be made to.
+    pub(crate) body: (u64, Vec<u8>),
     pub(crate) checks: Checks,
     pub(crate) shapes: wv_pool::Shapes,
     pub(crate) clients: Map<u64, Client>,
@@ -67,6 +69,7 @@
             now: 0,
             zone: zone.to_owned(),
             conf: None,
+            body: (0, Vec::new()),
             checks: Checks::default(),
             shapes: wv_pool::Shapes::default(),
             clients: Map::default(),
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -25,27 +25,31 @@
             self.checks.retain(&ids.collect());
         }
         let news = self.follower.take(msg)?;
-        news.into_iter().for_each(|news| self.news(news));
+        let taken: Result<(), wv_feed::Gap> = news.into_iter().try_for_each(|news| self.news(news));
+        if taken.is_err() {
+            self.follower = wv_feed::Follower::default();
+        }
         self.serve_stranded();
         self.care();
-        Ok(())
+        taken
     }
 
-    fn news(&mut self, news: News) {
+    fn news(&mut self, news: News) -> Result<(), wv_feed::Gap> {
         match news {
             News::Conf { sequence, body } => {
-                // A node never steps back within its life.
-                if self.conf.as_ref().is_some_and(|held| held.sequence > sequence) {
-                    return;
+                let body = wv_pack::unpack(&body, wv_conf::BODY_MAX).map(std::borrow::Cow::into_owned);
+                self.take_conf(sequence, body);
+            }
+            News::ConfChange { base, sequence, change } => {
+                // Made of another one than is held here, it says nothing: the whole is asked for.
+                if self.body.0 != base {
+                    return Err(wv_feed::Gap);
                 }
-                // Only checked configurations enter the feed; one that cannot be read here changes nothing.
-                if let Ok(conf) = wv_conf::Conf::parse(&body) {
-                    conf.services.keys().for_each(|name| {
-                        self.checks.service(name);
-                    });
-                    self.conf = Some(Rc::new(conf));
-                    self.set_up_awaited();
+                let body = wv_pack::apply(&self.body.1, &change, wv_conf::BODY_MAX);
+                if body.is_err() {
+                    return Err(wv_feed::Gap);
                 }
+                self.take_conf(sequence, body);
             }
             News::Inst(inst) => {
                 let is_new = self.checks.spot(&inst.id).is_none();
@@ -73,6 +77,24 @@
             }
             News::Nodes(nodes) => self.nodes = nodes.max(1),
         }
+        Ok(())
+    }
+
+    fn take_conf(&mut self, sequence: u64, body: Result<Vec<u8>, wv_pack::PackError>) {
+        // A node never steps back within its life.
+        if self.conf.as_ref().is_some_and(|held| held.sequence > sequence) {
+            return;
+        }
+        let Ok(body) = body else { return };
+        // Only checked configurations enter the feed; one that cannot be read here changes nothing.
+        if let Ok(conf) = wv_conf::Conf::parse(&body) {
+            conf.services.keys().for_each(|name| {
+                self.checks.service(name);
+            });
+            self.conf = Some(Rc::new(conf));
+            self.set_up_awaited();
+        }
+        self.body = (sequence, body);
     }
 
     fn clear_idle(&mut self, spot: Spot) {
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -1,7 +1,7 @@
 //! The operator's calls: configurations go onto a majority of disks before anyone hears of them.
 use crate::core::{Core, CONF};
 use crate::types::Waiting;
-use wv_inner::{Msg, News};
+use wv_inner::Msg;
 use wv_reg::{Done, Outcome};
 
 impl Core {
@@ -37,7 +37,7 @@
             Err(error) => return self.ret(token, 400, cause(&error.to_string())),
         };
         self.waiting.insert(token, Waiting::Put);
-        self.quorum.start(token, CONF, Some(wv_reg::cell(conf.sequence, body.to_vec())), self.now);
+        self.quorum.start(token, CONF, Some(wv_reg::cell(conf.sequence, wv_pack::pack(body))), self.now);
         self.run_quorum();
     }
 
@@ -73,7 +73,10 @@
             (Waiting::Get, Outcome::Read(cell)) if cell.sequence == 0 && cell.value.is_empty() => {
                 self.ret(done.token, 404, "{\"cause\":\"no configuration has been taken yet\"}")
             }
-            (Waiting::Get, Outcome::Read(cell)) => self.ret(done.token, 200, cell.value),
+            (Waiting::Get, Outcome::Read(cell)) => match wv_pack::unpack(&cell.value, crate::core::BODY_MAX) {
+                Ok(body) => self.ret(done.token, 200, body.into_owned()),
+                Err(error) => self.ret(done.token, 500, cause(&error.to_string())),
+            },
             (Waiting::Sync, outcome) => {
                 self.is_syncing = false;
                 self.is_caught_up |= matches!(outcome, Outcome::Read(_));
@@ -88,8 +91,14 @@
         if cell.sequence > self.published && !cell.value.is_empty() {
             self.published = cell.sequence;
             log::info!("in force {}", cell.sequence);
-            self.conf = wv_conf::Conf::parse(&cell.value).ok();
-            self.publish(News::Conf { sequence: cell.sequence, body: cell.value.clone() });
+            match wv_pack::unpack(&cell.value, crate::core::BODY_MAX) {
+                Ok(body) => {
+                    self.conf = wv_conf::Conf::parse(&body).ok();
+                    let msg = self.feed.publish_conf(cell.sequence, &body);
+                    self.tell_followers(&msg);
+                }
+                Err(error) => log::error!("the configuration in force: {error}"),
+            }
         }
     }
 }
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -214,6 +214,10 @@
 
     pub(crate) fn publish(&mut self, news: News) {
         let msg = self.feed.publish(news);
+        self.tell_followers(&msg);
+    }
+
+    pub(crate) fn tell_followers(&mut self, msg: &Msg) {
         let followers: Vec<u64> = self.links.iter().filter(|(_, link)| link.is_follower).map(|(id, _)| *id).collect();
         followers.into_iter().for_each(|link| self.send(link, msg.clone()));
     }
--- a/crates/wv-feed/src/follow.rs
+++ b/crates/wv-feed/src/follow.rs
@@ -7,7 +7,8 @@
 pub struct Feed {
     life: u64,
     place: u64,
-    conf: Option<News>,
+    /// The configuration in force: its sequence, the news of it packed, and its body.
+    conf: Option<(u64, News, Vec<u8>)>,
     nodes: u32,
     leads: std::collections::BTreeMap<String, Lead>,
     changes: std::collections::VecDeque<(u64, News)>,
@@ -18,14 +19,25 @@
         Feed { life, place: 0, conf: None, nodes: 0, leads: Default::default(), changes: Default::default() }
     }
 
+    /// A configuration came into force: followers hear what differs, newcomers the whole.
+    pub fn publish_conf(&mut self, sequence: u64, body: &[u8]) -> Msg {
+        let whole = News::Conf { sequence, body: wv_pack::pack(body) };
+        let news = match self.conf.take() {
+            Some((base, _, old)) => News::ConfChange { base, sequence, change: wv_pack::delta(&old, body) },
+            None => whole.clone(),
+        };
+        self.conf = Some((sequence, whole, body.to_vec()));
+        self.publish(news)
+    }
+
     /// Numbers a change; the caller sends the message to its followers.
     pub fn publish(&mut self, news: News) -> Msg {
         match &news {
-            News::Conf { .. } => self.conf = Some(news.clone()),
             News::Nodes(nodes) => self.nodes = *nodes,
             News::Lead(lead) => {
                 self.leads.insert(lead.service.clone(), lead.clone());
             }
+            News::Conf { .. } | News::ConfChange { .. } => {}
             News::Inst(_) | News::Ease { .. } | News::Promoting { .. } => {}
         }
         self.place += 1;
@@ -55,7 +67,7 @@
                 .map(|(place, news)| Msg::Change { place: *place, news: news.clone() })
                 .collect();
         }
-        let mut news: Vec<News> = self.conf.iter().cloned().collect();
+        let mut news: Vec<News> = self.conf.iter().map(|(_, whole, _)| whole.clone()).collect();
         news.extend(table.iter().cloned().map(News::Inst));
         news.extend(self.leads.values().cloned().map(News::Lead));
         news.push(News::Nodes(self.nodes));
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -69,7 +69,10 @@
                     Msg::Beat { fresh: false } => self.access[at].heard = 0,
                     Msg::Beat { .. } | Msg::Peers { .. } => {}
                     msg => {
-                        self.with_access(at, |core, now| core.feed(msg, now).is_ok());
+                        let is_fed = self.with_access(at, |core, now| core.feed(msg, now).is_ok());
+                        if let Some(to) = self.access[at].session.filter(|_| is_fed == Some(false)) {
+                            self.put(HOP, Ev::Link { to, msg: Msg::Follow { life: 0, place: 0 } });
+                        }
                     }
                 }
             }
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -54,10 +54,17 @@
 /// One change that the feed carries.
 #[derive(SerBin, DeBin, Clone, PartialEq, Debug)]
 pub enum News {
+    /// A whole configuration, packed.
     Conf {
         sequence: u64,
         body: Vec<u8>,
     },
+    /// What makes it of the one before, for whoever holds that.
+    ConfChange {
+        base: u64,
+        sequence: u64,
+        change: Vec<u8>,
+    },
     Inst(Inst),
     Lead(Lead),
     /// How many access nodes are live; pools share the connection bounds by it.
