--- /dev/null
+++ b/crates/wv-access/src/care.rs
@@ -0,0 +1,97 @@
+//! The small regular care of pools, and configurations as they come into force.
+use crate::core::Core;
+use crate::types::Phase;
+use std::rc::Rc;
+use wv_check::{Spot, State};
+
+/// Connections kept ready to the writer and to a reader in the own zone.
+const WARM_WRITER: u32 = 2;
+const WARM_READER: u32 = 1;
+/// A database with work that says nothing for this long is looked at.
+const SILENT_US: u64 = 250_000;
+impl Core {
+    pub(crate) fn take_conf(&mut self, sequence: u64, body: Result<Vec<u8>, wv_pack::PackError>) {
+        // A node never steps back within its life.
+        if self.conf.as_ref().is_some_and(|held| held.sequence > sequence) {
+            return;
+        }
+        let Ok(body) = body else { return };
+        // Only checked configurations enter the feed; one that cannot be read here changes nothing.
+        if let Ok(conf) = wv_conf::Conf::parse(&body) {
+            conf.services.keys().for_each(|name| {
+                self.checks.service(name);
+            });
+            self.conf = Some(Rc::new(conf));
+            self.set_up_awaited();
+        }
+        self.body = (sequence, body);
+    }
+
+    /// Regular care: warm connections, looks at isolated databases, sessions that are to end.
+    pub fn housekeep(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        self.care();
+        self.end_eases();
+        self.listen_out();
+        self.serve_stranded();
+        self.serve_waiting_anywhere();
+        self.leave_on();
+    }
+
+    /// A database that has work and says nothing on any connection is looked at with a new one: a slow one
+    /// takes it, a dark one does not. The silence counts as the first sighting, the failed look as the second.
+    fn listen_out(&mut self) {
+        let now = self.now;
+        let mut silent: Vec<Spot> = Vec::new();
+        for db in self.dbs.values().filter(|db| db.phase == Phase::Busy) {
+            let is_waiting = db.expects.front().is_some_and(|expect| expect.sent + SILENT_US < now);
+            let is_quiet =
+                self.pools.get(&db.spot).is_some_and(|pool| pool.heard + SILENT_US < now && pool.opening == 0);
+            if is_waiting && is_quiet && !silent.contains(&db.spot) {
+                silent.push(db.spot);
+            }
+        }
+        for spot in silent {
+            if self.open_db(spot) {
+                self.checks.member_mut(spot).into_iter().for_each(|member| member.silent(now));
+                self.sights_due = true;
+            }
+        }
+    }
+
+    pub(crate) fn care(&mut self) {
+        if self.conf.is_none() {
+            return;
+        }
+        let now = self.now;
+        let mut wanted: Vec<(Spot, u32)> = Vec::new();
+        for (service, checker) in self.checks.iter() {
+            for (seat, member) in checker.members() {
+                let spot = Spot { service, seat };
+                let state = checker.state(seat, now);
+                let is_next =
+                    self.promoting.get(&service).is_some_and(|(until, id)| *until > now && *id == member.inst.id);
+                let is_near = member.inst.zone == self.zone;
+                match state {
+                    State::Writer if !member.is_suspect() => wanted.push((spot, WARM_WRITER)),
+                    // The next writer is made ready for before it leads.
+                    State::Online if is_next => wanted.push((spot, WARM_WRITER)),
+                    State::Online if is_near && !member.is_suspect() => wanted.push((spot, WARM_READER)),
+                    // One that is in doubt is looked at, one connection at a time.
+                    State::Isolated if member.next_look <= now => wanted.push((spot, 1)),
+                    State::Writer | State::Online if member.is_suspect() => wanted.push((spot, 1)),
+                    _ => {}
+                }
+            }
+        }
+        for (spot, count) in wanted {
+            let is_isolated = self.checks.member(spot).is_some_and(|member| member.is_isolated());
+            let (opening, standing) =
+                self.pools.get(&spot).map_or((0, 0), |pool| (pool.opening, pool.idle.len() as u32 + pool.opening));
+            let is_wanted = if is_isolated { opening == 0 } else { standing < count };
+            if is_wanted && self.open_db(spot) {
+                self.checks.member_mut(spot).into_iter().for_each(|member| member.looked(now));
+            }
+        }
+    }
+}
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -1,4 +1,4 @@
-use crate::schedule::{Schedule, Schedules};
+use crate::schedule::Schedules;
 use crate::types::{Act, Client, Db, Lost, Phase};
 use std::rc::Rc;
 use wv_check::{Checks, Spot};
@@ -118,39 +118,6 @@
         self.dbs.get_mut(&db).map(|db| &mut db.out)
     }
 
-    /// When `tick` wants to be called next.
-    pub fn next_limit(&mut self) -> Option<u64> {
-        let (clients, pools) = (&self.clients, &self.pools);
-        self.schedules.next(|schedule| match schedule {
-            Schedule::Expiry { client, number }
-            | Schedule::Offer { client, number }
-            | Schedule::Overdue { client, number } => {
-                clients.get(client).is_some_and(|held| held.ask.is_open && held.ask.number == *number)
-            }
-            Schedule::TxnIdle { client, .. } => clients.get(client).is_some_and(|held| held.txn.is_some()),
-            Schedule::Ease { spot } => pools.get(spot).is_some_and(|pool| !pool.waiting.is_empty()),
-            Schedule::Setup { client } => clients.get(client).is_some_and(|held| held.database.is_none()),
-        })
-    }
-
-    pub fn tick(&mut self, now: u64) {
-        self.now = self.now.max(now);
-        while let Some(schedule) = self.schedules.due(self.now) {
-            match schedule {
-                Schedule::Expiry { client, number } => self.expire(client, number),
-                Schedule::Offer { client, number } => self.offer_again(client, number),
-                Schedule::Overdue { client, number } => self.overdue(client, number),
-                Schedule::TxnIdle { client, since } => self.txn_idle(client, since),
-                Schedule::Ease { spot } => self.serve_waiting(spot),
-                Schedule::Setup { client } => {
-                    if self.clients.get(&client).is_some_and(|held| held.database.is_none()) {
-                        self.close_client(client);
-                    }
-                }
-            }
-        }
-    }
-
     pub(crate) fn cap(&self, spot: Spot) -> u32 {
         let service = self.checks.checker(spot.service).map(|checker| checker.service.as_str()).unwrap_or_default();
         let bound =
--- a/crates/wv-access/src/lib.rs
+++ b/crates/wv-access/src/lib.rs
@@ -1,5 +1,6 @@
 //! The access role: clients' sessions over pooled connections. Logic without sockets; `run` executes.
 mod answer;
+mod care;
 mod client;
 mod core;
 mod db;
