Words on databases go to the holder of the duty alone, and only as they change; sessions stay in their zone

Cause: each of 65 nodes told all of 90 databases every 4 s to a control node in any zone, which told it to all others; each control node went through all words of all nodes for each service ten times a second.

--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -51,6 +51,8 @@
     pub(crate) nodes: u32,
     pub(crate) next_id: u64,
     pub(crate) sights_due: bool,
+    /// What the control side was last told of each database.
+    pub(crate) told: Map<Spot, wv_inner::Sight>,
     pub(crate) leaving_since: Option<u64>,
     pub(crate) grace_us: u64,
     /// Clients whose ask is open but with no database to go to.
@@ -81,6 +83,7 @@
             nodes: 1,
             next_id: 0,
             sights_due: false,
+            told: Map::default(),
             leaving_since: None,
             grace_us,
             stranded: Vec::new(),
--- a/crates/wv-access/src/lib.rs
+++ b/crates/wv-access/src/lib.rs
@@ -12,12 +12,14 @@
 mod run;
 mod schedule;
 mod send;
+mod sights;
 mod sock;
 mod txn;
 mod types;
 
 pub use crate::core::Core;
 pub use run::{run, Options};
+pub use sights::Telling;
 pub use types::{Act, Lost};
 
 #[derive(thiserror::Error, Debug)]
--- a/crates/wv-access/src/link.rs
+++ b/crates/wv-access/src/link.rs
@@ -1,5 +1,6 @@
 //! The session with a control node: follows its feed, sends beats and sightings, moves on when it fails.
 use crate::exec::Node;
+use crate::Telling;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use wv_inner::Msg;
@@ -7,54 +8,115 @@
 const BEAT: std::time::Duration = std::time::Duration::from_millis(400);
 const SILENT: std::time::Duration = std::time::Duration::from_millis(1300);
 const CONNECT: std::time::Duration = std::time::Duration::from_millis(300);
-/// Every so many beats all sightings are told, changed or not.
-const WHOLE_EVERY: u32 = 10;
+/// Every so many beats the sightings that age are told again.
+const ROUND_EVERY: u32 = 10;
 const FIRST_PAUSE: u64 = 30;
 const LAST_PAUSE: u64 = 250;
 
+/// After sessions in the own zone failed, those of other zones are kept to for this long.
+const FAR: std::time::Duration = std::time::Duration::from_secs(5);
+
 /// What the session needs of the boot file; reread files change it.
 pub struct Place {
     pub node: String,
+    pub zone: String,
     pub seeds: Vec<SocketAddr>,
     pub inner_port: u16,
 }
 
 pub type Shared = std::rc::Rc<std::cell::RefCell<Place>>;
 
+/// The control nodes that were told of, and since when those of the own zone are passed over.
+#[derive(Default)]
+struct Known {
+    all: Vec<SocketAddr>,
+    near: Vec<SocketAddr>,
+    fails: usize,
+    far_until: Option<tokio::time::Instant>,
+}
+
+impl Known {
+    fn learn(&mut self, addrs: &[String], zones: &[String], zone: &str) {
+        let parsed = |(addr, its): (&String, &String)| Some((addr.parse::<SocketAddr>().ok()?, its == zone));
+        let told: Vec<(SocketAddr, bool)> = addrs.iter().zip(zones).filter_map(parsed).collect();
+        self.all = told.iter().map(|(addr, _)| *addr).collect();
+        self.near = told.iter().filter(|(_, is_near)| *is_near).map(|(addr, _)| *addr).collect();
+    }
+
+    fn prefers_near(&self) -> bool {
+        !self.near.is_empty() && self.far_until.is_none_or(|until| until <= tokio::time::Instant::now())
+    }
+
+    /// Sessions in the own zone cost nothing between zones: they are tried first.
+    fn list(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+        if self.prefers_near() {
+            return self.near.clone();
+        }
+        self.all.iter().chain(seeds.iter().filter(|seed| !self.all.contains(seed))).copied().collect()
+    }
+
+    fn ended(&mut self, control: SocketAddr) {
+        self.fails += usize::from(self.near.contains(&control));
+        if self.fails >= self.near.len().max(1) {
+            (self.fails, self.far_until) = (0, Some(tokio::time::Instant::now() + FAR));
+        }
+    }
+}
+
 /// Keeps a session up for ever.
 pub async fn keep(node: Node, place: Shared, life: u64) {
-    let mut known: Vec<SocketAddr> = Vec::new();
+    let mut known = Known::default();
     let mut at = life as usize;
     let mut pause = FIRST_PAUSE;
     let mut last: Option<SocketAddr> = None;
     loop {
-        let (seeds, port) = (place.borrow().seeds.clone(), place.borrow().inner_port);
-        let all: Vec<SocketAddr> =
-            known.iter().chain(seeds.iter().filter(|seed| !known.contains(seed))).copied().collect();
+        let seeds = place.borrow().seeds.clone();
+        let all = known.list(&seeds);
         // The one that has just failed is not asked again at once, wherever the list was rearranged.
         let next = all.get(at % all.len().max(1)).copied().filter(|next| Some(*next) != last || all.len() == 1);
         last = next;
         if let Some(control) = next {
-            let inner = SocketAddr::new(control.ip(), port);
-            let name = place.borrow().node.clone();
-            let is_heard = session(&node, inner, &name, life, &mut known).await;
+            let end = session(&node, control, &place, life, &mut known).await;
+            if end != End::Moved {
+                known.ended(control);
+            }
             // A session that worked is looked for again at once elsewhere; one that never did, ever more slowly.
-            pause = if is_heard { FIRST_PAUSE } else { (pause * 2).min(LAST_PAUSE) };
+            pause = if end == End::Deaf { (pause * 2).min(LAST_PAUSE) } else { FIRST_PAUSE };
         }
         at = at.wrapping_add(1);
         tokio::time::sleep(std::time::Duration::from_millis(pause)).await;
     }
 }
 
-/// One session; returns whether the control node ever spoke.
-async fn session(node: &Node, inner: SocketAddr, name: &str, life: u64, known: &mut Vec<SocketAddr>) -> bool {
-    let Ok(mut stream) = wv_http::connect(inner, CONNECT).await else { return false };
+/// How a session ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The control node never spoke.
+    Deaf,
+    Over,
+    /// There is one in the own zone.
+    Moved,
+}
+
+fn over(is_heard: bool) -> End {
+    if is_heard {
+        End::Over
+    } else {
+        End::Deaf
+    }
+}
+
+async fn session(node: &Node, control: SocketAddr, place: &Shared, life: u64, known: &mut Known) -> End {
+    let (name, zone, port) = (place.borrow().node.clone(), place.borrow().zone.clone(), place.borrow().inner_port);
+    let inner = SocketAddr::new(control.ip(), port);
+    let Ok(mut stream) = wv_http::connect(inner, CONNECT).await else { return End::Deaf };
     wv_http::tune(&stream, SILENT);
     let (follow_life, follow_place) = node.core.borrow().place();
     let mut out = Vec::new();
-    let hello = Msg::Hello { node: name.to_owned(), control: String::new(), life };
+    let hello = Msg::Hello { node: name, control: String::new(), zone: zone.clone(), life };
     wv_inner::put_frame(&mut out, &hello);
     wv_inner::put_frame(&mut out, &Msg::Follow { life: follow_life, place: follow_place });
+    wv_inner::put_frame(&mut out, &Msg::Sights(node.core.borrow_mut().take_sights(Telling::Whole)));
     let (mut buf, mut is_heard, mut beats) = (Vec::new(), false, 0u32);
     let mut heard = tokio::time::Instant::now();
     let mut ticks = tokio::time::interval(BEAT);
@@ -62,28 +124,32 @@
     loop {
         if !out.is_empty() {
             if stream.write_all(&out).await.is_err() {
-                return is_heard;
+                return over(is_heard);
             }
             out.clear();
         }
         tokio::select! {
             read = stream.read_buf(&mut buf) => match read {
                 Ok(len) if len > 0 => heard = tokio::time::Instant::now(),
-                _ => return is_heard,
+                _ => return over(is_heard),
             },
             _ = ticks.tick() => {
                 if heard.elapsed() > SILENT {
-                    return is_heard;
+                    return over(is_heard);
+                }
+                if is_heard && known.prefers_near() && !known.near.contains(&control) {
+                    return End::Moved;
                 }
                 beats += 1;
                 wv_inner::put_frame(&mut out, &Msg::Here);
-                let sights = node.core.borrow_mut().take_sights(beats % WHOLE_EVERY == 0);
+                let telling = if beats % ROUND_EVERY == 0 { Telling::Round } else { Telling::Beat };
+                let sights = node.core.borrow_mut().take_sights(telling);
                 if !sights.is_empty() {
                     wv_inner::put_frame(&mut out, &Msg::Sights(sights));
                 }
             }
             _ = node.sights.notified() => {
-                let sights = node.core.borrow_mut().take_sights(false);
+                let sights = node.core.borrow_mut().take_sights(Telling::Changes);
                 if !sights.is_empty() {
                     wv_inner::put_frame(&mut out, &Msg::Sights(sights));
                 }
@@ -92,17 +158,15 @@
         loop {
             match wv_inner::cut_frame(&buf) {
                 Ok(None) => break,
-                Err(_) => return is_heard,
+                Err(_) => return over(is_heard),
                 Ok(Some((msg, len))) => {
                     buf.drain(..len);
                     is_heard = true;
                     match msg {
                         // It lost the majority: what it publishes may be old.
-                        Msg::Beat { fresh: false } => return false,
+                        Msg::Beat { fresh: false } => return End::Deaf,
                         Msg::Beat { .. } => {}
-                        Msg::Peers { addrs, .. } => {
-                            *known = addrs.iter().filter_map(|addr| addr.parse().ok()).collect();
-                        }
+                        Msg::Peers { addrs, zones, .. } => known.learn(&addrs, &zones, &zone),
                         msg => {
                             if node.with(|core, now| core.feed(msg, now)).is_err() {
                                 wv_inner::put_frame(&mut out, &Msg::Follow { life: 0, place: 0 });
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -2,7 +2,7 @@
 use crate::core::Core;
 use crate::types::Phase;
 use wv_check::Spot;
-use wv_inner::{Msg, News, Sighting};
+use wv_inner::{Msg, News};
 
 /// A connection is old after this.
 const RECYCLE_US: u64 = 1_800_000_000;
@@ -84,38 +84,6 @@
         (self.follower.life, self.follower.place)
     }
 
-    /// Sightings that changed since the last call; all of them with `is_whole`.
-    pub fn take_sights(&mut self, is_whole: bool) -> Vec<Sighting> {
-        if !std::mem::take(&mut self.sights_due) && !is_whole {
-            return Vec::new();
-        }
-        let (now, pools) = (self.now, &self.pools);
-        let mut sights = Vec::new();
-        for (service, checker) in self.checks.iter() {
-            let fenced = checker.fenced.settled();
-            for (seat, member) in checker.members().filter(|(_, member)| !member.inst.gone) {
-                let is_standing = pools.get(&Spot { service, seat }).is_some_and(|pool| pool.all > pool.opening);
-                // Only what was seen is told: down once it is agreed on, up where a connection stands.
-                let is_silent = !member.is_isolated() && member.sight == wv_inner::Sight::Dark;
-                if !member.is_isolated() && !is_standing && !is_silent {
-                    continue;
-                }
-                sights.push(Sighting {
-                    id: member.inst.id.clone(),
-                    sight: match (member.is_isolated(), is_silent) {
-                        (true, _) => member.sight,
-                        (false, true) => wv_inner::Sight::Silent,
-                        (false, false) => wv_inner::Sight::Up,
-                    },
-                    since_us: now.saturating_sub(member.since),
-                    fenced: fenced.map(|(_, pos)| pos.to_string()).unwrap_or_default(),
-                    fenced_ago_us: fenced.map_or(0, |(sent, _)| now.saturating_sub(sent)),
-                });
-            }
-        }
-        sights
-    }
-
     pub fn set_grace(&mut self, grace_us: u64) {
         self.grace_us = grace_us;
     }
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -86,7 +86,12 @@
         let mut core = Core::new(&boot.zone, boot.grace_us);
         core.set_ease(options.ease);
         let node = Node::new(core);
-        let place = Place { node: boot.node.clone(), seeds: boot.seeds.clone(), inner_port: boot.inner_port };
+        let place = Place {
+            node: boot.node.clone(),
+            zone: boot.zone.clone(),
+            seeds: boot.seeds.clone(),
+            inner_port: boot.inner_port,
+        };
         let place: Shared = std::rc::Rc::new(std::cell::RefCell::new(place));
         let clients_max = boot.clients_max();
         let probed = node.clone();
--- /dev/null
+++ b/crates/wv-access/src/sights.rs
@@ -0,0 +1,67 @@
+//! What this node tells the control side of the databases that it uses.
+use crate::core::Core;
+use wv_check::Spot;
+use wv_inner::{Sight, Sighting};
+
+/// How much is told at one time.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Telling {
+    /// What changed since it was last told.
+    Changes,
+    /// With a beat: also who leads and is about to leave, as a promotion waits for that.
+    Beat,
+    /// Now and then: also what ages, bad sightings and who leads.
+    Round,
+    /// At the start of a session: everything.
+    Whole,
+}
+
+impl Core {
+    pub fn take_sights(&mut self, telling: Telling) -> Vec<Sighting> {
+        if !std::mem::take(&mut self.sights_due) && telling == Telling::Changes {
+            return Vec::new();
+        }
+        if telling == Telling::Whole {
+            self.told.clear();
+        }
+        let (now, pools) = (self.now, &self.pools);
+        let mut sights = Vec::new();
+        for (service, checker) in self.checks.iter() {
+            let fenced = checker.fenced.settled();
+            for (seat, member) in checker.members() {
+                let spot = Spot { service, seat };
+                let is_standing = pools.get(&spot).is_some_and(|pool| pool.all > pool.opening);
+                // Only what was seen is told: down once it is agreed on, up where a connection stands.
+                let is_silent = !member.is_isolated() && member.sight == Sight::Dark;
+                let sight = match (member.inst.gone, member.is_isolated(), is_silent) {
+                    (true, _, _) => Sight::Unseen,
+                    (_, true, _) => member.sight,
+                    (_, _, true) => Sight::Silent,
+                    _ if is_standing => Sight::Up,
+                    _ => Sight::Unseen,
+                };
+                let told = self.told.get(&spot).copied().unwrap_or(Sight::Unseen);
+                let is_leader = checker.leader() == Some(seat);
+                let ages = match sight {
+                    Sight::Unseen => false,
+                    Sight::Up => is_leader && fenced.is_some(),
+                    _ => true,
+                };
+                let least = if is_leader && member.inst.draining { Telling::Beat } else { Telling::Round };
+                if sight == told && !(ages && telling >= least) {
+                    continue;
+                }
+                self.told.insert(spot, sight);
+                let fenced = fenced.filter(|_| is_leader);
+                sights.push(Sighting {
+                    id: member.inst.id.clone(),
+                    sight,
+                    since_us: now.saturating_sub(member.since),
+                    fenced: fenced.map(|(_, pos)| pos.to_string()).unwrap_or_default(),
+                    fenced_ago_us: fenced.map_or(0, |(sent, _)| now.saturating_sub(sent)),
+                });
+            }
+        }
+        sights
+    }
+}
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -50,6 +50,7 @@
 pub struct Start {
     pub me: String,
     pub node: String,
+    pub zone: String,
     pub life: u64,
     pub seeds: Vec<String>,
     pub is_first: bool,
@@ -71,6 +72,7 @@
     pub(crate) now: u64,
     pub(crate) me: String,
     pub(crate) node: String,
+    pub(crate) zone: String,
     pub(crate) life: u64,
     pub(crate) seeds: Vec<String>,
     pub(crate) store: Store,
@@ -102,7 +104,10 @@
     pub(crate) conf: Option<wv_conf::Conf>,
     pub(crate) duties: BTreeMap<String, wv_promo::Duty>,
     pub(crate) fences: BTreeMap<String, u64>,
-    pub(crate) sights: BTreeMap<String, (u64, Vec<wv_inner::Sighting>)>,
+    /// What each node last said of each database, and when.
+    pub(crate) sights: BTreeMap<String, BTreeMap<String, (u64, wv_inner::Sighting)>>,
+    /// The live control nodes when words were last handed over.
+    pub(crate) holders: Vec<String>,
     /// When databases left, and when each service last came to be led by another.
     pub(crate) left: BTreeMap<String, u64>,
     pub(crate) led: BTreeMap<String, u64>,
@@ -136,6 +141,7 @@
             feed: Feed::new(own_life(start.life, &start.me)),
             me: start.me,
             node: start.node,
+            zone: start.zone,
             life: start.life,
             seeds: start.seeds,
             store,
@@ -162,6 +168,7 @@
             duties: BTreeMap::new(),
             fences: BTreeMap::new(),
             sights: BTreeMap::new(),
+            holders: Vec::new(),
             left: BTreeMap::new(),
             led: BTreeMap::new(),
             born: 0,
@@ -225,23 +232,4 @@
     pub(crate) fn ret(&mut self, token: u64, status: u16, body: impl Into<Vec<u8>>) {
         self.acts.push(Act::Return { token, status, body: body.into() });
     }
-
-    /// SIGTERM: sessions are sent elsewhere; calls are served on until the end.
-    pub fn leave(&mut self, now: u64) {
-        self.now = self.now.max(now);
-        self.is_leaving = true;
-        self.beat_followers();
-    }
-
-    /// Whether cautious work that can wait prefers to run now.
-    pub fn set_window(&mut self, is_open: bool) {
-        self.is_window_open = is_open;
-    }
-
-    pub fn set_seeds(&mut self, seeds: Vec<String>) {
-        for addr in seeds.iter().filter(|addr| **addr != self.me) {
-            self.peers.entry(addr.clone()).or_default();
-        }
-        self.seeds = seeds;
-    }
 }
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -11,6 +11,8 @@
 /// A node that has just started first hears who is there.
 const SETTLE_US: u64 = 800_000;
 
+/// In a large fleet a few that agree are enough: each sees only what it uses.
+const WITNESSES_MAX: usize = 4;
 /// How long nodes may count on a writer after the platform was called.
 const PROMOTING_US: u64 = 1_500_000;
 
@@ -20,8 +22,15 @@
 
 impl Core {
     pub(crate) fn take_sights(&mut self, node: &str, sights: Vec<Sighting>) {
-        let is_bad = sights.iter().any(|sight| sight.sight != Sight::Up);
-        self.sights.insert(node.to_owned(), (self.now, sights.clone()));
+        let is_bad = sights.iter().any(|sight| !matches!(sight.sight, Sight::Up | Sight::Unseen));
+        for sight in &sights {
+            let words = self.sights.entry(sight.id.clone()).or_default();
+            if sight.sight == Sight::Unseen {
+                words.remove(node);
+            } else {
+                words.insert(node.to_owned(), (self.now, sight.clone()));
+            }
+        }
         self.watch_falls(&sights);
         // Bad news is acted on at once rather than at the next turn.
         if is_bad {
@@ -30,13 +39,11 @@
     }
 
     /// Each node's word on `id`: the sighting and how old it is.
-    fn words<'a>(&'a self, id: &'a str) -> impl Iterator<Item = (&'a Sighting, u64)> {
+    fn words<'a>(&'a self, id: &str) -> impl Iterator<Item = (&'a Sighting, u64)> {
         let now = self.now;
-        self.sights
-            .values()
-            .filter(move |(at, _)| at + SIGHT_US > now)
-            .flat_map(move |(at, sights)| sights.iter().map(move |sight| (sight, now - at)))
-            .filter(move |(sight, _)| sight.id == id)
+        let words = self.sights.get(id).into_iter().flat_map(|words| words.values());
+        let is_live = move |(at, sight): &&(u64, Sighting)| at + SIGHT_US > now || sight.sight == Sight::Up;
+        words.filter(is_live).map(move |(at, sight)| (sight, now - at))
     }
 
     /// Several nodes agree, though not all need to: one cut link is no reason, one blind node no hindrance.
@@ -44,7 +51,7 @@
         let is_bad = |sight: &Sighting| matches!(sight.sight, Sight::Refused | Sight::Dark);
         let down = self.words(id).filter(|(sight, _)| is_bad(sight)).count();
         let nodes = self.roster.nodes().len();
-        down >= nodes.div_ceil(4).clamp(2, 8).min(nodes.max(1))
+        down >= nodes.div_ceil(4).clamp(2, WITNESSES_MAX).min(nodes.max(1))
     }
 
     fn refused_us(&self, id: &str) -> Option<u64> {
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -13,6 +13,7 @@
 mod types;
 mod voter;
 mod voters;
+mod words;
 
 pub use crate::core::{Act, Core, Start};
 pub use run::run;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -20,7 +20,10 @@
         self.now = self.now.max(now);
         let Some(addr) = self.links.get(&link).and_then(|held| held.peer.clone()) else { return };
         self.peers.get_mut(&addr).into_iter().for_each(|peer| peer.is_up = true);
-        self.send(link, Msg::Hello { node: self.node.clone(), control: self.me.clone(), life: self.life });
+        self.send(
+            link,
+            Msg::Hello { node: self.node.clone(), control: self.me.clone(), zone: self.zone.clone(), life: self.life },
+        );
         self.send(link, self.peers_msg());
         let ask = self.quorum.next_ask();
         self.send(link, Msg::Ping { ask });
@@ -39,7 +42,6 @@
         let is_elsewhere = |node: &str| self.links.values().any(|link| link.node.as_deref() == Some(node));
         if let Some(node) = held.node.filter(|node| !is_elsewhere(node)) {
             self.roster.leave(&node);
-            self.tell_nodes();
         }
     }
 
@@ -51,7 +53,7 @@
             self.roster.peer(addr, self.now);
         }
         match (msg, peer, node) {
-            (Msg::Hello { node, control, .. }, _, _) => self.hello(link, node, control),
+            (Msg::Hello { node, control, zone, .. }, _, _) => self.hello(link, node, control, zone),
             (msg, Some(addr), _) => self.peer_msg(link, &addr, msg),
             (msg, None, Some(node)) => self.node_msg(link, &node, msg),
             (_, None, None) => self.acts.push(crate::Act::Close { link }),
@@ -59,15 +61,15 @@
         self.run_quorum();
     }
 
-    fn hello(&mut self, link: u64, node: String, control: String) {
+    fn hello(&mut self, link: u64, node: String, control: String, zone: String) {
         let is_control = !control.is_empty();
         if is_control {
             self.know_peer(control.clone());
+            self.peers.get_mut(&control).into_iter().for_each(|peer| peer.zone = zone.clone());
             self.links.insert(link, Link { peer: Some(control), node: None, is_follower: false, awaited: None });
         } else {
             self.roster.beat(&node, self.now);
             self.links.insert(link, Link { peer: None, node: Some(node), is_follower: false, awaited: None });
-            self.tell_nodes();
         }
         self.send(link, self.peers_msg());
     }
@@ -90,10 +92,7 @@
                 }
                 self.serve_follows();
             }
-            Msg::Sights(sights) => {
-                self.send_peers(&Msg::PeerSights { node: node.to_owned(), sights: sights.clone() });
-                self.take_sights(node, sights);
-            }
+            Msg::Sights(sights) => self.hear_sights(node, sights),
             _ => self.acts.push(crate::Act::Close { link }),
         }
     }
@@ -120,7 +119,7 @@
 
     fn peer_msg(&mut self, link: u64, addr: &str, msg: Msg) {
         match msg {
-            Msg::Peers { addrs, voters, before } => {
+            Msg::Peers { addrs, voters, before, .. } => {
                 addrs.into_iter().for_each(|addr| self.know_peer(addr));
                 self.learn_voters(&voters, &before);
                 // Who speaks of an older set is told of the newest.
@@ -131,7 +130,6 @@
             }
             Msg::Sessions { nodes } => {
                 self.roster.peer_sessions(addr, nodes, self.now);
-                self.tell_nodes();
             }
             Msg::Ping { ask } => {
                 let conf = self.store.get(crate::core::CONF).map_or(0, |cell| cell.sequence);
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -83,6 +83,7 @@
     let start = Start {
         me: addr.to_string(),
         node: boot.node.clone(),
+        zone: boot.zone.clone(),
         life: wv_proc::life(),
         seeds,
         is_first: boot.initial_start,
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -28,6 +28,7 @@
             self.pull();
             self.tell_sessions();
             self.beat_followers();
+            self.forget_words();
         }
         // Outside its window a sweep is rarer, never absent; links that come up compare at once in any case.
         let gap = if self.is_window_open { REPAIR_US } else { REPAIR_SHUT_US };
@@ -49,6 +50,7 @@
         self.serve_follows();
         self.keep_table();
         self.roster.tick(self.now);
+        self.settle_holders();
         self.run_voters();
         self.run_duties();
         self.tell_nodes();
@@ -110,4 +112,23 @@
             self.publish(News::Nodes(nodes));
         }
     }
+
+    /// SIGTERM: sessions are sent elsewhere; calls are served on until the end.
+    pub fn leave(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        self.is_leaving = true;
+        self.beat_followers();
+    }
+
+    /// Whether cautious work that can wait prefers to run now.
+    pub fn set_window(&mut self, is_open: bool) {
+        self.is_window_open = is_open;
+    }
+
+    pub fn set_seeds(&mut self, seeds: Vec<String>) {
+        for addr in seeds.iter().filter(|addr| **addr != self.me) {
+            self.peers.entry(addr.clone()).or_default();
+        }
+        self.seeds = seeds;
+    }
 }
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -21,6 +21,7 @@
     pub set: u64,
     pub disk: Option<u64>,
     pub since: u64,
+    pub zone: String,
 }
 
 pub(crate) enum Waiting {
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -13,8 +13,10 @@
 impl Core {
     pub(crate) fn peers_msg(&self) -> Msg {
         let is_worth = |addr: &&String| self.peers.get(*addr).is_some_and(|peer| peer.is_up) || self.is_named(addr);
-        let addrs = self.peers.keys().filter(is_worth).cloned().chain([self.me.clone()]).collect();
-        Msg::Peers { addrs, voters: self.seat.voters.clone(), before: self.seat.before.clone() }
+        let zone = |addr: &String| self.peers.get(addr).map_or(self.zone.clone(), |peer| peer.zone.clone());
+        let addrs: Vec<String> = self.peers.keys().filter(is_worth).cloned().chain([self.me.clone()]).collect();
+        let zones = addrs.iter().map(zone).collect();
+        Msg::Peers { addrs, zones, voters: self.seat.voters.clone(), before: self.seat.before.clone() }
     }
 
     fn is_named(&self, addr: &str) -> bool {
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -2,6 +2,7 @@
 use crate::nodes::End;
 use crate::world::{Ev, World, HOP};
 use crate::MS;
+use wv_access::Telling;
 use wv_inner::Msg;
 
 impl World {
@@ -13,8 +14,8 @@
         let (place, node) = (core.place(), &mut self.access[at]);
         if let Some(end) = node.session.filter(|_| node.heard + 1300 * MS > now) {
             node.beats += 1;
-            let is_whole = node.beats % 10 == 0;
-            let sights = node.core.as_mut().map(|core| core.take_sights(is_whole)).unwrap_or_default();
+            let telling = if node.beats % 10 == 0 { Telling::Round } else { Telling::Beat };
+            let sights = node.core.as_mut().map(|core| core.take_sights(telling)).unwrap_or_default();
             self.put(HOP, Ev::Link { to: end, msg: Msg::Here });
             if !sights.is_empty() {
                 self.put(HOP, Ev::Link { to: end, msg: Msg::Sights(sights) });
@@ -32,8 +33,13 @@
         let end = End::Control { at: to, link, life: self.controls[to].life };
         self.controls[to].far.insert(link, End::Access { at, life, turn });
         (self.access[at].session, self.access[at].heard) = (Some(end), now);
-        self.put(HOP, Ev::Link { to: end, msg: Msg::Hello { node: name, control: String::new(), life } });
+        self.put(
+            HOP,
+            Ev::Link { to: end, msg: Msg::Hello { node: name, control: String::new(), zone: String::new(), life } },
+        );
         self.put(HOP, Ev::Link { to: end, msg: Msg::Follow { life: place.0, place: place.1 } });
+        let sights = self.access[at].core.as_mut().map(|core| core.take_sights(Telling::Whole)).unwrap_or_default();
+        self.put(HOP, Ev::Link { to: end, msg: Msg::Sights(sights) });
     }
 
     pub(crate) fn dial(&mut self, at: usize, link: u64, addr: &str) {
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -110,6 +110,7 @@
         let start = wv_control::Start {
             me: node.addr.clone(),
             node: node.name.clone(),
+            zone: format!("z{}", at % 3),
             // As in a process: the time of the start, the same for all that start together.
             life: self.now,
             seeds: node.seeds.clone(),
@@ -141,7 +142,7 @@
         let ret = event(core, now);
         let acts = core.take_acts();
         let next = core.next_limit();
-        let sights = if core.has_sights() { core.take_sights(false) } else { Vec::new() };
+        let sights = if core.has_sights() { core.take_sights(wv_access::Telling::Changes) } else { Vec::new() };
         acts.into_iter().for_each(|act| self.access_act(at, act));
         if let Some(next) = next.filter(|next| *next < self.access[at].armed) {
             self.access[at].armed = next;
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -37,9 +37,12 @@
     Dark,
     /// It has work and says nothing; not yet looked at.
     Silent,
+    /// This node has no view of it any more.
+    Unseen,
 }
 
-/// One node's word on one database; `since_us` says how long the sighting has stood.
+/// One node's word on one database; `since_us` says how long the sighting has stood. Good words are told once and
+/// stand until they change; bad ones, and those on who leads, are told again and again.
 #[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug)]
 pub struct Sighting {
     pub id: String,
@@ -96,6 +99,7 @@
     Hello {
         node: String,
         control: String,
+        zone: String,
         life: u64,
     },
     /// An access node follows the feed of `life` from `place` on.
@@ -122,6 +126,8 @@
     /// Control nodes tell each other: known control addresses, the newest settled voters and those before them.
     Peers {
         addrs: Vec<String>,
+        /// The zone of each of `addrs`, empty where it is not known.
+        zones: Vec<String>,
         voters: Voters,
         before: Voters,
     },
--- a/crates/wv-roster/src/lib.rs
+++ b/crates/wv-roster/src/lib.rs
@@ -67,6 +67,11 @@
         self.sessions.keys().chain(theirs).map(String::as_str).collect()
     }
 
+    /// The addresses of all live control nodes but this one.
+    pub fn controls(&self) -> Vec<String> {
+        self.peers.keys().cloned().collect()
+    }
+
     pub fn live_peers(&self) -> usize {
         self.peers.len()
     }
