--- a/crates/wv-access/src/answer.rs
+++ b/crates/wv-access/src/answer.rs
@@ -47,6 +47,9 @@
     pub(crate) fn pass(&mut self, id: u64, state: u8, pos: Option<Pos>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.ask.is_open = false;
+        let tenant = client.tenant;
+        self.close_share(tenant);
+        let Some(client) = self.clients.get_mut(&id) else { return };
         let verb = client.ask.verb();
         let state = match client.txn.as_mut() {
             None => b'I',
@@ -72,6 +75,9 @@
     pub(crate) fn fail(&mut self, id: u64, code: Code, text: &str, state: u8) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.ask.is_open = false;
+        let tenant = client.tenant;
+        self.close_share(tenant);
+        let Some(client) = self.clients.get_mut(&id) else { return };
         // Rows went out already: nothing but a cut says clearly that the rest does not come.
         if client.ask.is_streamed {
             return self.close_client(id);
@@ -99,6 +105,8 @@
         let Some(client) = self.clients.get(&id) else { return };
         let code = client.ask.last_code.filter(|code| code.is_unrun()).unwrap_or(Code::Congested);
         let wait_ms = client.ask.lane.as_ref().map_or(100, |lane| (lane.target_us / 1000).clamp(20, 1000));
+        let wait_ms = self.come_back_ms(id).unwrap_or(wait_ms);
+        let Some(client) = self.clients.get(&id) else { return };
         let state = if client.txn.is_some() { b'E' } else { b'I' };
         self.fail(id, code, &format!("not run, retry after {wait_ms} ms"), state);
     }
--- a/crates/wv-access/src/care.rs
+++ b/crates/wv-access/src/care.rs
@@ -21,6 +21,7 @@
             conf.services.keys().for_each(|name| {
                 self.checks.service(name);
             });
+            self.set_tenants(&conf);
             self.conf = Some(Rc::new(conf));
             self.set_up_awaited();
         }
--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -6,6 +6,8 @@
 use wv_conf::Lane;
 use wv_wire::{cut_line, ClientLine, Code, Text};
 
+/// More of the word that names a client is not kept.
+const WHO_MAX: usize = 128;
 /// A client that does not read its returns is not read from beyond this.
 const HELD_OUT_MAX: usize = 64 << 10;
 
@@ -15,6 +17,8 @@
         let id = self.fresh_id();
         let client = Client {
             database: None,
+            who: String::new(),
+            tenant: 0,
             inbuf: Vec::new(),
             out: Vec::new(),
             session: Default::default(),
@@ -82,7 +86,9 @@
         let Some(client) = self.clients.get_mut(&id) else { return };
         let is_set_up = client.database.is_some();
         match ClientLine::parse(line) {
-            ClientLine::Setup { database, .. } if !is_set_up => {
+            ClientLine::Setup { database, who } if !is_set_up => {
+                let who = &who[..who.len().min(WHO_MAX)];
+                client.who = String::from_utf8_lossy(who).into_owned();
                 let database = String::from_utf8_lossy(database).into_owned();
                 match &self.conf {
                     // Just started: which databases there are is not known yet. The client is not sent away for it.
@@ -102,6 +108,10 @@
     fn set_up(&mut self, id: u64, database: String) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.database = Some(database);
+        if !self.seat_session(id) {
+            return self.end_with(id, Code::Congested, "too many sessions, come back after 1000 ms");
+        }
+        let Some(client) = self.clients.get_mut(&id) else { return };
         wv_wire::put_idle(&mut client.out, b'I', None);
         self.acts.push(Act::WriteClient(id));
     }
@@ -207,6 +217,10 @@
         ask.ret.clear();
         let schedule = Schedule::Expiry { client: id, number: ask.number };
         self.schedules.put(ask.limit, schedule);
+        let tenant = client.tenant;
+        if !self.open_share(tenant) {
+            return self.refuse(id);
+        }
         self.offer(id);
     }
 
@@ -214,6 +228,12 @@
     pub fn client_gone(&mut self, id: u64, now: u64) {
         self.now = self.now.max(now);
         let Some(client) = self.clients.remove(&id) else { return };
+        if client.database.is_some() {
+            self.unseat_session(client.tenant);
+        }
+        if client.ask.is_open {
+            self.close_share(client.tenant);
+        }
         let txn_db = client.txn.as_ref().and_then(|txn| txn.db);
         // A return that is under way has nobody to go to: its connection is in doubt.
         match client.ask.db.filter(|_| client.ask.is_open) {
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -31,6 +31,8 @@
     pub slowest: [wv_ease::Slowest; 2],
     /// When its line is next served while it is being eased in.
     pub wake_at: u64,
+    /// Who of the tenants holds and is owed what there.
+    pub line: wv_share::Line,
 }
 
 /// All state of an access node. Events and time go in, acts come out.
@@ -63,6 +65,7 @@
     /// The ask that is just being taken out of a waiting line.
     pub(crate) served: Option<u64>,
     pub(crate) eases: Map<Spot, wv_ease::Ease>,
+    pub(crate) shares: crate::share::Shares,
 }
 
 impl Core {
@@ -91,6 +94,7 @@
             plan: wv_ease::Plan::default(),
             served: None,
             eases: Map::default(),
+            shares: Default::default(),
         }
     }
 
@@ -156,6 +160,7 @@
             code: None,
             is_doubtful: false,
             holder: None,
+            charge: None,
             since: self.now,
             opened: self.now,
         };
@@ -181,6 +186,7 @@
 
     pub(crate) fn forget_db(&mut self, db: u64) -> Option<Db> {
         let held = self.dbs.remove(&db)?;
+        self.uncharge(held.spot, held.charge);
         if let Some(pool) = self.pools.get_mut(&held.spot) {
             pool.all = pool.all.saturating_sub(1);
             if held.phase == Phase::Opening {
--- /dev/null
+++ b/crates/wv-access/src/ends.rs
@@ -0,0 +1,48 @@
+//! How the use of a connection ends: back to the pool, rolled back first, or closed.
+use crate::core::Core;
+use crate::types::{Expect, Phase, What};
+use crate::Act;
+use wv_wire::put_query;
+
+impl Core {
+    /// The connection stands at rest and in order: back to the pool.
+    pub(crate) fn free_db(&mut self, db: u64) {
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        let (spot, charge) = (held.spot, held.charge.take());
+        self.uncharge(spot, charge);
+        let Some(held) = self.dbs.get(&db) else { return };
+        let is_gone = self.checks.member(spot).is_none_or(|member| member.inst.gone || member.inst.id != held.id);
+        let is_over = self.pools.get(&spot).is_some_and(|pool| pool.all > self.cap(spot));
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        if held.is_doubtful || !held.expects.is_empty() || is_gone || is_over {
+            self.close_db(db);
+        } else {
+            held.phase = Phase::Idle;
+            held.holder = None;
+            held.since = self.now;
+            self.pools.entry(spot).or_default().idle.push(db);
+        }
+        self.serve_waiting(spot);
+    }
+
+    /// Rolls back what the connection holds and returns it to the pool.
+    pub(crate) fn abort_db(&mut self, db: u64) {
+        let now = self.now;
+        let Some(held) = self.dbs.get_mut(&db) else { return };
+        held.holder = None;
+        // With a return outstanding only its end is sure to roll back.
+        if held.expects.iter().any(|expect| matches!(expect.what, What::Ask { .. })) {
+            return self.drop_db(db);
+        }
+        put_query(&mut held.out, b"-", &[b"ABORT"]);
+        held.expects.push_back(Expect { what: What::Abort, sent: now, is_fenced: false });
+        self.acts.push(Act::WriteDb(db));
+    }
+
+    /// Nobody waits for what is under way on it: closed, never used again.
+    pub(crate) fn drop_db(&mut self, db: u64) {
+        let spot = self.dbs.get(&db).map(|held| held.spot);
+        self.close_db(db);
+        spot.into_iter().for_each(|spot| self.serve_waiting(spot));
+    }
+}
--- a/crates/wv-access/src/offer.rs
+++ b/crates/wv-access/src/offer.rs
@@ -9,7 +9,7 @@
 /// An ask that is not offered within this share of its target is refused.
 const OFFER_SHARE: u64 = 4;
 /// Waiting lines are short: who stands further back is refused at once.
-const WAITING_MAX: usize = 64;
+pub(crate) const WAITING_MAX: usize = 64;
 
 impl Core {
     /// Finds a place for the client's open ask.
@@ -48,13 +48,13 @@
             zone: &self.zone,
             refused: &ask.refused,
         };
-        decide(&self.checks, &question, &|spot| self.room(spot))
+        decide(&self.checks, &question, &|spot| self.room(spot, client.tenant))
     }
 
-    fn room(&self, spot: Spot) -> Room {
+    fn room(&self, spot: Spot, tenant: u16) -> Room {
         let Some(pool) = self.pools.get(&spot) else { return Room { outstanding: 0, is_free: true } };
         let outstanding = pool.all.saturating_sub(pool.idle.len() as u32 + pool.opening) + pool.waiting.len() as u32;
-        Room { outstanding, is_free: pool.waiting.len() < WAITING_MAX && self.may_start(spot) }
+        Room { outstanding, is_free: self.may_wait(spot, tenant) && self.may_start(spot) }
     }
 
     fn seat_ask(&mut self, id: u64, spot: Spot, minpos: Option<Pos>, is_wrapped: bool) {
@@ -62,7 +62,10 @@
         let is_next = !self.eases.contains_key(&spot)
             || self.served == Some(id)
             || self.pools.get(&spot).is_none_or(|pool| pool.waiting.is_empty());
+        self.note_asked(id, spot);
         let is_free = is_next && self.may_start(spot);
+        let (may_take, tenant) = (self.may_take(id, spot), self.clients.get(&id).map_or(0, |client| client.tenant));
+        let may_wait = self.may_wait(spot, tenant);
         let Some(client) = self.clients.get(&id) else { return };
         let pool = self.pools.entry(spot).or_default();
         // The connection that already fits is nominated first, the one used last among equals.
@@ -73,11 +76,12 @@
             .rev()
             .filter_map(|(at, db)| self.dbs.get(db).map(|held| (held.tie.gap(&client.session, client.ask.shape), at)))
             .min_by_key(|(gap, _)| *gap);
-        if let Some((_, at)) = fitting.filter(|_| is_free) {
+        if let Some((_, at)) = fitting.filter(|_| is_free && may_take) {
             let db = pool.idle.remove(at);
+            self.charge(id, db, spot);
             return self.send(id, db, minpos, is_wrapped);
         }
-        if pool.waiting.len() >= WAITING_MAX {
+        if !may_wait {
             return self.refuse(id);
         }
         pool.waiting.push_back(id);
@@ -156,13 +160,8 @@
             if !self.may_start(spot) {
                 return self.start_later(spot);
             }
-            let (pool, clients) = match self.pools.get_mut(&spot) {
-                Some(pool) => (pool, &self.clients),
-                None => return,
-            };
-            let precedence =
-                |id: &u64| clients.get(id).and_then(|client| client.ask.lane.as_ref()).map(|l| l.precedence);
-            let first = pool.waiting.iter().enumerate().min_by_key(|(at, id)| (precedence(id), *at)).map(|(at, _)| at);
+            let first = self.nominate_waiting(spot);
+            let Some(pool) = self.pools.get_mut(&spot) else { return };
             let Some(id) = first.and_then(|at| pool.waiting.remove(at)) else { return };
             self.clients.get_mut(&id).into_iter().for_each(|client| client.ask.queued = None);
             // Decided anew: what was nominated may have changed while it waited.
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -85,6 +85,7 @@
         let ready_listener = wv_http::listen(readiness).map_err(|error| AccessError::Listen(readiness, error))?;
         let mut core = Core::new(&boot.zone, boot.grace_us);
         core.set_ease(options.ease);
+        core.set_clients_max(boot.clients_max());
         let node = Node::new(core);
         let place = Place {
             node: boot.node.clone(),
@@ -98,6 +99,7 @@
         tokio::task::spawn_local(wv_http::serve(ready_listener, BODY_MAX, move |call| {
             let is_ready = probed.core.borrow().is_ready();
             std::future::ready(match (call.path.as_str(), is_ready) {
+                ("/tenants", _) => wv_http::Return::new(200, probed.core.borrow().tenants_json()),
                 ("/readiness", true) => wv_http::Return::new(200, "{\"ready\":true}"),
                 ("/readiness", false) => wv_http::Return::new(503, "{\"ready\":false}"),
                 _ => wv_http::Return::new(404, "{\"cause\":\"no such path\"}"),
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -102,6 +102,9 @@
 
 pub struct Client {
     pub database: Option<String>,
+    /// The word after the database's name, and the tenant that both make it one of.
+    pub who: String,
+    pub tenant: u16,
     /// The database it asked for before this node had a configuration.
     pub awaited: Option<String>,
     pub inbuf: Vec<u8>,
@@ -153,6 +156,8 @@
     pub is_doubtful: bool,
     /// The client whose transaction holds it.
     pub holder: Option<u64>,
+    /// Whose share its present use counts against.
+    pub charge: Option<crate::share::Charge>,
     pub since: u64,
     pub opened: u64,
 }
--- a/crates/wv-conf/src/lib.rs
+++ b/crates/wv-conf/src/lib.rs
@@ -1,6 +1,8 @@
 //! The operator's configuration: read whole, checked, and kept as sent.
+mod parts;
 mod path;
 
+pub use parts::{is_meant, Partner, Tenant, PARTS_MAX};
 pub use path::{PathError, Reader};
 
 /// Bounds on what a configuration may hold.
@@ -23,6 +25,14 @@
     SameService(String),
     #[error("more than {ENTRIES_MAX} entries")]
     TooMany,
+    #[error("{0} has more than {1} entries")]
+    TooManyOf(String, usize),
+    #[error("{0}: {1} is not known in this configuration")]
+    UnknownName(String, String),
+    #[error("{0}: {1} stands twice")]
+    SameLabel(String, String),
+    #[error("{0}: {1} belongs to {2} already")]
+    TwoPlaces(String, String, String),
 }
 
 /// Which databases may run a lane's reads.
@@ -65,6 +75,11 @@
     pub lanes: Vec<std::rc::Rc<Lane>>,
     pub services: hashbrown::HashMap<String, Service, ahash::RandomState>,
     pub limits: Limits,
+    /// Sections that may be absent; without them nothing is divided and nothing owned.
+    pub tenants: Vec<Tenant>,
+    pub partners: Vec<Partner>,
+    /// The services that are shared among partners.
+    pub shards: Vec<String>,
     hosts: hashbrown::HashMap<String, usize, ahash::RandomState>,
 }
 
@@ -152,7 +167,15 @@
             setup_us: ms_or(&reader, "limits.headerTimerMs", 3_000_000)?,
             txn_idle_us: ms_or(&reader, "limits.txnIdleMs", 3_000_000)?,
         };
-        Ok(Conf { sequence, lanes, services, limits, hosts })
+        let tenants = parts::tenants(&reader, |host| hosts.contains_key(host))?;
+        let partners = parts::partners(&reader)?;
+        let mut shards = parts::shards(&reader, |name| services.contains_key(name))?;
+        // Where partners are named and no shards, all services are shared.
+        if shards.is_empty() && !partners.is_empty() {
+            shards = services.keys().cloned().collect();
+        }
+        shards.sort();
+        Ok(Conf { sequence, lanes, services, limits, tenants, partners, shards, hosts })
     }
 
     /// The lane whose host is this database name.
--- a/crates/wv-conf/src/path.rs
+++ b/crates/wv-conf/src/path.rs
@@ -18,7 +18,7 @@
         Reader { value, base: String::new() }
     }
 
-    fn name(&self, path: &str) -> String {
+    pub fn name(&self, path: &str) -> String {
         if self.base.is_empty() {
             path.to_owned()
         } else {
--- a/crates/wv-fleet/src/load.rs
+++ b/crates/wv-fleet/src/load.rs
@@ -62,6 +62,12 @@
         self.loads.iter().fold((0, 0), |sum, load| (sum.0 + load.done, sum.1 + load.failed))
     }
 
+    /// The same for one lane.
+    pub fn lane_done(&self, lane: &str) -> (u32, u32) {
+        let loads = self.loads.iter().filter(|load| load.lane == lane);
+        loads.fold((0, 0), |sum, load| (sum.0 + load.done, sum.1 + load.failed))
+    }
+
     pub fn slowest(&self, lane: &str) -> u64 {
         self.loads.iter().filter(|load| load.lane == lane).map(|load| load.slowest_us).max().unwrap_or(0)
     }
