--- a/crates/wv-access/src/answer.rs
+++ b/crates/wv-access/src/answer.rs
@@ -142,7 +142,7 @@
         }
     }
 
-    fn strand_ask(&mut self, id: u64, number: u64) {
+    pub(crate) fn strand_ask(&mut self, id: u64, number: u64) {
         let is_open = |client: &crate::types::Client| client.ask.is_open && client.ask.number == number;
         let Some(client) = self.clients.get_mut(&id).filter(|client| is_open(client)) else { return };
         client.ask.db = None;
@@ -175,6 +175,9 @@
         if !client.ask.is_open || client.ask.number != number {
             return;
         }
+        if client.ask.hand.is_some() {
+            return self.expire_hand(id);
+        }
         let Some(db) = client.ask.db else { return self.refuse(id) };
         // Its return may still come: the connection can serve nobody else.
         self.acts.push(Act::CloseDb(db));
--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -19,6 +19,8 @@
             database: None,
             who: String::new(),
             tenant: 0,
+            hand: None,
+            guest: None,
             inbuf: Vec::new(),
             out: Vec::new(),
             session: Default::default(),
@@ -101,6 +103,7 @@
             }
             ClientLine::Query { id: query, text } if is_set_up => self.query(id, query, text),
             ClientLine::Release => self.close_client(id),
+            ClientLine::Unknown if client.guest.is_some() => self.guest_line(id, line),
             _ => self.end_with(id, Code::Malformed, "not understood"),
         }
     }
@@ -131,7 +134,7 @@
         }
     }
 
-    fn query(&mut self, id: u64, query: &[u8], text: &[u8]) {
+    pub(crate) fn query(&mut self, id: u64, query: &[u8], text: &[u8]) {
         let conf = self.conf.clone();
         let Some(client) = self.clients.get_mut(&id) else { return };
         // A changed lane binds from the next transaction on: an open one keeps its own.
@@ -210,6 +213,7 @@
         text.iter().for_each(|part| ask.text.extend_from_slice(part));
         (ask.verb, ask.shape, ask.at, ask.limit) = (Some(verb), shape, now, now + lane.expiry_us);
         (ask.tries, ask.db, ask.queued, ask.last_code, ask.is_streamed) = (0, None, None, None, false);
+        (ask.hand, ask.is_direct) = (None, false);
         ask.lane = Some(lane.clone());
         ask.waits_since = now;
         ask.first_byte = client.first_byte;
@@ -223,28 +227,4 @@
         }
         self.offer(id);
     }
-
-    /// The client's connection ended.
-    pub fn client_gone(&mut self, id: u64, now: u64) {
-        self.now = self.now.max(now);
-        let Some(client) = self.clients.remove(&id) else { return };
-        if client.database.is_some() {
-            self.unseat_session(client.tenant);
-        }
-        if client.ask.is_open {
-            self.close_share(client.tenant);
-        }
-        let txn_db = client.txn.as_ref().and_then(|txn| txn.db);
-        // A return that is under way has nobody to go to: its connection is in doubt.
-        match client.ask.db.filter(|_| client.ask.is_open) {
-            Some(db) => self.drop_db(db),
-            None => txn_db.into_iter().for_each(|db| self.abort_db(db)),
-        }
-    }
-
-    pub(crate) fn close_client(&mut self, id: u64) {
-        let out = self.clients.get_mut(&id).map(|client| std::mem::take(&mut client.out)).unwrap_or_default();
-        self.acts.push(Act::CloseClient(id, out));
-        self.client_gone(id, self.now);
-    }
 }
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -66,6 +66,7 @@
     pub(crate) served: Option<u64>,
     pub(crate) eases: Map<Spot, wv_ease::Ease>,
     pub(crate) shares: crate::share::Shares,
+    pub(crate) hands: crate::hands::Hands,
 }
 
 impl Core {
@@ -95,6 +96,7 @@
             served: None,
             eases: Map::default(),
             shares: Default::default(),
+            hands: Default::default(),
         }
     }
 
--- a/crates/wv-access/src/ends.rs
+++ b/crates/wv-access/src/ends.rs
@@ -1,4 +1,4 @@
-//! How the use of a connection ends: back to the pool, rolled back first, or closed.
+//! How the use of a connection ends: back to the pool, rolled back first, or closed; and how a client does.
 use crate::core::Core;
 use crate::types::{Expect, Phase, What};
 use crate::Act;
@@ -45,4 +45,39 @@
         self.close_db(db);
         spot.into_iter().for_each(|spot| self.serve_waiting(spot));
     }
+
+    /// The client's connection ended.
+    pub fn client_gone(&mut self, id: u64, now: u64) {
+        self.now = self.now.max(now);
+        let Some(client) = self.clients.remove(&id) else { return };
+        client.hand.into_iter().for_each(|hand| self.drop_hand(hand));
+        if let Some(guest) = client.guest {
+            self.hands.guests.remove(&guest);
+        }
+        if client.database.is_some() {
+            self.unseat_session(client.tenant);
+        }
+        if client.ask.is_open {
+            self.close_share(client.tenant);
+        }
+        let txn_db = client.txn.as_ref().and_then(|txn| txn.db);
+        // A return that is under way has nobody to go to: its connection is in doubt.
+        match client.ask.db.filter(|_| client.ask.is_open) {
+            Some(db) => self.drop_db(db),
+            None => txn_db.into_iter().for_each(|db| self.abort_db(db)),
+        }
+    }
+
+    pub(crate) fn close_client(&mut self, id: u64) {
+        if let Some((link, last)) = self.take_guest_out(id) {
+            if let wv_inner::Hand::Return { hand, .. } = last {
+                self.acts.push(Act::SendHand { link, msg: last });
+                self.acts.push(Act::SendHand { link, msg: wv_inner::Hand::End { hand } });
+            }
+            return self.client_gone(id, self.now);
+        }
+        let out = self.clients.get_mut(&id).map(|client| std::mem::take(&mut client.out)).unwrap_or_default();
+        self.acts.push(Act::CloseClient(id, out));
+        self.client_gone(id, self.now);
+    }
 }
--- a/crates/wv-access/src/exec.rs
+++ b/crates/wv-access/src/exec.rs
@@ -9,12 +9,14 @@
 const SILENT_DB: std::time::Duration = std::time::Duration::from_millis(900);
 const SILENT_CLIENT: std::time::Duration = std::time::Duration::from_secs(10);
 
-/// Shared by all tasks of a worker. Lock order: `core` first, then `socks`; neither is held over an await.
+/// Shared by all tasks of a worker. Lock order: `core` first, then `clients`, `dbs` or `hands`; neither is held over an await.
 #[derive(Clone)]
 pub struct Node {
     pub core: Rc<RefCell<Core>>,
     pub clients: Rc<RefCell<hashbrown::HashMap<u64, Rc<Sock>, ahash::RandomState>>>,
     pub dbs: Rc<RefCell<hashbrown::HashMap<u64, Rc<Sock>, ahash::RandomState>>>,
+    /// Links to other access nodes.
+    pub hands: Rc<RefCell<hashbrown::HashMap<u64, tokio::sync::mpsc::Sender<wv_inner::Hand>, ahash::RandomState>>>,
     pub wake: Rc<tokio::sync::Notify>,
     /// Told when sightings changed, so that the session sends them at once.
     pub sights: Rc<tokio::sync::Notify>,
@@ -28,6 +30,7 @@
             core: Rc::new(RefCell::new(core)),
             clients: Default::default(),
             dbs: Default::default(),
+            hands: Default::default(),
             wake: Rc::new(tokio::sync::Notify::new()),
             sights: Rc::new(tokio::sync::Notify::new()),
             armed: Rc::new(std::cell::Cell::new(u64::MAX)),
@@ -61,6 +64,10 @@
     fn act(&self, act: Act) {
         match act {
             Act::WriteClient(id) => {
+                let back = self.core.borrow_mut().take_guest_out(id);
+                if let Some((link, msg)) = back {
+                    return self.send_hand(link, msg);
+                }
                 let sock = self.clients.borrow().get(&id).cloned();
                 if let (Some(sock), Some(out)) = (sock, self.core.borrow_mut().client_out(id)) {
                     sock.write(out);
@@ -82,6 +89,10 @@
             Act::CloseDb(id) => {
                 self.dbs.borrow_mut().remove(&id).into_iter().for_each(|sock| sock.close());
             }
+            Act::DialHand { link, place } => {
+                tokio::task::spawn_local(self.clone().dial_hand(link, place));
+            }
+            Act::SendHand { link, msg } => self.send_hand(link, msg),
             Act::OpenDb { db, addr } => {
                 tokio::task::spawn_local(self.clone().open_db(db, addr));
             }
--- /dev/null
+++ b/crates/wv-access/src/hands.rs
@@ -0,0 +1,172 @@
+//! Shards owned by other nodes: their primary work is handed over to the owner, at most once, and else done here.
+use crate::core::{Core, Map};
+use crate::types::{Act, Verb};
+use wv_conf::Category;
+use wv_inner::{Hand, Owner};
+use wv_wire::put_query;
+
+/// A client's session at an owner.
+pub(crate) struct Out {
+    pub client: u64,
+    pub link: u64,
+    tie: wv_pool::Tie,
+    /// Returns that answer nothing of the client's.
+    pub swallow: u32,
+    pub buf: Vec<u8>,
+    /// An error line is being read; its code and text.
+    pub error: Option<(wv_wire::Code, Vec<u8>)>,
+}
+
+/// The way to one owner.
+#[derive(Default)]
+pub(crate) struct Way {
+    pub link: u64,
+    pub is_up: bool,
+    /// Asks that wait for the link to stand.
+    pub waiting: Vec<u64>,
+    pub failed_until: u64,
+}
+
+#[derive(Default)]
+pub(crate) struct Hands {
+    pub me: String,
+    pub owners: Map<u16, Owner>,
+    pub out: Map<u64, Out>,
+    pub ways: Map<String, Way>,
+    /// Sessions here of other nodes' clients: by link and hand, the client they are here.
+    pub guests: Map<(u64, u64), u64>,
+    /// Asks handed over since the start.
+    pub count: u64,
+}
+
+impl Core {
+    /// This node's own name, by which owners are known.
+    pub fn set_name(&mut self, name: &str) {
+        self.hands.me = name.to_owned();
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
+    pub(crate) fn own(&mut self, owner: Owner) {
+        let service = self.checks.service(&owner.service);
+        let is_newer = self.hands.owners.get(&service).is_none_or(|held| held.number < owner.number);
+        if is_newer {
+            self.hands.owners.insert(service, owner);
+        }
+    }
+
+    /// How many asks this node has handed over.
+    pub fn handed(&self) -> u64 {
+        self.hands.count
+    }
+
+    /// Which shards go through which node, as far as it is known here.
+    pub fn owners(&self) -> Vec<(String, String, u64)> {
+        let list = self.hands.owners.values();
+        list.map(|owner| (owner.service.clone(), owner.node.clone(), owner.number)).collect()
+    }
+
+    /// Where this ask is to be handed over to; nowhere if it is this node's own work.
+    fn owner_place(&self, id: u64) -> Option<&Owner> {
+        let conf = self.conf.as_ref().filter(|conf| !conf.partners.is_empty())?;
+        let client = self.clients.get(&id).filter(|client| client.guest.is_none())?;
+        let lane = client.ask.lane.as_ref().filter(|lane| lane.category == Category::Primary)?;
+        let is_here = client.ask.is_direct || client.txn.as_ref().is_some_and(|txn| txn.db.is_some() || txn.is_begun);
+        conf.shards.binary_search(&lane.service).ok().filter(|_| !is_here)?;
+        let owner = self.hands.owners.get(&self.checks.find(&lane.service)?)?;
+        let is_failed = self.hands.ways.get(&owner.place).is_some_and(|way| way.failed_until > self.now);
+        (owner.node != self.hands.me && !owner.place.is_empty() && !is_failed).then_some(owner)
+    }
+
+    /// Hands the open ask over, where that is to be done. `false` leaves it to this node.
+    pub(crate) fn try_hand(&mut self, id: u64) -> bool {
+        if let Some(hand) = self.clients.get(&id).and_then(|client| client.txn.as_ref()?.hand) {
+            self.hand_ask(id, hand);
+            return true;
+        }
+        let Some(place) = self.owner_place(id).map(|owner| owner.place.clone()) else { return false };
+        let link = match self.hands.ways.get(&place).filter(|way| way.link > 0) {
+            Some(way) => way.link,
+            None => {
+                let link = self.fresh_id();
+                self.hands.ways.insert(place.clone(), Way { link, ..Way::default() });
+                self.acts.push(Act::DialHand { link, place: place.clone() });
+                link
+            }
+        };
+        let Some(way) = self.hands.ways.get_mut(&place) else { return false };
+        if !way.is_up {
+            way.waiting.push(id);
+            self.give_time(id);
+            return true;
+        }
+        let held = self.clients.get(&id).and_then(|client| client.hand);
+        let hand = match held.filter(|hand| self.hands.out.get(hand).is_some_and(|out| out.link == link)) {
+            Some(hand) => hand,
+            None => self.open_hand(id, link),
+        };
+        self.hand_ask(id, hand);
+        true
+    }
+
+    fn open_hand(&mut self, id: u64, link: u64) -> u64 {
+        self.end_hand(id);
+        let hand = self.fresh_id();
+        let out = Out { client: id, link, tie: Default::default(), swallow: 0, buf: Vec::new(), error: None };
+        self.hands.out.insert(hand, out);
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.hand = Some(hand);
+            let (host, who) = (client.database.clone().unwrap_or_default(), client.who.clone());
+            self.acts.push(Act::SendHand { link, msg: Hand::Open { hand, host, who } });
+        }
+        hand
+    }
+
+    /// The client's session values and shapes, the beginning of its transaction where it is none yet, and its ask.
+    fn hand_ask(&mut self, id: u64, hand: u64) {
+        let (Some(client), Some(out)) = (self.clients.get_mut(&id), self.hands.out.get_mut(&hand)) else {
+            return self.retry_here(id);
+        };
+        let ask = &mut client.ask;
+        (ask.hand, ask.queued) = (Some(hand), None);
+        ask.ret.clear();
+        let mut lines = Vec::new();
+        out.swallow += wv_pool::sync(&mut lines, &mut out.tie, &client.session, ask.shape, &self.shapes) as u32;
+        if let Some(txn) = client.txn.as_mut() {
+            if txn.hand.is_none() {
+                let begin: &[u8] = if txn.only_reads { b"BEGIN READ" } else { b"BEGIN" };
+                put_query(&mut lines, &txn.begin_id, &[begin]);
+                out.swallow += 1;
+                txn.hand = Some(hand);
+            }
+            txn.may_have_written |= ask.verb() == Verb::Write;
+        }
+        put_query(&mut lines, &ask.id, &[&ask.text]);
+        self.hands.count += 1;
+        self.acts.push(Act::SendHand { link: out.link, msg: Hand::Ask { hand, lines } });
+    }
+
+    /// Ends the client's session at an owner; what is open there is rolled back.
+    pub(crate) fn end_hand(&mut self, id: u64) {
+        let hand = self.clients.get_mut(&id).and_then(|client| client.hand.take());
+        hand.into_iter().for_each(|hand| self.drop_hand(hand));
+    }
+
+    pub(crate) fn drop_hand(&mut self, hand: u64) {
+        if let Some(out) = self.hands.out.remove(&hand) {
+            self.acts.push(Act::SendHand { link: out.link, msg: Hand::End { hand } });
+        }
+    }
+
+    /// Rolls a handed-over transaction back, and keeps the session there.
+    pub(crate) fn abort_hand(&mut self, hand: u64) {
+        if let Some(out) = self.hands.out.get_mut(&hand) {
+            let mut lines = Vec::new();
+            put_query(&mut lines, b"-", &[b"ABORT"]);
+            out.swallow += 1;
+            self.acts.push(Act::SendHand { link: out.link, msg: Hand::Ask { hand, lines } });
+        }
+    }
+}
--- a/crates/wv-access/src/link.rs
+++ b/crates/wv-access/src/link.rs
@@ -22,6 +22,8 @@
     pub zone: String,
     pub seeds: Vec<SocketAddr>,
     pub inner_port: u16,
+    /// Where this node takes work handed over by others, empty where it does not.
+    pub hands: String,
 }
 
 pub type Shared = std::rc::Rc<std::cell::RefCell<Place>>;
@@ -113,7 +115,13 @@
     wv_http::tune(&stream, SILENT);
     let (follow_life, follow_place) = node.core.borrow().place();
     let mut out = Vec::new();
-    let hello = Msg::Hello { node: name, control: String::new(), zone: zone.clone(), life };
+    let hello = Msg::Hello {
+        node: name,
+        control: String::new(),
+        zone: zone.clone(),
+        place: place.borrow().hands.clone(),
+        life,
+    };
     wv_inner::put_frame(&mut out, &hello);
     wv_inner::put_frame(&mut out, &Msg::Follow { life: follow_life, place: follow_place });
     wv_inner::put_frame(&mut out, &Msg::Sights(node.core.borrow_mut().take_sights(Telling::Whole)));
@@ -141,7 +149,7 @@
                     return End::Moved;
                 }
                 beats += 1;
-                wv_inner::put_frame(&mut out, &Msg::Here);
+                wv_inner::put_frame(&mut out, &Msg::Here { leaving: node.core.borrow().is_leaving() });
                 let telling = if beats % ROUND_EVERY == 0 { Telling::Round } else { Telling::Beat };
                 let sights = node.core.borrow_mut().take_sights(telling);
                 if !sights.is_empty() {
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -69,6 +69,7 @@
             News::Ease { id, falls } => {
                 self.checks.spot(&id).into_iter().for_each(|spot| self.ease_in(spot, falls));
             }
+            News::Owner(owner) => self.own(owner),
             News::Nodes(nodes) => self.nodes = nodes.max(1),
         }
         Ok(())
--- a/crates/wv-access/src/offer.rs
+++ b/crates/wv-access/src/offer.rs
@@ -18,6 +18,9 @@
         if let Some(db) = client.txn.as_ref().and_then(|txn| txn.db) {
             return self.send(id, db, None, false);
         }
+        if self.try_hand(id) {
+            return;
+        }
         match self.decide(id) {
             Decision::Offer { spot, minpos, is_wrapped } => self.seat_ask(id, spot, minpos, is_wrapped),
             Decision::Wait => {
@@ -98,7 +101,7 @@
     }
 
     /// The ask may wait until its share of the target is over.
-    fn give_time(&mut self, id: u64) {
+    pub(crate) fn give_time(&mut self, id: u64) {
         if let Some(ask) = self.clients.get(&id).map(|client| &client.ask) {
             let at = self.offer_limit(id);
             self.schedules.put(at, Schedule::Offer { client: id, number: ask.number });
@@ -114,10 +117,10 @@
 
     /// The time for waiting is over.
     pub(crate) fn offer_again(&mut self, id: u64, number: u64) {
-        let is_waiting = self
-            .clients
-            .get(&id)
-            .is_some_and(|client| client.ask.is_open && client.ask.number == number && client.ask.db.is_none());
+        let is_waiting = self.clients.get(&id).is_some_and(|client| {
+            let ask = &client.ask;
+            ask.is_open && ask.number == number && ask.db.is_none() && ask.hand.is_none()
+        });
         if is_waiting && self.now >= self.offer_limit(id) {
             self.refuse(id);
         }
@@ -181,10 +184,10 @@
     pub(crate) fn serve_stranded(&mut self) {
         let stranded = std::mem::take(&mut self.stranded);
         for id in stranded {
-            let is_waiting = self
-                .clients
-                .get(&id)
-                .is_some_and(|client| client.ask.is_open && client.ask.db.is_none() && client.ask.queued.is_none());
+            let is_waiting = self.clients.get(&id).is_some_and(|client| {
+                let ask = &client.ask;
+                ask.is_open && ask.db.is_none() && ask.queued.is_none() && ask.hand.is_none()
+            });
             if is_waiting {
                 self.offer(id);
             }
--- /dev/null
+++ b/crates/wv-access/src/returns.rs
@@ -0,0 +1,166 @@
+//! What comes back of work handed over: returns, refusals, and the end of the way there.
+use crate::core::Core;
+use crate::types::Verb;
+
+/// An owner that could not be reached is not tried again for this long; its work is done here meanwhile.
+const FAILED_US: u64 = 500_000;
+
+impl Core {
+    /// Nothing of the ask has run elsewhere: it is done here.
+    pub(crate) fn retry_here(&mut self, id: u64) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.ask.hand = None;
+        client.ask.is_direct = true;
+        client.txn.iter_mut().for_each(|txn| txn.hand = None);
+        if client.ask.is_open {
+            self.offer(id);
+        }
+    }
+
+    /// The link to an owner stands.
+    pub fn hand_up(&mut self, link: u64, now: u64) {
+        self.now = self.now.max(now);
+        let Some(way) = self.hands.ways.values_mut().find(|way| way.link == link) else { return };
+        way.is_up = true;
+        let waiting = std::mem::take(&mut way.waiting);
+        self.offer_waiting(waiting);
+    }
+
+    fn offer_waiting(&mut self, waiting: Vec<u64>) {
+        for id in waiting {
+            let is_waiting = |client: &crate::types::Client| {
+                client.ask.is_open
+                    && client.ask.db.is_none()
+                    && client.ask.hand.is_none()
+                    && client.ask.queued.is_none()
+            };
+            if self.clients.get(&id).is_some_and(is_waiting) {
+                self.offer(id);
+            }
+        }
+    }
+
+    /// A link ended, from whichever side: what was handed over on it is stranded, what came over it is broken off.
+    pub fn hand_down(&mut self, link: u64, now: u64) {
+        self.now = self.now.max(now);
+        let mut waiting = Vec::new();
+        if let Some(way) = self.hands.ways.values_mut().find(|way| way.link == link) {
+            waiting = std::mem::take(&mut way.waiting);
+            (way.link, way.is_up, way.failed_until) = (0, false, now + FAILED_US);
+        }
+        let lost: Vec<u64> = self.hands.out.iter().filter(|(_, out)| out.link == link).map(|(hand, _)| *hand).collect();
+        lost.into_iter().for_each(|hand| self.strand_hand(hand));
+        let guests: Vec<u64> =
+            self.hands.guests.iter().filter(|((of, _), _)| *of == link).map(|(_, client)| *client).collect();
+        guests.into_iter().for_each(|client| self.client_gone(client, now));
+        self.offer_waiting(waiting);
+    }
+
+    /// The session at the owner is gone. Its transaction was not committed unless that was asked of it.
+    fn strand_hand(&mut self, hand: u64) {
+        let Some(out) = self.hands.out.remove(&hand) else { return };
+        let Some(client) = self.clients.get_mut(&out.client) else { return };
+        client.hand = client.hand.filter(|held| *held != hand);
+        let is_asked = client.ask.is_open && client.ask.hand == Some(hand);
+        client.ask.is_direct = true;
+        if let Some(txn) = client.txn.as_mut().filter(|txn| txn.hand == Some(hand)) {
+            txn.hand = None;
+            if !is_asked {
+                txn.fail = txn.fail.or(Some(crate::types::Fail::Untold));
+            }
+        }
+        if is_asked {
+            client.ask.hand = None;
+            let number = client.ask.number;
+            self.strand_ask(out.client, number);
+        }
+    }
+
+    /// The owner ended the session by itself.
+    pub(crate) fn hand_ended(&mut self, hand: u64) {
+        self.strand_hand(hand);
+    }
+
+    pub(crate) fn hand_refused(&mut self, hand: u64) {
+        let Some(out) = self.hands.out.remove(&hand) else { return };
+        let Some(client) = self.clients.get_mut(&out.client) else { return };
+        client.hand = client.hand.filter(|held| *held != hand);
+        if client.ask.hand == Some(hand) || client.txn.as_ref().is_some_and(|txn| txn.hand == Some(hand)) {
+            self.retry_here(out.client);
+        }
+    }
+
+    /// The open ask is over its limit while an owner works on it; its return may still come and is then nobody's.
+    pub(crate) fn expire_hand(&mut self, id: u64) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.ask.hand = None;
+        client.ask.is_direct = true;
+        client.txn.iter_mut().for_each(|txn| txn.hand = None);
+        let number = client.ask.number;
+        let is_read = client.txn.is_none() && client.ask.verb() == Verb::Read;
+        self.end_hand(id);
+        if is_read {
+            return self.fail(id, wv_wire::Code::Expired, "over the lane's limit", b'I');
+        }
+        self.strand_ask(id, number);
+    }
+
+    /// Bytes that an owner returned.
+    pub(crate) fn hand_returned(&mut self, hand: u64, bytes: &[u8]) {
+        let Some(out) = self.hands.out.get_mut(&hand) else { return };
+        out.buf.extend_from_slice(bytes);
+        if out.buf.len() > wv_wire::MESSAGE_MAX * 2 {
+            let client = out.client;
+            self.strand_hand(hand);
+            return self.end_hand(client);
+        }
+        while let Some(out) = self.hands.out.get_mut(&hand) {
+            let Some((line, len)) = wv_wire::cut_line(&out.buf) else { return };
+            let parsed = match wv_wire::DbLine::parse(line) {
+                wv_wire::DbLine::Idle(state, pos) => Some((state, pos)),
+                wv_wire::DbLine::Error(code, text) => {
+                    out.error = Some((code, text.to_vec()));
+                    None
+                }
+                _ => None,
+            };
+            let raw: Vec<u8> = out.buf.drain(..len).collect();
+            let (is_own, id) = (out.swallow > 0, out.client);
+            match parsed {
+                Some(_) if is_own => (out.swallow, out.error) = (out.swallow - 1, None),
+                Some((state, pos)) => {
+                    let error = out.error.take();
+                    self.hand_done(id, hand, error, state, pos);
+                }
+                None if is_own || out.error.is_some() => {}
+                None => {
+                    let client = self.clients.get_mut(&id).filter(|client| client.ask.hand == Some(hand));
+                    client.into_iter().for_each(|client| client.ask.ret.extend_from_slice(&raw));
+                }
+            }
+        }
+    }
+
+    fn hand_done(
+        &mut self,
+        id: u64,
+        hand: u64,
+        error: Option<(wv_wire::Code, Vec<u8>)>,
+        state: u8,
+        pos: Option<wv_wire::Pos>,
+    ) {
+        let Some(client) = self.clients.get_mut(&id).filter(|client| client.ask.is_open) else { return };
+        if client.ask.hand != Some(hand) {
+            return;
+        }
+        client.ask.hand = None;
+        // Whatever ends here ends the transaction there as well.
+        if state == b'I' {
+            client.txn.iter_mut().for_each(|txn| txn.hand = None);
+        }
+        match error {
+            None => self.pass(id, state, pos),
+            Some((code, text)) => self.fail(id, code, &String::from_utf8_lossy(&text), state),
+        }
+    }
+}
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -86,12 +86,15 @@
         let mut core = Core::new(&boot.zone, boot.grace_us);
         core.set_ease(options.ease);
         core.set_clients_max(boot.clients_max());
+        core.set_name(&boot.node);
         let node = Node::new(core);
+        let hands = boot.hands_addr();
         let place = Place {
             node: boot.node.clone(),
             zone: boot.zone.clone(),
             seeds: boot.seeds.clone(),
             inner_port: boot.inner_port,
+            hands: hands.map(|addr| addr.to_string()).unwrap_or_default(),
         };
         let place: Shared = std::rc::Rc::new(std::cell::RefCell::new(place));
         let clients_max = boot.clients_max();
@@ -106,6 +109,10 @@
             })
         }));
         tokio::task::spawn_local(node.clone().accept(front_listener, clients_max));
+        if let Some(addr) = hands {
+            let listener = wv_http::listen(addr).map_err(|error| AccessError::Listen(addr, error))?;
+            tokio::task::spawn_local(node.clone().accept_hands(listener));
+        }
         tokio::task::spawn_local(node.clone().keep_time());
         tokio::task::spawn_local(keep(node.clone(), place.clone(), life));
         let access =
--- a/crates/wv-access/src/txn.rs
+++ b/crates/wv-access/src/txn.rs
@@ -21,6 +21,7 @@
             is_plain: true,
             at,
             db: None,
+            hand: None,
             is_begun: false,
             may_have_written: false,
             fail: None,
@@ -33,9 +34,9 @@
     /// Lets go of the client's transaction: its connection rolls back and returns to the pool.
     pub(crate) fn end_txn(&mut self, id: u64) {
         let txn = self.clients.get_mut(&id).and_then(|client| client.txn.take());
-        if let Some(db) = txn.and_then(|txn| txn.db) {
-            self.abort_db(db);
-        }
+        let Some(txn) = txn else { return };
+        txn.db.into_iter().for_each(|db| self.abort_db(db));
+        txn.hand.into_iter().for_each(|hand| self.abort_hand(hand));
     }
 
     /// A transaction that rests too long is rolled back behind; the client hears of it with its next statement.
@@ -45,9 +46,9 @@
             return;
         };
         txn.fail = Some(Fail::Untold);
-        if let Some(db) = txn.db.take() {
-            self.abort_db(db);
-        }
+        let (db, hand) = (txn.db.take(), txn.hand.take());
+        db.into_iter().for_each(|db| self.abort_db(db));
+        hand.into_iter().for_each(|hand| self.abort_hand(hand));
     }
 
     /// The session goes back to rest inside its transaction.
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -15,6 +15,15 @@
         db: u64,
         addr: String,
     },
+    /// A link to the node that owns a shard, and what goes over it.
+    DialHand {
+        link: u64,
+        place: String,
+    },
+    SendHand {
+        link: u64,
+        msg: wv_inner::Hand,
+    },
 }
 
 /// How a connection to a database came to its end.
@@ -61,6 +70,10 @@
     pub is_streamed: bool,
     /// A single read inside a transaction of our own.
     pub is_wrapped: bool,
+    /// The session at an owner that it was handed over on.
+    pub hand: Option<u64>,
+    /// Handed over once already: whatever comes, it is done here.
+    pub is_direct: bool,
 }
 
 impl Ask {
@@ -92,6 +105,8 @@
     /// When its first byte came.
     pub at: u64,
     pub db: Option<u64>,
+    /// The session at an owner that it runs on.
+    pub hand: Option<u64>,
     /// A statement of it has succeeded: it can no longer begin elsewhere.
     pub is_begun: bool,
     /// A statement that may have written was sent.
@@ -105,6 +120,9 @@
     /// The word after the database's name, and the tenant that both make it one of.
     pub who: String,
     pub tenant: u16,
+    /// Its session at an owner, and the link and hand that it came over itself.
+    pub hand: Option<u64>,
+    pub guest: Option<(u64, u64)>,
     /// The database it asked for before this node had a configuration.
     pub awaited: Option<String>,
     pub inbuf: Vec<u8>,
--- a/crates/wv-boot/src/lib.rs
+++ b/crates/wv-boot/src/lib.rs
@@ -31,6 +31,8 @@
     pub readiness: Option<std::net::SocketAddr>,
     pub control: Option<std::net::SocketAddr>,
     pub inner_port: u16,
+    /// The last of the ports that are free for what nodes say to each other.
+    pub inner_last: u16,
     pub seeds: Vec<std::net::SocketAddr>,
     pub initial_start: bool,
     pub data_dir: Option<std::path::PathBuf>,
@@ -82,6 +84,11 @@
             .ok()
             .filter(|port| *port > 0)
             .ok_or(BootError::Value(file.to_owned(), "internalPorts[0] is not a port"))?;
+        let inner_last = ports.get(1).map_or(Ok(u64::from(inner_port)), |port| port.itself_whole()).map_err(field)?;
+        let inner_last = u16::try_from(inner_last)
+            .ok()
+            .filter(|last| *last >= inner_port)
+            .ok_or(BootError::Value(file.to_owned(), "internalPorts[1] is not a port at or after the first"))?;
         let seeds = reader
             .list("seeds")
             .map_err(field)?
@@ -112,6 +119,7 @@
             readiness: listen("listenAddrs.readiness", "listenAddrs.readiness")?,
             control: listen("listenAddrs.control", "listenAddrs.control")?,
             inner_port,
+            inner_last,
             seeds,
             initial_start: if reader.has("initialStart") { reader.flag("initialStart").map_err(field)? } else { false },
             data_dir: if reader.has("dataDir") {
@@ -138,6 +146,12 @@
         (self.max_fds as usize).saturating_sub(400).max(64) * 3 / 4
     }
 
+    /// Where an access node takes work that others hand over: beside the control node of its machine.
+    pub fn hands_addr(&self) -> Option<std::net::SocketAddr> {
+        let port = self.inner_port.checked_add(1).filter(|port| *port <= self.inner_last)?;
+        Some(std::net::SocketAddr::new(self.ip, port))
+    }
+
     /// Where the control node at `control` listens for the system's own links.
     pub fn inner_addr(&self, control: std::net::SocketAddr) -> std::net::SocketAddr {
         std::net::SocketAddr::new(control.ip(), self.inner_port)
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -20,7 +20,8 @@
             ("DELETE", ["instances", id]) if !id.is_empty() => self.delete_inst(token, id),
             ("GET", ["instances"]) => self.list_insts(token),
             ("GET", ["voters"]) => self.list_voters(token),
-            (_, ["voters"] | ["configuration"] | ["instances"] | ["instances", _]) => {
+            ("GET", ["shards"]) => self.list_shards(token),
+            (_, ["shards"] | ["voters"] | ["configuration"] | ["instances"] | ["instances", _]) => {
                 self.ret(token, 405, "{\"cause\":\"this method is not served here\"}")
             }
             _ => self.ret(token, 404, "{\"cause\":\"no such path\"}"),
@@ -57,6 +58,8 @@
             Waiting::Seen(service) => return self.duty_seen(service, done.outcome),
             Waiting::Claim(service) => return self.duty_claimed(service, done.outcome),
             Waiting::Confirm(service) => return self.duty_confirmed(service, done.outcome),
+            Waiting::OwnSeen(service, node) => return self.own_seen(service, node, done.outcome),
+            Waiting::OwnPut(owner) => return self.own_put(owner, done.outcome),
             waiting => waiting,
         };
         if done.key == CONF {
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -111,6 +111,9 @@
     /// When databases left, and when each service last came to be led by another.
     pub(crate) left: BTreeMap<String, u64>,
     pub(crate) led: BTreeMap<String, u64>,
+    /// Shards whose change of hands is being written, and when one was last moved without need.
+    pub(crate) owning: Vec<String>,
+    pub(crate) moved: u64,
     pub(crate) born: u64,
     /// Databases that fell: how often lately, when last, and whether they are still down.
     pub(crate) fallen: BTreeMap<String, Fall>,
@@ -120,7 +123,7 @@
     pub(crate) repaired: u64,
     pub(crate) forgot: u64,
     pub(crate) is_leaving: bool,
-    pub(crate) sessions_told: Vec<String>,
+    pub(crate) sessions_told: Vec<wv_inner::Session>,
     pub(crate) sessions_age: u32,
     pub(crate) is_window_open: bool,
 }
@@ -171,6 +174,8 @@
             holders: Vec::new(),
             left: BTreeMap::new(),
             led: BTreeMap::new(),
+            owning: Vec::new(),
+            moved: 0,
             born: 0,
             fallen: BTreeMap::new(),
             is_table_due: false,
--- a/crates/wv-control/src/exec.rs
+++ b/crates/wv-control/src/exec.rs
@@ -4,7 +4,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, oneshot};
 use wv_inner::Msg;
 
@@ -128,51 +127,13 @@
     }
 
     /// Carries one link until either side ends it or it falls silent.
-    async fn carry(&self, link: u64, mut stream: tokio::net::TcpStream, mut receiver: mpsc::Receiver<Msg>) {
+    async fn carry(&self, link: u64, stream: tokio::net::TcpStream, receiver: mpsc::Receiver<Msg>) {
         wv_http::tune(&stream, SILENT);
-        let (mut buf, mut out) = (Vec::new(), Vec::new());
-        loop {
-            tokio::select! {
-                msg = receiver.recv() => {
-                    let Some(msg) = msg else { break };
-                    wv_inner::put_frame(&mut out, &msg);
-                    while let Ok(msg) = receiver.try_recv() {
-                        wv_inner::put_frame(&mut out, &msg);
-                    }
-                    match tokio::time::timeout(SILENT, stream.write_all(&out)).await {
-                        Ok(Ok(())) => out.clear(),
-                        _ => break,
-                    }
-                }
-                read = tokio::time::timeout(SILENT, stream.read_buf(&mut buf)) => match read {
-                    Ok(Ok(len)) if len > 0 => {
-                        if !self.take_frames(link, &mut buf) {
-                            break;
-                        }
-                    }
-                    _ => break,
-                },
-            }
-        }
+        let hear = |msg| self.with(|core, now| core.msg(link, msg, now));
+        wv_proc::carry(stream, receiver, SILENT, Some(SILENT), hear).await;
         self.links.borrow_mut().remove(&link);
     }
 
-    fn take_frames(&self, link: u64, buf: &mut Vec<u8>) -> bool {
-        loop {
-            match wv_inner::cut_frame(buf) {
-                Ok(None) => return true,
-                Ok(Some((msg, len))) => {
-                    buf.drain(..len);
-                    self.with(|core, now| core.msg(link, msg, now));
-                }
-                Err(error) => {
-                    log::warn!("link closed: {error}");
-                    return false;
-                }
-            }
-        }
-    }
-
     pub async fn call(self, call: wv_http::Call) -> wv_http::Return {
         let (sender, receiver) = oneshot::channel();
         self.with(|core, now| {
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod exec;
 mod falls;
+mod own;
 mod peers;
 mod recall;
 mod run;
--- /dev/null
+++ b/crates/wv-control/src/own.rs
@@ -0,0 +1,146 @@
+//! Shards among partners: who is to own what, and how a shard changes hands.
+use crate::core::{Core, LOCAL};
+use crate::types::Waiting;
+use std::collections::{BTreeMap, BTreeSet};
+use wv_inner::{Msg, News, Owner};
+use wv_reg::Outcome;
+
+/// Moves that only even out the portions follow each other no sooner, from this node.
+const PACE_US: u64 = 300_000;
+/// A node that has just started first hears who is there.
+const SETTLE_US: u64 = 1_500_000;
+
+fn key(service: &str) -> String {
+    format!("own/{service}")
+}
+
+impl Core {
+    /// Gives shards to those that are to own them, as far as their keys are held here.
+    pub(crate) fn run_owners(&mut self) {
+        let Some(conf) = self.conf.as_ref().filter(|conf| !conf.partners.is_empty()) else { return };
+        if self.born + SETTLE_US > self.now || !self.is_fresh() || self.is_leaving {
+            return;
+        }
+        let members = self.roster.members(self.now);
+        let owners: BTreeMap<String, String> =
+            self.feed.owners().values().map(|owner| (owner.service.clone(), owner.node.clone())).collect();
+        let owned: BTreeSet<&str> = owners.values().map(String::as_str).collect();
+        let is_fit = |told: &&wv_inner::Session| {
+            !told.is_leaving && !told.place.is_empty() && (!told.is_young || owned.contains(told.node.as_str()))
+        };
+        let nodes: BTreeSet<&str> = members.values().filter(is_fit).map(|told| told.node.as_str()).collect();
+        let wanted = wv_shard::assign(&conf.partners, &nodes, &conf.shards, &owners);
+        let is_due = |(service, node): &(String, String)| {
+            let owner = owners.get(service);
+            let is_lost = owner.is_none_or(|owner| members.get(owner).is_none_or(|told| told.is_leaving));
+            let is_moved = owner != Some(node) || self.is_replaced(service, &members);
+            let is_held = self.roster.is_holder(&key(service)) && !self.owning.contains(service);
+            is_held && is_moved && (is_lost || self.moved + PACE_US <= self.now)
+        };
+        let due: Vec<(String, String)> = wanted.into_iter().filter(is_due).collect();
+        let is_lost = |service: &str| owners.get(service).is_none_or(|owner| !nodes.contains(owner.as_str()));
+        // What has no owner goes at once, all of it; what is only uneven one by one.
+        let (lost, uneven): (Vec<_>, Vec<_>) = due.into_iter().partition(|(service, _)| is_lost(service));
+        if !uneven.is_empty() {
+            self.moved = self.now;
+        }
+        for (service, node) in lost.into_iter().chain(uneven.into_iter().take(1)) {
+            self.owning.push(service.clone());
+            let token = self.fresh_id();
+            self.waiting.insert(token, Waiting::OwnSeen(service.clone(), node));
+            self.quorum.start(token, &key(&service), None, self.now);
+        }
+    }
+
+    /// The owner came back elsewhere: the same name at another place.
+    fn is_replaced(&self, service: &str, members: &BTreeMap<String, wv_inner::Session>) -> bool {
+        let owner = self.feed.owners().get(service);
+        owner.is_some_and(|owner| {
+            members.get(&owner.node).is_some_and(|told| !told.place.is_empty() && told.place != owner.place)
+        })
+    }
+
+    pub(crate) fn own_seen(&mut self, service: String, node: String, outcome: Outcome) {
+        let place = self.roster.members(self.now).get(&node).map(|told| told.place.clone());
+        let (Outcome::Read(held), Some(place)) = (outcome, place) else {
+            return self.owning.retain(|held| *held != service);
+        };
+        let own = self.me.bytes().fold(0u64, |sum, byte| (sum * 31 + u64::from(byte)) & 0xffff);
+        let number = (((held.sequence >> 16) + 1) << 16) | own;
+        let owner = Owner { service: service.clone(), node, place, number };
+        let token = self.fresh_id();
+        let cell = wv_reg::cell(number, nanoserde::SerBin::serialize_bin(&owner));
+        self.waiting.insert(token, Waiting::OwnPut(owner));
+        self.quorum.start(token, &key(&service), Some(cell), self.now);
+    }
+
+    /// Only what stands on a majority is told; what another wrote meanwhile counts as well.
+    pub(crate) fn own_put(&mut self, owner: Owner, outcome: Outcome) {
+        self.owning.retain(|held| *held != owner.service);
+        let (Outcome::Written(cell) | Outcome::Held(cell)) = outcome else { return };
+        let Ok(told) = <Owner as nanoserde::DeBin>::deserialize_bin(&cell.value) else { return };
+        self.send_peers(&Msg::Owner(told.clone()));
+        self.owner_told(told);
+    }
+
+    pub(crate) fn owner_told(&mut self, owner: Owner) {
+        let held = self.feed.owners().get(&owner.service).map_or(0, |held| held.number);
+        if owner.number > held {
+            log::info!("shard {} goes to {} under {}", owner.service, owner.node, owner.number);
+            self.publish(News::Owner(owner));
+        }
+    }
+
+    /// After a restart what this disk holds is a hint good enough: an owner that is none any more says so.
+    pub(crate) fn recall_owners(&mut self) {
+        let cells = self.store.state().map(|state| state.cells.clone()).unwrap_or_default();
+        for (name, cell) in cells.iter().filter(|(name, _)| !name.starts_with(LOCAL) && name.starts_with("own/")) {
+            match <Owner as nanoserde::DeBin>::deserialize_bin(&cell.value) {
+                Ok(owner) => self.owner_told(owner),
+                Err(error) => log::warn!("{name}: {error}"),
+            }
+        }
+    }
+
+    /// `GET /shards`: who owns what, under which number, and how the portions stand.
+    pub(crate) fn list_shards(&mut self, token: u64) {
+        let Some(conf) = self.conf.as_ref() else {
+            return self.ret(token, 404, "{\"cause\":\"no configuration has been taken yet\"}");
+        };
+        let members = self.roster.members(self.now);
+        let nodes: BTreeSet<&str> = members.keys().map(String::as_str).collect();
+        let seats = wv_shard::seats(&conf.partners, &nodes);
+        let quotas = wv_shard::quotas(&conf.partners, &seats, conf.shards.len());
+        let partner_of = |node: &str| seats.iter().position(|seat| seat.contains(&node));
+        let owner = |service: &String| self.feed.owners().get(service);
+        let shards: Vec<serde_json::Value> = conf
+            .shards
+            .iter()
+            .map(|service| {
+                let held = owner(service);
+                serde_json::json!({
+                    "shard": service, "owner": held.map(|held| held.node.as_str()), "place": held.map(|held| held.place.as_str()),
+                    "number": held.map_or(0, |held| held.number), "moving": self.owning.contains(service),
+                    "partner": held.and_then(|held| partner_of(&held.node)).map(|at| conf.partners[at].label.as_str()),
+                    "live": held.is_some_and(|held| nodes.contains(held.node.as_str())),
+                })
+            })
+            .collect();
+        let held = |at: usize| {
+            let its = |service: &&String| owner(service).and_then(|held| partner_of(&held.node)) == Some(at);
+            conf.shards.iter().filter(its).count()
+        };
+        let partners: Vec<serde_json::Value> = conf
+            .partners
+            .iter()
+            .enumerate()
+            .map(|(at, partner)| {
+                serde_json::json!({
+                    "label": partner.label, "portion": partner.portion, "wanted": quotas[at], "held": held(at),
+                    "nodes": seats[at],
+                })
+            })
+            .collect();
+        self.ret(token, 200, serde_json::json!({ "shards": shards, "partners": partners }).to_string());
+    }
+}
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -22,13 +22,22 @@
         self.peers.get_mut(&addr).into_iter().for_each(|peer| peer.is_up = true);
         self.send(
             link,
-            Msg::Hello { node: self.node.clone(), control: self.me.clone(), zone: self.zone.clone(), life: self.life },
+            Msg::Hello {
+                node: self.node.clone(),
+                control: self.me.clone(),
+                zone: self.zone.clone(),
+                place: String::new(),
+                life: self.life,
+            },
         );
         self.send(link, self.peers_msg());
         let ask = self.quorum.next_ask();
         self.send(link, Msg::Ping { ask });
         self.send(link, Msg::Digests { ranges: self.table.digests() });
-        self.send(link, Msg::Sessions { nodes: self.roster.sessions() });
+        self.send(link, Msg::Sessions { nodes: self.roster.sessions(self.now) });
+        // Whoever was away hears which shards changed hands meanwhile.
+        let owners: Vec<Msg> = self.feed.owners().values().cloned().map(Msg::Owner).collect();
+        owners.into_iter().for_each(|owner| self.send(link, owner));
         self.pull();
     }
 
@@ -53,7 +62,7 @@
             self.roster.peer(addr, self.now);
         }
         match (msg, peer, node) {
-            (Msg::Hello { node, control, zone, .. }, _, _) => self.hello(link, node, control, zone),
+            (Msg::Hello { node, control, zone, place, .. }, _, _) => self.hello(link, node, (control, zone), &place),
             (msg, Some(addr), _) => self.peer_msg(link, &addr, msg),
             (msg, None, Some(node)) => self.node_msg(link, &node, msg),
             (_, None, None) => self.acts.push(crate::Act::Close { link }),
@@ -61,14 +70,14 @@
         self.run_quorum();
     }
 
-    fn hello(&mut self, link: u64, node: String, control: String, zone: String) {
+    fn hello(&mut self, link: u64, node: String, (control, zone): (String, String), place: &str) {
         let is_control = !control.is_empty();
         if is_control {
             self.know_peer(control.clone());
             self.peers.get_mut(&control).into_iter().for_each(|peer| peer.zone = zone.clone());
             self.links.insert(link, Link { peer: Some(control), node: None, is_follower: false, awaited: None });
         } else {
-            self.roster.beat(&node, self.now);
+            self.roster.enter(&node, place, self.now);
             self.links.insert(link, Link { peer: None, node: Some(node), is_follower: false, awaited: None });
         }
         self.send(link, self.peers_msg());
@@ -83,9 +92,7 @@
 
     fn node_msg(&mut self, link: u64, node: &str, msg: Msg) {
         match msg {
-            Msg::Here => {
-                self.roster.beat(node, self.now);
-            }
+            Msg::Here { leaving } => self.roster.beat(node, leaving, self.now),
             Msg::Follow { life, place } => {
                 if let Some(held) = self.links.get_mut(&link) {
                     (held.is_follower, held.awaited) = (false, Some((life, place)));
@@ -177,6 +184,7 @@
             Msg::InstHeld { ask } => self.inst_held(ask),
             Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
             Msg::Lead(lead) => self.lead_told(lead),
+            Msg::Owner(owner) => self.owner_told(owner),
             Msg::Promoting { service, id, us } => {
                 self.publish(wv_inner::News::Promoting { service, id, us });
             }
--- a/crates/wv-control/src/recall.rs
+++ b/crates/wv-control/src/recall.rs
@@ -38,6 +38,7 @@
 
     /// Hints only: each connection names the id it expects, and the databases themselves fence their lead.
     pub(crate) fn recall_table(&mut self) {
+        self.recall_owners();
         let kept: Option<Kept> =
             self.store.get(&key()).and_then(|held| nanoserde::DeBin::deserialize_bin(&held.value).ok());
         let Some(kept) = kept else { return };
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -53,6 +53,7 @@
         self.settle_holders();
         self.run_voters();
         self.run_duties();
+        self.run_owners();
         self.tell_nodes();
         self.quorum.tick(self.now);
         self.run_quorum();
@@ -86,7 +87,7 @@
 
     /// Peers hear of this node's sessions when they change, and now and then in any case.
     fn tell_sessions(&mut self) {
-        let nodes = self.roster.sessions();
+        let nodes = self.roster.sessions(self.now);
         self.sessions_age += 1;
         if nodes != self.sessions_told || self.sessions_age >= SESSIONS_EVERY {
             self.send_peers(&Msg::Sessions { nodes: nodes.clone() });
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -32,6 +32,9 @@
     Seen(String),
     Claim(String),
     Confirm(String),
+    /// Reading who owns a shard before it is given to this node.
+    OwnSeen(String, String),
+    OwnPut(wv_inner::Owner),
 }
 
 #[derive(Default)]
--- a/crates/wv-control/src/words.rs
+++ b/crates/wv-control/src/words.rs
@@ -31,7 +31,7 @@
             return;
         }
         self.holders = live;
-        for node in self.roster.sessions() {
+        for node in self.roster.sessions(self.now).into_iter().map(|held| held.node) {
             let said = |words: &BTreeMap<String, (u64, Sighting)>| {
                 let (at, sight) = words.get(&node)?;
                 let ago = self.now.saturating_sub(*at);
--- a/crates/wv-feed/src/follow.rs
+++ b/crates/wv-feed/src/follow.rs
@@ -1,4 +1,4 @@
-use wv_inner::{Lead, Msg, News};
+use wv_inner::{Lead, Msg, News, Owner};
 
 /// Changes kept for followers that come back; those further behind take a snapshot.
 const KEPT: usize = 1024;
@@ -11,12 +11,21 @@
     conf: Option<(u64, News, Vec<u8>)>,
     nodes: u32,
     leads: std::collections::BTreeMap<String, Lead>,
+    owners: std::collections::BTreeMap<String, Owner>,
     changes: std::collections::VecDeque<(u64, News)>,
 }
 
 impl Feed {
     pub fn new(life: u64) -> Feed {
-        Feed { life, place: 0, conf: None, nodes: 0, leads: Default::default(), changes: Default::default() }
+        Feed {
+            life,
+            place: 0,
+            conf: None,
+            nodes: 0,
+            leads: Default::default(),
+            owners: Default::default(),
+            changes: Default::default(),
+        }
     }
 
     /// A configuration came into force: followers hear what differs, newcomers the whole.
@@ -37,6 +46,9 @@
             News::Lead(lead) => {
                 self.leads.insert(lead.service.clone(), lead.clone());
             }
+            News::Owner(owner) => {
+                self.owners.insert(owner.service.clone(), owner.clone());
+            }
             News::Conf { .. } | News::ConfChange { .. } => {}
             News::Inst(_) | News::Ease { .. } | News::Promoting { .. } => {}
         }
@@ -52,6 +64,10 @@
         self.leads.get(service)
     }
 
+    pub fn owners(&self) -> &std::collections::BTreeMap<String, Owner> {
+        &self.owners
+    }
+
     pub fn leads(&self) -> impl Iterator<Item = &Lead> {
         self.leads.values()
     }
@@ -70,6 +86,7 @@
         let mut news: Vec<News> = self.conf.iter().map(|(_, whole, _)| whole.clone()).collect();
         news.extend(table.iter().cloned().map(News::Inst));
         news.extend(self.leads.values().cloned().map(News::Lead));
+        news.extend(self.owners.values().cloned().map(News::Owner));
         news.push(News::Nodes(self.nodes));
         vec![Msg::Snapshot { life: self.life, place: self.place, news }]
     }
--- a/crates/wv-fleet/src/lib.rs
+++ b/crates/wv-fleet/src/lib.rs
@@ -3,6 +3,7 @@
 mod base;
 mod clients;
 mod falls;
+mod hands;
 mod links;
 mod load;
 mod log;
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -15,8 +15,9 @@
         if let Some(end) = node.session.filter(|_| node.heard + 1300 * MS > now) {
             node.beats += 1;
             let telling = if node.beats % 10 == 0 { Telling::Round } else { Telling::Beat };
+            let is_leaving = node.core.as_ref().is_some_and(|core| core.is_leaving());
             let sights = node.core.as_mut().map(|core| core.take_sights(telling)).unwrap_or_default();
-            self.put(HOP, Ev::Link { to: end, msg: Msg::Here });
+            self.put(HOP, Ev::Link { to: end, msg: Msg::Here { leaving: is_leaving } });
             if !sights.is_empty() {
                 self.put(HOP, Ev::Link { to: end, msg: Msg::Sights(sights) });
             }
@@ -35,7 +36,16 @@
         (self.access[at].session, self.access[at].heard) = (Some(end), now);
         self.put(
             HOP,
-            Ev::Link { to: end, msg: Msg::Hello { node: name, control: String::new(), zone: String::new(), life } },
+            Ev::Link {
+                to: end,
+                msg: Msg::Hello {
+                    node: name,
+                    control: String::new(),
+                    zone: String::new(),
+                    place: format!("hand:{at}"),
+                    life,
+                },
+            },
         );
         self.put(HOP, Ev::Link { to: end, msg: Msg::Follow { life: place.0, place: place.1 } });
         let sights = self.access[at].core.as_mut().map(|core| core.take_sights(Telling::Whole)).unwrap_or_default();
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -72,7 +72,9 @@
         let node = &mut self.access[at];
         let is_first = node.life == 0;
         (node.life, node.armed, node.session) = (self.life, u64::MAX, None);
-        node.core = Some(wv_access::Core::new(&format!("z{}", at % 3), 6 * S));
+        let mut core = wv_access::Core::new(&format!("z{}", at % 3), 6 * S);
+        core.set_name(&node.name);
+        node.core = Some(core);
         if is_first {
             self.put(100 * MS, Ev::Care(at));
             self.put(MS, Ev::Session(at));
@@ -84,13 +86,9 @@
         self.with_access(at, |core, now| core.leave(now));
     }
 
-    /// Sets how all access nodes ease databases in.
-    pub fn set_ease(&mut self, plan: wv_ease::Plan) {
-        self.access.iter_mut().filter_map(|node| node.core.as_mut()).for_each(|core| core.set_ease(plan));
-    }
-
     pub fn kill_access(&mut self, at: usize) {
         self.access[at].core = None;
+        self.cut_hands(at);
         let session = self.access[at].session.take();
         session.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
         let keys: Vec<(usize, u64)> = self.db_conns.keys().filter(|key| key.0 == at).copied().collect();
@@ -155,9 +153,14 @@
     }
 
     fn access_act(&mut self, at: usize, act: AccessAct) {
-        let core = self.access[at].core.as_mut();
         match act {
+            AccessAct::DialHand { link, place } => self.dial_hand(at, link, &place),
+            AccessAct::SendHand { link, msg } => self.send_hand(at, link, msg),
             AccessAct::WriteClient(id) => {
+                if let Some((link, msg)) = self.access[at].core.as_mut().and_then(|core| core.take_guest_out(id)) {
+                    return self.send_hand(at, link, msg);
+                }
+                let core = self.access[at].core.as_mut();
                 let out = core.and_then(|core| core.client_out(id)).map(std::mem::take).unwrap_or_default();
                 self.client_heard(at, id, &out);
             }
@@ -166,6 +169,7 @@
                 self.client_closed(at, id);
             }
             AccessAct::WriteDb(db) => {
+                let core = self.access[at].core.as_mut();
                 let out = core.and_then(|core| core.db_out(db)).map(std::mem::take).unwrap_or_default();
                 let name = self.access[at].name.clone();
                 if let Some((base, conn)) = self.db_conns.get(&(at, db)).copied() {
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -26,6 +26,9 @@
     Promote { base: usize },
     Free { base: usize, conn: u64 },
     Step { client: usize, life: u64 },
+    HandUp { at: usize, link: u64, life: u64 },
+    HandDown { at: usize, link: u64, life: u64 },
+    Hand { at: usize, link: u64, life: u64, msg: wv_inner::Hand },
 }
 
 /// One way between any two processes.
@@ -54,6 +57,8 @@
     /// Pairs of addresses between which nothing passes.
     pub cut: BTreeSet<(String, String)>,
     pub(crate) life: u64,
+    /// The far ends of links between access nodes.
+    pub(crate) hands: BTreeMap<(usize, u64), (usize, u64)>,
     /// What happened, a line each, where a story or the replay wants it.
     pub course: Vec<(u64, String)>,
 }
@@ -88,6 +93,7 @@
             promote_us: 300 * MS,
             cut: BTreeSet::new(),
             life: 0,
+            hands: BTreeMap::new(),
             course: Vec::new(),
         };
         let addrs: Vec<String> = (0..controls).map(|at| format!("10.1.0.{}:80", at + 1)).collect();
@@ -175,41 +181,20 @@
             Ev::Free { base, conn } => {
                 self.bases[base].busy.remove(&conn);
             }
+            Ev::HandUp { at, link, life } => {
+                self.with_hand(at, life, |core, now| core.hand_up(link, now));
+            }
+            Ev::HandDown { at, link, life } => {
+                self.hands.remove(&(at, link));
+                self.with_hand(at, life, |core, now| core.hand_down(link, now));
+            }
+            Ev::Hand { at, link, life, msg } => {
+                self.with_hand(at, life, |core, now| core.hand(link, msg, now));
+            }
             Ev::Step { client, life } => self.step(client, life),
         }
     }
 
-    /// A configuration with one primary lane `p` and one bounded lane `b` onto service `s`.
-    pub fn conf(sequence: u64) -> Vec<u8> {
-        World::conf_of(sequence, &["s".to_owned()])
-    }
-
-    /// The first service's lanes are `p` and `b`, the others' `p.NAME` and `b.NAME`.
-    pub fn conf_of(sequence: u64, services: &[String]) -> Vec<u8> {
-        let lane = |at: usize, service: &str, (kind, category): (&str, &str), target: u32, precedence: u32| {
-            let label = if at == 0 { kind.to_owned() } else { format!("{kind}.{service}") };
-            serde_json::json!({"label": label, "host": label, "pathPrefix": "/", "category": category,
-                "expiryMs": 1000, "targetMs": target, "precedence": precedence, "destination": service,
-                "maxAttempts": 2, "maxStalenessMs": 1500})
-        };
-        let lanes: Vec<serde_json::Value> = services
-            .iter()
-            .enumerate()
-            .flat_map(|(at, service)| {
-                let primary = lane(at, service, ("p", "primary"), 200, 1);
-                [primary, lane(at, service, ("b", "bounded_staleness"), 800, 2)]
-            })
-            .collect();
-        let services: Vec<serde_json::Value> = services
-            .iter()
-            .map(|service| serde_json::json!({"label": service, "maxConnections": 100, "syncReplicas": 1}))
-            .collect();
-        serde_json::json!({"issue": sequence, "routing": lanes, "services": services,
-            "limits": {"headerBytes": 16384, "bodyBytes": 262144, "headerTimerMs": 3000, "txnIdleMs": 3000}})
-        .to_string()
-        .into_bytes()
-    }
-
     /// A fleet that has its configuration and serves.
     pub fn serving(access: usize, controls: usize) -> World {
         let mut world = World::new(access, controls);
--- a/crates/wv-inner/src/frame.rs
+++ b/crates/wv-inner/src/frame.rs
@@ -1,6 +1,5 @@
 //! Messages as length-prefixed frames.
-use crate::Msg;
-use nanoserde::DeBin;
+use nanoserde::{DeBin, SerBin};
 
 /// No frame is ever longer than this.
 pub const FRAME_MAX: usize = 2 << 20;
@@ -14,14 +13,14 @@
 }
 
 /// Appends `msg` as one frame.
-pub fn put_frame(out: &mut Vec<u8>, msg: &Msg) {
-    let body = nanoserde::SerBin::serialize_bin(msg);
+pub fn put_frame<T: SerBin>(out: &mut Vec<u8>, msg: &T) {
+    let body = msg.serialize_bin();
     out.extend_from_slice(&(body.len() as u32).to_le_bytes());
     out.extend_from_slice(&body);
 }
 
 /// Cuts one frame off `buf`; `None` while it is not whole.
-pub fn cut_frame(buf: &[u8]) -> Result<Option<(Msg, usize)>, InnerError> {
+pub fn cut_frame<T: DeBin>(buf: &[u8]) -> Result<Option<(T, usize)>, InnerError> {
     let Some(head) = buf.first_chunk::<4>() else { return Ok(None) };
     let len = u32::from_le_bytes(*head) as usize;
     // A length beyond the bound is a foreign or broken speaker: the link is closed, nothing is read on.
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -1,9 +1,13 @@
 //! What windvalve's own processes say to each other: nanoserde binary in length-prefixed frames.
 mod frame;
+mod hand;
+mod nodes;
 mod voters;
 
 pub use frame::{cut_frame, put_frame, InnerError, FRAME_MAX};
+pub use hand::Hand;
 use nanoserde::{DeBin, SerBin};
+pub use nodes::{Owner, Session};
 pub use voters::{Member, Voters};
 
 /// A database as its beats describe it.
@@ -78,6 +82,8 @@
         id: String,
         us: u64,
     },
+    /// Through which access node a shard's primary work goes.
+    Owner(Owner),
     /// A database has come back from a fall, its `falls`th lately: all ease it in.
     Ease {
         id: String,
@@ -100,6 +106,8 @@
         node: String,
         control: String,
         zone: String,
+        /// Where an access node takes work handed over.
+        place: String,
         life: u64,
     },
     /// An access node follows the feed of `life` from `place` on.
@@ -121,7 +129,9 @@
         fresh: bool,
     },
     /// Session beat of an access node.
-    Here,
+    Here {
+        leaving: bool,
+    },
     Sights(Vec<Sighting>),
     /// Control nodes tell each other: known control addresses, the newest settled voters and those before them.
     Peers {
@@ -132,7 +142,7 @@
         before: Voters,
     },
     Sessions {
-        nodes: Vec<String>,
+        nodes: Vec<Session>,
     },
     PeerSights {
         node: String,
@@ -225,6 +235,7 @@
         insts: Vec<Inst>,
     },
     Lead(Lead),
+    Owner(Owner),
     Promoting {
         service: String,
         id: String,
--- a/crates/wv-proc/src/lib.rs
+++ b/crates/wv-proc/src/lib.rs
@@ -1,5 +1,8 @@
 //! What both roles do as processes: signals as actor messages, and the boot file read again when it changes.
+mod carry;
+
 use actix::prelude::*;
+pub use carry::carry;
 
 #[derive(Message, Clone, Copy, PartialEq, Eq, Debug)]
 #[rtype(result = "()")]
--- a/crates/wv-roster/src/lib.rs
+++ b/crates/wv-roster/src/lib.rs
@@ -1,21 +1,28 @@
 //! Sessions, beats and duties: a node is a member while its session with a control node stands.
+use wv_inner::Session;
 
 /// A session with no beat for this long has ended.
 pub const SILENT_US: u64 = 1_300_000;
 
-struct Session {
+/// A node that has been here for less is given nothing to own: one that comes and goes drags nothing after it.
+pub const YOUNG_US: u64 = 3_000_000;
+
+struct Held {
     heard: u64,
+    since: u64,
+    place: String,
+    is_leaving: bool,
 }
 
 struct Peer {
     heard: u64,
-    nodes: Vec<String>,
+    nodes: Vec<Session>,
 }
 
 /// The members as one control node knows them: its own sessions and those its peers tell.
 pub struct Roster {
     me: String,
-    sessions: std::collections::BTreeMap<String, Session>,
+    sessions: std::collections::BTreeMap<String, Held>,
     peers: std::collections::BTreeMap<String, Peer>,
 }
 
@@ -31,9 +38,18 @@
         Roster { me: me.to_owned(), sessions: Default::default(), peers: Default::default() }
     }
 
-    /// A beat of an access node here. Returns whether the members changed.
-    pub fn beat(&mut self, node: &str, now: u64) -> bool {
-        self.sessions.insert(node.to_owned(), Session { heard: now }).is_none()
+    /// A beat of an access node here.
+    pub fn beat(&mut self, node: &str, is_leaving: bool, now: u64) {
+        if let Some(held) = self.sessions.get_mut(node) {
+            (held.heard, held.is_leaving) = (now, is_leaving);
+        }
+    }
+
+    /// A session of an access node began here.
+    pub fn enter(&mut self, node: &str, place: &str, now: u64) {
+        let since = self.sessions.get(node).map_or(now, |held| held.since);
+        let held = Held { heard: now, since, place: place.to_owned(), is_leaving: false };
+        self.sessions.insert(node.to_owned(), held);
     }
 
     pub fn leave(&mut self, node: &str) -> bool {
@@ -45,12 +61,30 @@
         self.peers.entry(addr.to_owned()).or_insert(Peer { heard: now, nodes: Vec::new() }).heard = now;
     }
 
-    pub fn peer_sessions(&mut self, addr: &str, nodes: Vec<String>, now: u64) {
+    pub fn peer_sessions(&mut self, addr: &str, nodes: Vec<Session>, now: u64) {
         self.peers.insert(addr.to_owned(), Peer { heard: now, nodes });
     }
 
-    pub fn sessions(&self) -> Vec<String> {
-        self.sessions.keys().cloned().collect()
+    pub fn sessions(&self, now: u64) -> Vec<Session> {
+        let told = |(node, held): (&String, &Held)| Session {
+            node: node.clone(),
+            place: held.place.clone(),
+            is_young: held.since + YOUNG_US > now,
+            is_leaving: held.is_leaving,
+        };
+        self.sessions.iter().map(told).collect()
+    }
+
+    /// All live access nodes with where they are reached and how they stand, whoever holds their session.
+    pub fn members(&self, now: u64) -> std::collections::BTreeMap<String, Session> {
+        let theirs = self.peers.values().flat_map(|peer| peer.nodes.iter().cloned());
+        let mut members = std::collections::BTreeMap::new();
+        for told in theirs.chain(self.sessions(now)) {
+            // A node that has just moved from one session to another is as old as its oldest.
+            let entry = members.entry(told.node.clone()).or_insert_with(|| told.clone());
+            entry.is_young &= told.is_young;
+        }
+        members
     }
 
     /// Ends the sessions that fell silent. Returns whether the members changed.
@@ -63,8 +97,8 @@
 
     /// All live access nodes, whoever holds their session.
     pub fn nodes(&self) -> std::collections::BTreeSet<&str> {
-        let theirs = self.peers.values().flat_map(|peer| peer.nodes.iter());
-        self.sessions.keys().chain(theirs).map(String::as_str).collect()
+        let theirs = self.peers.values().flat_map(|peer| peer.nodes.iter().map(|told| told.node.as_str()));
+        self.sessions.keys().map(String::as_str).chain(theirs).collect()
     }
 
     /// The addresses of all live control nodes but this one.
--- a/crates/wv-shard/src/lib.rs
+++ b/crates/wv-shard/src/lib.rs
@@ -13,12 +13,8 @@
 
 /// The live nodes of each partner, in the order of the partners.
 pub fn seats<'a>(partners: &[Partner], nodes: &BTreeSet<&'a str>) -> Vec<Vec<&'a str>> {
-    let is_its =
-        |partner: &Partner, node: &str| partner.nodes.iter().any(|pattern| wv_conf::is_meant(pattern, node));
-    partners
-        .iter()
-        .map(|partner| nodes.iter().copied().filter(|node| is_its(partner, node)).collect())
-        .collect()
+    let is_its = |partner: &Partner, node: &str| partner.nodes.iter().any(|pattern| wv_conf::is_meant(pattern, node));
+    partners.iter().map(|partner| nodes.iter().copied().filter(|node| is_its(partner, node)).collect()).collect()
 }
 
 /// How many of `shards` each partner is to hold: by largest remainder over those that have a live node, ties by label.
@@ -76,8 +72,7 @@
         let total = |at: usize| seats[at].iter().map(|node| load(node)).sum::<usize>();
         let open = (0..partners.len()).filter(|at| total(*at) < quotas[*at]);
         // The one that lacks most of its quota takes the next, on its emptiest node.
-        let Some(at) = open.max_by_key(|at| (quotas[*at] - total(*at), std::cmp::Reverse(&partners[*at].label)))
-        else {
+        let Some(at) = open.max_by_key(|at| (quotas[*at] - total(*at), std::cmp::Reverse(&partners[*at].label))) else {
             continue;
         };
         let node = seats[at].iter().min_by_key(|node| (load(node), std::cmp::Reverse(weight(&shard, node)), **node));
