--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -6,6 +6,8 @@
 
 const TICK: std::time::Duration = std::time::Duration::from_millis(100);
 const BOOT_EVERY: u32 = 10;
+/// Well above what a slow disk takes for one sync, well under what peers and followers take for silence.
+const DISK_LIMIT: std::time::Duration = std::time::Duration::from_millis(200);
 
 struct Control {
     node: Node,
@@ -65,7 +67,11 @@
 
 fn open_store(boot: &wv_boot::Boot) -> Result<wv_reg::Store, wv_reg::RegError> {
     let files: Box<dyn wv_reg::Files> = match &boot.data_dir {
-        Some(dir) => Box::new(wv_reg::DirFiles::open(dir)?),
+        Some(dir) => Box::new(wv_reg::ThreadFiles::start(
+            Box::new(wv_reg::DirFiles::open(dir)?),
+            Box::new(wv_reg::DirFiles::open(dir)?),
+            DISK_LIMIT,
+        )?),
         // Without a disk nothing outlives the process; such a node only serves.
         None => Box::new(wv_reg::MemFiles::default()),
     };
--- a/crates/wv-reg/src/files.rs
+++ b/crates/wv-reg/src/files.rs
@@ -69,6 +69,8 @@
 pub struct MemFiles {
     /// Set where the disk takes nothing more.
     pub is_full: std::rc::Rc<std::cell::Cell<bool>>,
+    /// Set where whole files are written and the caller is yet told that they were not.
+    pub fails_late: std::rc::Rc<std::cell::Cell<bool>>,
     pub files: std::rc::Rc<std::cell::RefCell<std::collections::BTreeMap<String, Vec<u8>>>>,
 }
 
@@ -82,6 +84,9 @@
             return Err(std::io::ErrorKind::StorageFull.into());
         }
         self.files.borrow_mut().insert(name.to_owned(), bytes.to_vec());
+        if self.fails_late.get() {
+            return Err(std::io::ErrorKind::TimedOut.into());
+        }
         Ok(())
     }
 
--- a/crates/wv-reg/src/lib.rs
+++ b/crates/wv-reg/src/lib.rs
@@ -4,17 +4,21 @@
 mod quorum;
 mod seat;
 mod store;
+mod thread;
 
 pub use change::{plan, Change, Core, End, AWAY_US};
 pub use files::{DirFiles, Files, MemFiles};
 pub use quorum::{Done, Outcome, Quorum};
 pub use seat::{Claimed, Seat};
 pub use store::{State, Store};
+pub use thread::ThreadFiles;
 
 #[derive(thiserror::Error, Debug)]
 pub enum RegError {
     #[error("disk: {0}")]
     Disk(#[from] std::io::Error),
+    #[error("nothing is kept on this disk yet")]
+    Empty,
     #[error("the value of {0} bytes does not fit the store")]
     Oversize(usize),
 }
--- a/crates/wv-reg/src/store.rs
+++ b/crates/wv-reg/src/store.rs
@@ -26,6 +26,10 @@
     files: Box<dyn Files>,
     state: Option<State>,
     generation: u64,
+    /// The generation of the last attempt at a slot. One that failed may still come to stand on the disk.
+    tried: u64,
+    /// Such an attempt hides what is appended under the older generation: first a slot must be written again.
+    is_doubtful: bool,
     log_len: usize,
 }
 
@@ -54,25 +58,34 @@
     /// Reads what the disk holds; torn tails and a torn slot are passed over.
     pub fn open(files: Box<dyn Files>) -> Result<Store, RegError> {
         let mut best: Option<(u64, State)> = None;
+        let mut has_slots = false;
         for name in SLOTS {
-            let slot = files.read(name)?.and_then(|bytes| read_slot(&bytes));
+            let bytes = files.read(name)?;
+            has_slots |= bytes.is_some();
+            let slot = bytes.and_then(|bytes| read_slot(&bytes));
             if slot.as_ref().map(|slot| slot.0) > best.as_ref().map(|slot| slot.0) {
                 best = slot;
             }
         }
-        let mut store = Store { files, state: None, generation: 0, log_len: 0 };
+        let mut store = Store { files, state: None, generation: 0, tried: 0, is_doubtful: false, log_len: 0 };
+        if has_slots && best.is_none() {
+            // As good as a lost disk: it votes again once it was taken in anew.
+            log::error!("no slot on this disk can be read: it counts as lost");
+        }
         let Some((generation, state)) = best else { return Ok(store) };
-        (store.generation, store.state) = (generation, Some(state));
+        (store.generation, store.tried, store.state) = (generation, generation, Some(state));
         let log = store.files.read(LOG)?.unwrap_or_default();
         let mut at = 0;
+        let mut read = store.state.take().unwrap_or_default();
         while let Some((body, len)) = log.get(at..).and_then(unseal) {
             at += len;
             let entry: Result<Entry, _> = nanoserde::DeBin::deserialize_bin(body);
             // Entries of an older generation were folded into the slot before it was sealed.
             if let Some(entry) = entry.ok().filter(|entry| entry.generation == generation) {
-                store.accept(&entry.key, &entry.cell);
+                accept(&mut read, &entry.key, &entry.cell);
             }
         }
+        store.state = Some(read);
         store.log_len = log.len();
         // A torn tail would hide later entries: fold the log away before anything is appended.
         if at < log.len() {
@@ -89,19 +102,9 @@
         self.state.as_ref()?.cells.iter().find(|(held, _)| held == key).map(|(_, cell)| cell)
     }
 
-    fn accept(&mut self, key: &str, cell: &Cell) {
-        let Some(state) = self.state.as_mut() else { return };
-        match state.cells.iter_mut().find(|(held, _)| held == key) {
-            Some((_, held)) if newer(cell, held) => *held = cell.clone(),
-            Some(_) => {}
-            None => state.cells.push((key.to_owned(), cell.clone())),
-        }
-    }
-
-    /// Puts a whole state down, for a first start or after a mend.
+    /// Puts a whole state down, for a first start or with a new set of voters.
     pub fn reset(&mut self, state: State) -> Result<(), RegError> {
-        self.state = Some(state);
-        self.fold()
+        self.write_slot(state)
     }
 
     /// Keeps `cell` if it is newer. Returns whether this copy is now exactly `cell`.
@@ -116,26 +119,48 @@
         }
         let entry = Entry { generation: self.generation, key: key.to_owned(), cell: cell.clone() };
         let sealed = seal(&nanoserde::SerBin::serialize_bin(&entry));
+        let mut changed = self.state.clone().ok_or(RegError::Empty)?;
+        accept(&mut changed, key, cell);
         // First the disk, then memory: what was not synced is never shown.
-        if self.log_len + sealed.len() > LOG_MAX {
-            self.accept(key, cell);
-            self.fold()?;
-        } else {
-            self.files.append(LOG, &sealed)?;
-            self.log_len += sealed.len();
-            self.accept(key, cell);
+        if self.is_doubtful || self.log_len + sealed.len() > LOG_MAX {
+            return self.write_slot(changed).map(|()| true);
+        }
+        if let Err(error) = self.files.append(LOG, &sealed) {
+            // What came of it is not known: the next write begins a slot of its own.
+            self.is_doubtful = true;
+            return Err(error.into());
         }
+        self.log_len += sealed.len();
+        self.state = Some(changed);
         Ok(true)
     }
 
     fn fold(&mut self) -> Result<(), RegError> {
-        let Some(state) = self.state.as_ref() else { return Ok(()) };
-        let generation = self.generation + 1;
+        self.state.clone().map_or(Ok(()), |state| self.write_slot(state))
+    }
+
+    /// Writes the slot that does not hold the state in force; only when it stands does it take that one's place.
+    fn write_slot(&mut self, state: State) -> Result<(), RegError> {
+        let mut generation = self.generation + 1;
+        while generation <= self.tried {
+            generation += 2;
+        }
+        (self.tried, self.is_doubtful) = (generation, true);
         let body = nanoserde::SerBin::serialize_bin(&(generation, state.clone()));
         self.files.write(SLOTS[generation as usize % 2], &seal(&body))?;
-        self.generation = generation;
+        (self.generation, self.state) = (generation, Some(state));
+        // Older entries are passed over by their generation; emptied, the log is only shorter.
         self.files.write(LOG, b"")?;
-        self.log_len = 0;
+        (self.log_len, self.is_doubtful) = (0, false);
         Ok(())
     }
 }
+
+/// Entries stay sorted as they came; the newer copy counts.
+fn accept(state: &mut State, key: &str, cell: &Cell) {
+    match state.cells.iter_mut().find(|(held, _)| held == key) {
+        Some((_, held)) if newer(cell, held) => *held = cell.clone(),
+        Some(_) => {}
+        None => state.cells.push((key.to_owned(), cell.clone())),
+    }
+}
--- /dev/null
+++ b/crates/wv-reg/tests/store.rs
@@ -0,0 +1,102 @@
+//! Stories of one disk: what it was told to keep stands, whatever happens to its files.
+use googletest::prelude::*;
+use wv_reg::{cell, Files, MemFiles, State, Store, ThreadFiles};
+
+fn opened(files: &MemFiles) -> Store {
+    Store::open(Box::new(files.clone())).expect("readable")
+}
+
+fn started(files: &MemFiles) -> Store {
+    let mut store = opened(files);
+    store.reset(State { me: "me".to_owned(), ..State::default() }).expect("kept");
+    store
+}
+
+fn value(store: &Store, key: &str) -> Option<Vec<u8>> {
+    store.get(key).map(|cell| cell.value.clone())
+}
+
+#[gtest]
+fn given_a_disk_that_refuses_for_a_while_then_what_it_took_before_and_after_stands_and_nothing_else_shows() {
+    let files = MemFiles::default();
+    let mut store = started(&files);
+    expect_that!(store.put("a", &cell(1, vec![1])), ok(eq(&true)));
+    files.is_full.set(true);
+    expect_that!(store.put("a", &cell(2, vec![2])), err(anything()));
+    expect_that!(value(&store, "a"), some(eq(&vec![1])));
+    files.is_full.set(false);
+    expect_that!(store.put("b", &cell(1, vec![3])), ok(eq(&true)));
+    let store = opened(&files);
+    expect_that!((value(&store, "a"), value(&store, "b")), eq(&(Some(vec![1]), Some(vec![3]))));
+}
+
+#[gtest]
+fn given_a_slot_that_was_torn_as_it_was_written_then_the_other_and_the_log_hold_everything() {
+    let files = MemFiles::default();
+    let mut store = started(&files);
+    expect_that!(store.put("a", &cell(1, vec![1])), ok(eq(&true)));
+    let before = files.files.borrow().clone();
+    store.reset(State { me: "me".to_owned(), ..State::default() }).expect("kept");
+    // Power went as the new slot was half on the disk, and before the log was emptied.
+    let newer: Vec<String> = files
+        .files
+        .borrow()
+        .iter()
+        .filter(|(name, body)| before.get(*name) != Some(body))
+        .map(|(n, _)| n.clone())
+        .collect();
+    let mut torn = before.clone();
+    for name in newer.iter().filter(|name| name.starts_with("slot")) {
+        let body = files.files.borrow()[name].clone();
+        torn.insert(name.clone(), body[..body.len() / 2].to_vec());
+    }
+    *files.files.borrow_mut() = torn;
+    expect_that!(value(&opened(&files), "a"), some(eq(&vec![1])));
+}
+
+#[gtest]
+fn given_a_slot_that_failed_and_yet_came_to_stand_then_what_was_kept_after_it_is_not_hidden() {
+    // Values large enough that every second one begins a new slot.
+    let (files, big) = (MemFiles::default(), |byte: u8| vec![byte; 700 << 10]);
+    let mut store = started(&files);
+    expect_that!(store.put("a", &cell(1, big(1))), ok(eq(&true)));
+    files.fails_late.set(true);
+    expect_that!(store.put("a", &cell(2, big(2))), err(anything()));
+    files.fails_late.set(false);
+    expect_that!(store.put("b", &cell(1, vec![9])), ok(eq(&true)));
+    expect_that!(store.put("c", &cell(1, vec![8])), ok(eq(&true)));
+    let store = opened(&files);
+    expect_that!((value(&store, "b"), value(&store, "c")), eq(&(Some(vec![9]), Some(vec![8]))));
+}
+
+struct Hangs(std::sync::mpsc::Receiver<()>);
+
+impl Files for Hangs {
+    fn read(&self, _: &str) -> std::io::Result<Option<Vec<u8>>> {
+        Ok(None)
+    }
+
+    fn write(&mut self, _: &str, _: &[u8]) -> std::io::Result<()> {
+        self.0.recv().map_err(std::io::Error::other)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
+        self.write(name, bytes)
+    }
+}
+
+#[gtest]
+fn given_a_disk_that_hangs_then_writes_fail_at_once_and_nothing_more_is_given_to_it() {
+    let (let_go, hold) = std::sync::mpsc::channel();
+    let (reader, writer) = (Box::new(MemFiles::default()), Box::new(Hangs(hold)));
+    let mut files = ThreadFiles::start(reader, writer, std::time::Duration::ZERO).expect("a thread");
+    expect_that!(files.write("log", b"1").map_err(|error| error.kind()), err(eq(std::io::ErrorKind::TimedOut)));
+    expect_that!(files.append("log", b"2").map_err(|error| error.kind()), err(eq(std::io::ErrorKind::TimedOut)));
+    // The disk's thread ends with what it was given: one write, not two.
+    let_go.send(()).expect("it waits");
+    drop(files);
+    while let_go.send(()).is_ok() {
+        std::thread::yield_now();
+    }
+    expect_that!(let_go.send(()).is_err(), eq(true));
+}
