--- a/crates/wv-access/src/care.rs
+++ b/crates/wv-access/src/care.rs
@@ -33,12 +33,24 @@
         self.now = self.now.max(now);
         self.care();
         self.end_eases();
+        self.trim();
         self.listen_out();
         self.serve_stranded();
         self.serve_waiting_anywhere();
         self.leave_on();
     }
 
+    /// More nodes came: idle connections beyond the share that is left are given up at once, not when they are next
+    /// used. Others wait for them.
+    fn trim(&mut self) {
+        let over = |(spot, pool): (&Spot, &crate::core::Pool)| {
+            let count = pool.all.saturating_sub(self.cap(*spot)) as usize;
+            pool.idle.iter().take(count).copied().collect::<Vec<u64>>()
+        };
+        let over: Vec<u64> = self.pools.iter().flat_map(over).collect();
+        over.into_iter().for_each(|db| self.close_db(db));
+    }
+
     /// A database that has work and says nothing on any connection is looked at with a new one: a slow one
     /// takes it, a dark one does not. The silence counts as the first sighting, the failed look as the second.
     fn listen_out(&mut self) {
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -5,6 +5,10 @@
 
 /// A node is young for this long from the start of its process.
 const YOUNG_US: u64 = 3_500_000;
+/// Where a node's share of a database's connections is under this, asks that wait for the writer may open so many
+/// more, for as long as they last: most nodes use less than theirs, and the database itself refuses what is too much.
+const BORROW_UNDER: u32 = 3;
+const BORROWED: u32 = 2;
 /// The pause after a failed opening doubles between these.
 const HOLD_FIRST_US: u64 = 15_000;
 const HOLD_LAST_US: u64 = 400_000;
@@ -145,7 +149,11 @@
         let pool = self.pools.entry(spot).or_default();
         // One being eased in is given one new connection at a time.
         let is_held = self.now < pool.not_before || (pool.opening > 0 && self.eases.contains_key(&spot));
-        if pool.all >= cap || is_held {
+        let is_wanted = !pool.waiting.is_empty();
+        let may_borrow = is_wanted
+            && cap < BORROW_UNDER
+            && self.checks.checker(spot.service).and_then(|checker| checker.leader()) == Some(spot.seat);
+        if pool.all >= cap + if may_borrow { BORROWED } else { 0 } || is_held {
             return false;
         }
         pool.all += 1;
--- a/crates/wv-access/src/ends.rs
+++ b/crates/wv-access/src/ends.rs
@@ -12,7 +12,7 @@
         self.uncharge(spot, charge);
         let Some(held) = self.dbs.get(&db) else { return };
         let is_gone = self.checks.member(spot).is_none_or(|member| member.inst.gone || member.inst.id != held.id);
-        let is_over = self.pools.get(&spot).is_some_and(|pool| pool.all > self.cap(spot));
+        let is_over = self.pools.get(&spot).is_some_and(|pool| pool.all > self.cap(spot) && pool.waiting.is_empty());
         let Some(held) = self.dbs.get_mut(&db) else { return };
         if held.is_doubtful || !held.expects.is_empty() || is_gone || is_over {
             self.close_db(db);
