--- a/crates/wv-access/src/care.rs
+++ b/crates/wv-access/src/care.rs
@@ -65,7 +65,7 @@
             }
         }
         for spot in silent {
-            if self.open_db(spot) {
+            if self.open_look(spot) {
                 self.checks.member_mut(spot).into_iter().for_each(|member| member.silent(now));
                 self.sights_due = true;
             }
@@ -102,7 +102,8 @@
             let (opening, standing) =
                 self.pools.get(&spot).map_or((0, 0), |pool| (pool.opening, pool.idle.len() as u32 + pool.opening));
             let is_wanted = if is_isolated { opening == 0 } else { standing < count };
-            if is_wanted && self.open_db(spot) {
+            let is_opened = is_wanted && if is_isolated { self.open_look(spot) } else { self.open_db(spot) };
+            if is_opened {
                 self.checks.member_mut(spot).into_iter().for_each(|member| member.looked(now));
             }
         }
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -143,6 +143,16 @@
 
     /// Opens one connection more to `spot` where its share allows.
     pub(crate) fn open_db(&mut self, spot: Spot) -> bool {
+        self.open_over(spot, 0)
+    }
+
+    /// The same to look whether it answers: a share that is all in use must not keep a node from finding out.
+    pub(crate) fn open_look(&mut self, spot: Spot) -> bool {
+        let is_tight = self.cap(spot) < BORROW_UNDER;
+        self.open_over(spot, u32::from(is_tight))
+    }
+
+    fn open_over(&mut self, spot: Spot, over: u32) -> bool {
         let cap = self.cap(spot);
         let Some(member) = self.checks.member(spot).filter(|member| !member.inst.gone) else { return false };
         let (addr, id) = (member.inst.addr.clone(), member.inst.id.clone());
@@ -153,7 +163,7 @@
         let may_borrow = is_wanted
             && cap < BORROW_UNDER
             && self.checks.checker(spot.service).and_then(|checker| checker.leader()) == Some(spot.seat);
-        if pool.all >= cap + if may_borrow { BORROWED } else { 0 } || is_held {
+        if pool.all >= cap + if may_borrow { BORROWED } else { over } || is_held {
             return false;
         }
         pool.all += 1;
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -133,6 +133,10 @@
                     self.sights_due = true;
                     self.serve_stranded();
                 }
+                // One good look of those that are wanted: it makes room for the next, where shares are small.
+                if self.checks.member(spot).is_some_and(|member| member.is_isolated()) {
+                    return self.drop_db(db);
+                }
                 self.free_db(db);
             }
             What::Sync => held.is_doubtful |= code.is_some(),
--- a/crates/wv-fleet/tests/scale.rs
+++ b/crates/wv-fleet/tests/scale.rs
@@ -56,3 +56,24 @@
     expect_that!(most, le(2 * share + 2));
     expect_that!(most, ge(2 * share - 2));
 }
+
+#[gtest]
+fn given_a_share_of_one_connection_when_a_database_comes_back_then_it_is_let_in_again() {
+    let mut world = World::serving(3, 3);
+    let small = String::from_utf8_lossy(&World::conf(2)).replace("\"maxConnections\":100", "\"maxConnections\":3");
+    world.call(0, "PUT", "/configuration", small.as_bytes());
+    world.load(3, "p");
+    world.load(3, "b");
+    world.run(2 * S);
+    for dark in [0, 1] {
+        world.darken(dark);
+        world.run(4 * S);
+        world.revive(dark);
+        world.run(3 * S);
+        let away: Vec<String> = world.states().into_iter().filter(|state| state.contains("isolated")).collect();
+        expect_that!(away, is_empty(), "after {dark} was dark");
+    }
+    world.stop_load();
+    world.run(wv_fleet::REST);
+    expect_that!(world.judge(), is_empty());
+}
