--- a/crates/windvalve/src/cli.rs
+++ b/crates/windvalve/src/cli.rs
@@ -40,9 +40,23 @@
         log(),
         calendar("When sweeps of repair run at their full pace (six cron fields, UTC)"),
     ]);
-    let check = Command::new("check").about("Checks a boot file or an operator's configuration").arg(boot()).arg(
-        Arg::new("configuration").long("configuration").value_name("FILE").conflicts_with("boot").help("Configuration"),
-    );
+    let check = Command::new("check")
+        .about("Checks a boot file, an operator's configuration, or what a data folder holds")
+        .arg(boot())
+        .arg(
+            Arg::new("configuration")
+                .long("configuration")
+                .value_name("FILE")
+                .conflicts_with("boot")
+                .help("Configuration"),
+        )
+        .arg(
+            Arg::new("data")
+                .long("data")
+                .value_name("DIR")
+                .conflicts_with_all(["boot", "configuration"])
+                .help("Data folder of a control node; it is only read"),
+        );
     let replay = Command::new("replay")
         .about("Plays a recorded day through the in-memory fleet with the real logic")
         .arg(Arg::new("file").value_name("FILE").required(true).help("The day, or with --from-log a written-out log"))
--- a/crates/windvalve/src/main.rs
+++ b/crates/windvalve/src/main.rs
@@ -13,6 +13,8 @@
     Read(String, std::io::Error),
     #[error("configuration {0}: {1}")]
     Conf(String, wv_conf::ConfError),
+    #[error("data folder {0}: {1}")]
+    Data(String, wv_reg::RegError),
     #[error("{0}: {1}")]
     Replay(String, wv_replay::ReplayError),
     #[error("--{0}: {1} is not within {2}")]
@@ -44,9 +46,14 @@
 }
 
 fn check(found: &ArgMatches) -> Result<(), MainError> {
+    if let Some(dir) = text(found, "data") {
+        return check_data(dir);
+    }
     if let Some(path) = text(found, "configuration") {
         let conf = wv_conf::Conf::parse(&read(path)?).map_err(|error| MainError::Conf(path.to_owned(), error))?;
         println!("valid: issue {}, {} routes, {} services", conf.sequence, conf.lanes.len(), conf.services.len());
+        conf.tenants.iter().for_each(|tenant| println!("tenant {} of weight {}", tenant.label, tenant.weight));
+        conf.partners.iter().for_each(|partner| println!("partner {} with portion {}", partner.label, partner.portion));
         return Ok(());
     }
     let boot = wv_boot::Boot::load(&wv_boot::Boot::path(text(found, "boot"))?)?;
@@ -54,6 +61,18 @@
     Ok(())
 }
 
+/// Says what a data folder holds, and changes nothing in it.
+fn check_data(dir: &str) -> Result<(), MainError> {
+    let named = |error| MainError::Data(dir.to_owned(), error);
+    let (state, seat) = wv_reg::inspect(std::path::Path::new(dir)).map_err(named)?;
+    println!("disk {:x} of {}", seat.disk, state.me);
+    println!("votes in set {}, newest set {}:", seat.set, seat.voters.number);
+    seat.voters.members.iter().for_each(|member| println!("  {} disk {:x}", member.addr, member.disk));
+    let shown = state.cells.iter().filter(|(key, _)| !key.starts_with(wv_reg::LOCAL));
+    shown.for_each(|(key, cell)| println!("{key}: sequence {}, {} bytes", cell.sequence, cell.value.len()));
+    Ok(())
+}
+
 fn replay(found: &ArgMatches) -> Result<(), MainError> {
     let path = text(found, "file").unwrap_or_default();
     let body = String::from_utf8_lossy(&read(path)?).into_owned();
--- a/crates/wv-reg/src/lib.rs
+++ b/crates/wv-reg/src/lib.rs
@@ -9,7 +9,7 @@
 pub use change::{plan, Change, Core, End, AWAY_US};
 pub use files::{DirFiles, Files, MemFiles};
 pub use quorum::{Done, Outcome, Quorum};
-pub use seat::{Claimed, Seat};
+pub use seat::{inspect, Claimed, Seat};
 pub use store::{State, Store};
 pub use thread::ThreadFiles;
 
@@ -19,6 +19,8 @@
     Disk(#[from] std::io::Error),
     #[error("nothing is kept on this disk yet")]
     Empty,
+    #[error("no slot can be read: the disk counts as lost")]
+    Unreadable,
     #[error("the value of {0} bytes does not fit the store")]
     Oversize(usize),
 }
--- a/crates/wv-reg/src/seat.rs
+++ b/crates/wv-reg/src/seat.rs
@@ -1,5 +1,5 @@
 //! This node's own part in the numbered sets of voters: what its disk says of them, and what it answers.
-use crate::{cell, newer, RegError, State, Store, LOCAL};
+use crate::{cell, newer, MemFiles, RegError, State, Store, LOCAL};
 use wv_inner::{Cell, Member, Voters};
 
 const KEY: &str = "local/seat";
@@ -156,3 +156,24 @@
         Ok(())
     }
 }
+
+/// What the folder of a control node holds, read without a change to it.
+pub fn inspect(dir: &std::path::Path) -> Result<(State, Seat), RegError> {
+    let files = MemFiles::default();
+    let mut has_any = false;
+    for name in crate::store::NAMES {
+        match std::fs::read(dir.join(name)) {
+            Ok(bytes) => {
+                has_any = true;
+                files.files.borrow_mut().insert(name.to_owned(), bytes);
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound && dir.is_dir() => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+    // A copy in memory: mending a torn tail there leaves the folder as it is.
+    let store = Store::open(Box::new(files))?;
+    let state = store.state().cloned().ok_or(if has_any { RegError::Unreadable } else { RegError::Empty })?;
+    let seat = store.get(KEY).and_then(|held| nanoserde::DeBin::deserialize_bin(&held.value).ok());
+    seat.map(|seat| (state, seat)).ok_or(RegError::Unreadable)
+}
--- a/crates/wv-reg/src/store.rs
+++ b/crates/wv-reg/src/store.rs
@@ -3,6 +3,8 @@
 
 const SLOTS: [&str; 2] = ["slot-a", "slot-b"];
 const LOG: &str = "log";
+/// All files that a store has.
+pub(crate) const NAMES: [&str; 3] = [SLOTS[0], SLOTS[1], LOG];
 /// The log is folded into the next slot beyond this many bytes.
 const LOG_MAX: usize = 1 << 20;
 
