--- a/crates/wv-fleet/src/hands.rs
+++ b/crates/wv-fleet/src/hands.rs
@@ -10,6 +10,15 @@
         }
     }
 
+    /// A shard changed hands: a line in the course, once for each number.
+    pub(crate) fn note_owner(&mut self, msg: &wv_inner::Msg) {
+        let wv_inner::Msg::Change { news: wv_inner::News::Owner(owner), .. } = msg else { return };
+        let held = self.owners.entry(owner.service.clone()).or_default();
+        if std::mem::replace(held, owner.number.max(*held)) < owner.number {
+            self.note(format!("shard {} goes to {} under {}", owner.service, owner.node, owner.number));
+        }
+    }
+
     /// How many asks an access node has handed over in its life.
     pub fn handed(&self, at: usize) -> u64 {
         self.access[at].core.as_ref().map_or(0, |core| core.handed())
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -204,6 +204,7 @@
     fn control_act(&mut self, at: usize, act: ControlAct) {
         match act {
             ControlAct::Send { link, msg } => {
+                self.note_owner(&msg);
                 if let Some(to) = self.controls[at].far.get(&link).copied() {
                     self.put(HOP, Ev::Link { to, msg });
                 }
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -59,6 +59,8 @@
     pub(crate) life: u64,
     /// The far ends of links between access nodes.
     pub(crate) hands: BTreeMap<(usize, u64), (usize, u64)>,
+    /// The newest number of ownership that the course tells of, by shard.
+    pub(crate) owners: BTreeMap<String, u64>,
     /// What happened, a line each, where a story or the replay wants it.
     pub course: Vec<(u64, String)>,
 }
@@ -94,6 +96,7 @@
             cut: BTreeSet::new(),
             life: 0,
             hands: BTreeMap::new(),
+            owners: BTreeMap::new(),
             course: Vec::new(),
         };
         let addrs: Vec<String> = (0..controls).map(|at| format!("10.1.0.{}:80", at + 1)).collect();
--- a/crates/wv-replay/tests/replay.rs
+++ b/crates/wv-replay/tests/replay.rs
@@ -69,3 +69,13 @@
     expect_that!(report.broken, is_empty());
     expect_that!(report.promotions, eq(1));
 }
+
+#[gtest]
+fn given_the_day_of_a_shard_whose_owner_dies_then_the_timeline_shows_it_move_and_nothing_failed() {
+    let report = day(include_str!("days/shard.day"));
+    expect_that!(report.broken, is_empty());
+    expect_that!(has(&report, "shard s goes to a2"), eq(true));
+    expect_that!(has(&report, "shard s goes to a0"), eq(true));
+    expect_that!(report.done, gt(500));
+    expect_that!(report.failed, le(1));
+}
