--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -134,6 +134,11 @@
             .map(|(addr, disk, is_up)| wv_reg::Core { member: Member { addr, disk }, is_up })
             .collect();
         let away_us = |addr: &str| {
+            // What has no disk forgets with its process: it gives its place to the first that has one.
+            let is_forgetful = |peer: &crate::types::Peer| peer.ponged > 0 && peer.disk.is_none();
+            if (addr == self.me && !self.is_core) || self.peers.get(addr).is_some_and(is_forgetful) {
+                return wv_reg::AWAY_US;
+            }
             let peer = self.peers.get(addr).filter(|peer| !is_up(peer));
             peer.map_or(0, |peer| self.now.saturating_sub(peer.since.max(peer.ponged).max(self.born)))
         };
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -32,6 +32,7 @@
     pub seeds: Vec<String>,
     pub core: Option<wv_control::Core>,
     pub files: wv_reg::MemFiles,
+    pub is_core: bool,
     pub(crate) life: u64,
     pub(crate) far: BTreeMap<u64, End>,
 }
@@ -60,6 +61,7 @@
             seeds: seeds.to_vec(),
             core: None,
             files: wv_reg::MemFiles::default(),
+            is_core: true,
             life: 0,
             far: BTreeMap::new(),
         }
@@ -113,7 +115,7 @@
             life: self.now,
             seeds: node.seeds.clone(),
             is_first,
-            is_core: true,
+            is_core: node.is_core,
             // Drawn at random in a process; here no two are ever the same.
             disk: self.life + 1000,
         };
--- a/crates/wv-fleet/tests/voters.rs
+++ b/crates/wv-fleet/tests/voters.rs
@@ -217,3 +217,17 @@
     world.kill_control(0);
     expect_that!(read(&mut world, 2), eq(&(200, conf(20))));
 }
+
+#[gtest]
+fn given_a_seed_without_a_disk_then_it_gives_its_vote_to_a_machine_that_has_one() {
+    let mut world = World::serving(1, 4);
+    world.kill_control(2);
+    world.controls[2].is_core = false;
+    world.controls[2].files = Default::default();
+    world.start_control(2, false);
+    world.run(1500 * MS);
+    let (_, addrs) = voters(&mut world, 0);
+    expect_that!(addrs.contains(&world.controls[2].addr), eq(false));
+    expect_that!(addrs.contains(&world.controls[3].addr), eq(true));
+    expect_that!(put(&mut world, 2, 20), eq(200));
+}
