--- a/crates/windvalve/src/cli.rs
+++ b/crates/windvalve/src/cli.rs
@@ -1,8 +1,12 @@
 //! The command line.
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
-fn boot() -> Arg {
-    Arg::new("boot").long("boot").value_name("FILE").help("Boot file, in place of WINDVALVE_BOOT")
+fn settings() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .visible_alias("boot")
+        .value_name("FILE")
+        .help("Settings file, in place of WINDVALVE_BOOT")
 }
 
 fn log() -> Arg {
@@ -25,7 +29,7 @@
 pub fn command() -> Command {
     let access = Command::new("access")
         .about("Serves clients over pooled connections")
-        .args([boot(), log(), calendar("When old connections are recycled (six cron fields, UTC); absent: always")])
+        .args([settings(), log(), calendar("When old connections are recycled (six cron fields, UTC); absent: always")])
         .arg(
             Arg::new("ease")
                 .long("ease")
@@ -36,25 +40,25 @@
         .arg(number("ease-ms", "MS", "How long a returned database is eased in (default 3000)"))
         .arg(number("ease-first", "SHARE", "The share of its capacity offered at first, over 0 to 2 (default 0.5)"));
     let control = Command::new("control").about("Knows databases and nodes, holds the configuration").args([
-        boot(),
+        settings(),
         log(),
         calendar("When sweeps of repair run at their full pace (six cron fields, UTC)"),
     ]);
     let check = Command::new("check")
-        .about("Checks a boot file, an operator's configuration, or what a data folder holds")
-        .arg(boot())
+        .about("Checks a settings file, an operator's configuration, or what a data folder holds")
+        .arg(settings())
         .arg(
             Arg::new("configuration")
                 .long("configuration")
                 .value_name("FILE")
-                .conflicts_with("boot")
+                .conflicts_with("settings")
                 .help("Configuration"),
         )
         .arg(
             Arg::new("data")
                 .long("data")
                 .value_name("DIR")
-                .conflicts_with_all(["boot", "configuration"])
+                .conflicts_with_all(["settings", "configuration"])
                 .help("Data folder of a control node; it is only read"),
         );
     let replay = Command::new("replay")
--- a/crates/windvalve/src/main.rs
+++ b/crates/windvalve/src/main.rs
@@ -8,7 +8,7 @@
 #[derive(thiserror::Error, Debug)]
 enum MainError {
     #[error(transparent)]
-    Boot(#[from] wv_boot::BootError),
+    Settings(#[from] wv_settings::SettingsError),
     #[error("{0}: {1}")]
     Read(String, std::io::Error),
     #[error("configuration {0}: {1}")]
@@ -51,13 +51,13 @@
     }
     if let Some(path) = text(found, "configuration") {
         let conf = wv_conf::Conf::parse(&read(path)?).map_err(|error| MainError::Conf(path.to_owned(), error))?;
-        println!("valid: issue {}, {} routes, {} services", conf.sequence, conf.lanes.len(), conf.services.len());
+        println!("valid: issue {}, {} routes, {} services", conf.version, conf.routes.len(), conf.services.len());
         conf.tenants.iter().for_each(|tenant| println!("tenant {} of weight {}", tenant.label, tenant.weight));
         conf.partners.iter().for_each(|partner| println!("partner {} with portion {}", partner.label, partner.portion));
         return Ok(());
     }
-    let boot = wv_boot::Boot::load(&wv_boot::Boot::path(text(found, "boot"))?)?;
-    println!("valid: node {} in zone {}", boot.node, boot.zone);
+    let settings = wv_settings::Settings::load(&wv_settings::Settings::path(text(found, "settings"))?)?;
+    println!("valid: node {} in zone {}", settings.node, settings.zone);
     Ok(())
 }
 
@@ -69,7 +69,7 @@
     println!("votes in set {}, newest set {}:", seat.set, seat.voters.number);
     seat.voters.members.iter().for_each(|member| println!("  {} disk {:x}", member.addr, member.disk));
     let shown = state.cells.iter().filter(|(key, _)| !key.starts_with(wv_reg::LOCAL));
-    shown.for_each(|(key, cell)| println!("{key}: sequence {}, {} bytes", cell.sequence, cell.value.len()));
+    shown.for_each(|(key, cell)| println!("{key}: version {}, {} bytes", cell.version, cell.value.len()));
     Ok(())
 }
 
@@ -117,10 +117,10 @@
     Ok(wv_access::Options { ease, calendar: calendar(found)? })
 }
 
-fn load_boot(found: &ArgMatches) -> Result<(wv_boot::Boot, String), MainError> {
+fn load_settings(found: &ArgMatches) -> Result<(wv_settings::Settings, String), MainError> {
     ring::start(text(found, "log").unwrap_or("warn"))?;
-    let path = wv_boot::Boot::path(text(found, "boot"))?;
-    Ok((wv_boot::Boot::load(&path)?, path))
+    let path = wv_settings::Settings::path(text(found, "settings"))?;
+    Ok((wv_settings::Settings::load(&path)?, path))
 }
 
 fn main() -> std::process::ExitCode {
@@ -129,12 +129,12 @@
         Some(("check", found)) => check(found),
         Some(("replay", found)) => replay(found),
         Some(("access", found)) => access_options(found).and_then(|options| {
-            let (boot, path) = load_boot(found)?;
-            Ok(wv_access::run(boot, &path, options)?)
+            let (settings, path) = load_settings(found)?;
+            Ok(wv_access::run(settings, &path, options)?)
         }),
         Some((_, found)) => calendar(found).and_then(|calendar| {
-            let (boot, path) = load_boot(found)?;
-            Ok(wv_control::run(boot, &path, calendar)?)
+            let (settings, path) = load_settings(found)?;
+            Ok(wv_control::run(settings, &path, calendar)?)
         }),
         None => Ok(()),
     };
--- a/crates/wv-access/src/answer.rs
+++ b/crates/wv-access/src/answer.rs
@@ -43,14 +43,14 @@
         }
     }
 
-    /// Ends the open ask with the database's own success.
+    /// Ends the open request with the database's own success.
     pub(crate) fn pass(&mut self, id: u64, state: u8, pos: Option<Pos>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.ask.is_open = false;
+        client.request.is_open = false;
         let tenant = client.tenant;
         self.close_share(tenant);
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let verb = client.ask.verb();
+        let verb = client.request.verb();
         let state = match client.txn.as_mut() {
             None => b'I',
             Some(_) if verb == Verb::Commit => b'I',
@@ -65,21 +65,21 @@
         if verb == Verb::Commit {
             client.txn = None;
         }
-        client.out.extend_from_slice(&client.ask.ret);
+        client.out.extend_from_slice(&client.request.ret);
         put_idle(&mut client.out, state, pos);
         self.acts.push(Act::WriteClient(id));
-        self.after_ask(id);
+        self.after_request(id);
     }
 
-    /// Ends the open ask with an error; `state` as the client is to see it.
+    /// Ends the open request with an error; `state` as the client is to see it.
     pub(crate) fn fail(&mut self, id: u64, code: Code, text: &str, state: u8) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.ask.is_open = false;
+        client.request.is_open = false;
         let tenant = client.tenant;
         self.close_share(tenant);
         let Some(client) = self.clients.get_mut(&id) else { return };
         // Rows went out already: nothing but a cut says clearly that the rest does not come.
-        if client.ask.is_streamed {
+        if client.request.is_streamed {
             return self.close_client(id);
         }
         match state {
@@ -89,10 +89,10 @@
         }
         put_error(&mut client.out, code, text, state);
         self.acts.push(Act::WriteClient(id));
-        self.after_ask(id);
+        self.after_request(id);
     }
 
-    fn after_ask(&mut self, id: u64) {
+    fn after_request(&mut self, id: u64) {
         self.rest(id);
         // What the client sent ahead is taken now.
         if self.clients.get(&id).is_some_and(|client| !client.inbuf.is_empty()) {
@@ -103,8 +103,8 @@
     /// Nothing has run and nothing can in time: a promise, and when to come back.
     pub(crate) fn refuse(&mut self, id: u64) {
         let Some(client) = self.clients.get(&id) else { return };
-        let code = client.ask.last_code.filter(|code| code.is_unrun()).unwrap_or(Code::Congested);
-        let wait_ms = client.ask.lane.as_ref().map_or(100, |lane| (lane.target_us / 1000).clamp(20, 1000));
+        let code = client.request.last_code.filter(|code| code.is_unrun()).unwrap_or(Code::Congested);
+        let wait_ms = client.request.route.as_ref().map_or(100, |route| (route.target_us / 1000).clamp(20, 1000));
         let wait_ms = self.come_back_ms(id).unwrap_or(wait_ms);
         let Some(client) = self.clients.get(&id) else { return };
         let state = if client.txn.is_some() { b'E' } else { b'I' };
@@ -119,7 +119,8 @@
         });
         // Only a BEGIN was on its way: nothing of the client's was sent, it can begin elsewhere.
         if let Some((id, number)) = begun {
-            let is_waiting = |client: &&mut crate::types::Client| client.ask.is_open && client.ask.number == number;
+            let is_waiting =
+                |client: &&mut crate::types::Client| client.request.is_open && client.request.number == number;
             if let Some(client) = self.clients.get_mut(&id).filter(is_waiting) {
                 client.txn.iter_mut().for_each(|txn| txn.db = None);
                 self.retry(id, None);
@@ -133,21 +134,21 @@
                 txn.fail = txn.fail.or(Some(Fail::Untold));
             }
         }
-        let asks = held.expects.iter().filter_map(|expect| match expect.what {
-            What::Ask { client, number } => Some((client, number)),
+        let requests = held.expects.iter().filter_map(|expect| match expect.what {
+            What::Request { client, number } => Some((client, number)),
             _ => None,
         });
-        for (client, number) in asks {
-            self.strand_ask(client, number);
+        for (client, number) in requests {
+            self.strand_request(client, number);
         }
     }
 
-    pub(crate) fn strand_ask(&mut self, id: u64, number: u64) {
-        let is_open = |client: &crate::types::Client| client.ask.is_open && client.ask.number == number;
+    pub(crate) fn strand_request(&mut self, id: u64, number: u64) {
+        let is_open = |client: &crate::types::Client| client.request.is_open && client.request.number == number;
         let Some(client) = self.clients.get_mut(&id).filter(|client| is_open(client)) else { return };
-        client.ask.db = None;
-        client.ask.ret.clear();
-        let (verb, is_txn) = (client.ask.verb(), client.txn.is_some());
+        client.request.db = None;
+        client.request.ret.clear();
+        let (verb, is_txn) = (client.request.verb(), client.txn.is_some());
         let is_begun = client.txn.as_ref().is_some_and(|txn| txn.is_begun);
         let may_have_written = client.txn.as_ref().is_some_and(|txn| txn.may_have_written);
         match (verb, is_txn) {
@@ -172,23 +173,23 @@
     /// A statement is over its limit.
     pub(crate) fn expire(&mut self, id: u64, number: u64) {
         let Some(client) = self.clients.get(&id) else { return };
-        if !client.ask.is_open || client.ask.number != number {
+        if !client.request.is_open || client.request.number != number {
             return;
         }
-        if client.ask.hand.is_some() {
+        if client.request.hand.is_some() {
             return self.expire_hand(id);
         }
-        let Some(db) = client.ask.db else { return self.refuse(id) };
+        let Some(db) = client.request.db else { return self.refuse(id) };
         // Its return may still come: the connection can serve nobody else.
         self.acts.push(Act::CloseDb(db));
         let held = self.forget_db(db);
         if client_is_single_read(self, id) {
-            return self.fail(id, Code::Expired, "over the lane's limit", b'I');
+            return self.fail(id, Code::Expired, "over the route's limit", b'I');
         }
         held.into_iter().for_each(|held| self.strand(held));
     }
 }
 
 fn client_is_single_read(core: &Core, id: u64) -> bool {
-    core.clients.get(&id).is_some_and(|client| client.txn.is_none() && client.ask.verb() == Verb::Read)
+    core.clients.get(&id).is_some_and(|client| client.txn.is_none() && client.request.verb() == Verb::Read)
 }
--- a/crates/wv-access/src/care.rs
+++ b/crates/wv-access/src/care.rs
@@ -10,9 +10,9 @@
 /// A database with work that says nothing for this long is looked at.
 const SILENT_US: u64 = 250_000;
 impl Core {
-    pub(crate) fn take_conf(&mut self, sequence: u64, body: Result<Vec<u8>, wv_pack::PackError>) {
+    pub(crate) fn take_conf(&mut self, version: u64, body: Result<Vec<u8>, wv_pack::PackError>) {
         // A node never steps back within its life.
-        if self.conf.as_ref().is_some_and(|held| held.sequence > sequence) {
+        if self.conf.as_ref().is_some_and(|held| held.version > version) {
             return;
         }
         let Ok(body) = body else { return };
@@ -25,7 +25,7 @@
             self.conf = Some(Rc::new(conf));
             self.set_up_awaited();
         }
-        self.body = (sequence, body);
+        self.body = (version, body);
     }
 
     /// Regular care: warm connections, looks at isolated databases, sessions that are to end.
--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -1,9 +1,9 @@
 //! Clients: lines in, sessions kept here, statements opened.
 use crate::core::Core;
-use crate::schedule::Schedule;
-use crate::types::{Act, Ask, Client, Fail, Verb};
+use crate::timer::Timer;
+use crate::types::{Act, Client, Fail, Request, Verb};
 use std::rc::Rc;
-use wv_conf::Lane;
+use wv_conf::Route;
 use wv_wire::{cut_line, ClientLine, Code, Text};
 
 /// More of the word that names a client is not kept.
@@ -24,7 +24,7 @@
             inbuf: Vec::new(),
             out: Vec::new(),
             session: Default::default(),
-            ask: Ask::default(),
+            request: Request::default(),
             txn: None,
             awaited: None,
             is_closing: false,
@@ -32,7 +32,7 @@
         };
         self.clients.insert(id, client);
         let wait = self.conf.as_ref().map_or(3_000_000, |conf| conf.limits.setup_us);
-        self.schedules.put(self.now + wait, Schedule::Setup { client: id });
+        self.timers.put(self.now + wait, Timer::Setup { client: id });
         id
     }
 
@@ -60,7 +60,11 @@
         let mut at = 0;
         loop {
             let Some(client) = self.clients.get(&id) else { return };
-            if client.ask.is_open || client.awaited.is_some() || client.is_closing || client.out.len() > HELD_OUT_MAX {
+            if client.request.is_open
+                || client.awaited.is_some()
+                || client.is_closing
+                || client.out.len() > HELD_OUT_MAX
+            {
                 break;
             }
             let Some((line, len)) = cut_line(&buf[at..]) else {
@@ -95,7 +99,7 @@
                 match &self.conf {
                     // Just started: which databases there are is not known yet. The client is not sent away for it.
                     None => client.awaited = Some(database),
-                    Some(conf) if conf.lane(&database).is_none() => {
+                    Some(conf) if conf.route(&database).is_none() => {
                         self.end_with(id, Code::NoDb, "no such database");
                     }
                     Some(_) => self.set_up(id, database),
@@ -125,7 +129,7 @@
         let awaited: Vec<(u64, String)> =
             self.clients.iter_mut().filter_map(|(id, client)| client.awaited.take().map(|name| (*id, name))).collect();
         for (id, database) in awaited {
-            if conf.lane(&database).is_some() {
+            if conf.route(&database).is_some() {
                 self.set_up(id, database);
                 self.read_on(id);
             } else {
@@ -137,11 +141,11 @@
     pub(crate) fn query(&mut self, id: u64, query: &[u8], text: &[u8]) {
         let conf = self.conf.clone();
         let Some(client) = self.clients.get_mut(&id) else { return };
-        // A changed lane binds from the next transaction on: an open one keeps its own.
-        let lane = client.txn.as_ref().map(|txn| txn.lane.clone()).or_else(|| {
-            client.database.as_ref().and_then(|name| conf.as_ref().and_then(|conf| conf.lane(name).cloned()))
+        // A changed route binds from the next transaction on: an open one keeps its own.
+        let route = client.txn.as_ref().map(|txn| txn.route.clone()).or_else(|| {
+            client.database.as_ref().and_then(|name| conf.as_ref().and_then(|conf| conf.route(name).cloned()))
         });
-        let Some(lane) = lane else { return self.end_with(id, Code::NoDb, "no such database") };
+        let Some(route) = route else { return self.end_with(id, Code::NoDb, "no such database") };
         let text_of = Text::parse(text);
         // After a failure inside a transaction only its end is taken.
         if let Some(fail) = client.txn.as_ref().and_then(|txn| txn.fail) {
@@ -155,7 +159,7 @@
             }
         }
         match text_of {
-            Text::Begin { only_reads } => self.begin(id, query, lane, only_reads),
+            Text::Begin { only_reads } => self.begin(id, query, route, only_reads),
             Text::Abort => {
                 self.end_txn(id);
                 self.own_complete(id);
@@ -166,10 +170,10 @@
                     self.end_txn(id);
                     self.own_error(id, Code::Aborted, "the transaction was rolled back");
                 }
-                Some(false) => self.open_ask(id, query, &[text], Verb::Commit, None, &lane),
+                Some(false) => self.open_request(id, query, &[text], Verb::Commit, None, &route),
             },
-            Text::Read => self.open_ask(id, query, &[text], Verb::Read, None, &lane),
-            Text::Write => self.open_ask(id, query, &[text], Verb::Write, None, &lane),
+            Text::Read => self.open_request(id, query, &[text], Verb::Read, None, &route),
+            Text::Write => self.open_request(id, query, &[text], Verb::Write, None, &route),
             Text::Assign { name, value } => {
                 let is_kept = client.session.assign(name, value).is_ok();
                 self.own_result(id, is_kept);
@@ -195,32 +199,41 @@
                     _ => Verb::Write,
                 };
                 let ours = format!("EXECUTE w{shape} ");
-                self.open_ask(id, query, &[ours.as_bytes(), rest], verb, Some(shape), &lane);
+                self.open_request(id, query, &[ours.as_bytes(), rest], verb, Some(shape), &route);
             }
             Text::Unknown => self.own_error(id, Code::Malformed, "not understood"),
         }
     }
 
-    fn open_ask(&mut self, id: u64, query: &[u8], text: &[&[u8]], verb: Verb, shape: Option<u32>, lane: &Rc<Lane>) {
+    fn open_request(
+        &mut self,
+        id: u64,
+        query: &[u8],
+        text: &[&[u8]],
+        verb: Verb,
+        shape: Option<u32>,
+        route: &Rc<Route>,
+    ) {
         let now = self.now;
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let ask = &mut client.ask;
-        ask.number += 1;
-        ask.is_open = true;
-        ask.id.clear();
-        ask.id.extend_from_slice(query);
-        ask.text.clear();
-        text.iter().for_each(|part| ask.text.extend_from_slice(part));
-        (ask.verb, ask.shape, ask.at, ask.limit) = (Some(verb), shape, now, now + lane.expiry_us);
-        (ask.tries, ask.db, ask.queued, ask.last_code, ask.is_streamed) = (0, None, None, None, false);
-        (ask.hand, ask.is_direct) = (None, false);
-        ask.lane = Some(lane.clone());
-        ask.waits_since = now;
-        ask.first_byte = client.first_byte;
-        ask.refused.clear();
-        ask.ret.clear();
-        let schedule = Schedule::Expiry { client: id, number: ask.number };
-        self.schedules.put(ask.limit, schedule);
+        let request = &mut client.request;
+        request.number += 1;
+        request.is_open = true;
+        request.id.clear();
+        request.id.extend_from_slice(query);
+        request.text.clear();
+        text.iter().for_each(|part| request.text.extend_from_slice(part));
+        (request.verb, request.shape, request.at, request.limit) = (Some(verb), shape, now, now + route.expiry_us);
+        (request.tries, request.db, request.queued, request.last_code, request.is_streamed) =
+            (0, None, None, None, false);
+        (request.hand, request.is_direct) = (None, false);
+        request.route = Some(route.clone());
+        request.waits_since = now;
+        request.first_byte = client.first_byte;
+        request.refused.clear();
+        request.ret.clear();
+        let timer = Timer::Expiry { client: id, number: request.number };
+        self.timers.put(request.limit, timer);
         let tenant = client.tenant;
         if !self.open_share(tenant) {
             return self.refuse(id);
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -1,11 +1,11 @@
-use crate::schedule::Schedules;
+use crate::timer::Timers;
 use crate::types::{Act, Client, Db, Lost, Phase};
 use std::rc::Rc;
 use wv_check::{Checks, Spot};
 
 /// A node is young for this long from the start of its process.
 const YOUNG_US: u64 = 3_500_000;
-/// Where a node's share of a database's connections is under this, asks that wait for the writer may open so many
+/// Where a node's share of a database's connections is under this, requests that wait for the writer may open so many
 /// more, for as long as they last: most nodes use less than theirs, and the database itself refuses what is too much.
 const BORROW_UNDER: u32 = 3;
 const BORROWED: u32 = 2;
@@ -31,7 +31,7 @@
     pub returned: u64,
     /// How long statements take there.
     pub work: wv_ease::Work,
-    /// The slowest of late, of lanes that read on replicas and of the others.
+    /// The slowest of late, of routes that read on replicas and of the others.
     pub slowest: [wv_ease::Slowest; 2],
     /// When its line is next served while it is being eased in.
     pub wake_at: u64,
@@ -44,14 +44,14 @@
     pub(crate) now: u64,
     pub(crate) zone: String,
     pub(crate) conf: Option<Rc<wv_conf::Conf>>,
-    /// The configuration's sequence and body as they came, for changes to be made to.
+    /// The configuration's version and body as they came, for changes to be made to.
     pub(crate) body: (u64, Vec<u8>),
     pub(crate) checks: Checks,
     pub(crate) shapes: wv_pool::Shapes,
     pub(crate) clients: Map<u64, Client>,
     pub(crate) dbs: Map<u64, Db>,
     pub(crate) pools: Map<Spot, Pool>,
-    pub(crate) schedules: Schedules,
+    pub(crate) timers: Timers,
     pub(crate) acts: Vec<Act>,
     pub(crate) follower: wv_feed::Follower,
     pub(crate) nodes: u32,
@@ -66,7 +66,7 @@
     /// Services whose next writer is near, and until when that is believed.
     pub(crate) promoting: Map<u16, (u64, String)>,
     pub(crate) plan: wv_ease::Plan,
-    /// The ask that is just being taken out of a waiting line.
+    /// The request that is just being taken out of a waiting line.
     pub(crate) served: Option<u64>,
     pub(crate) eases: Map<Spot, wv_ease::Ease>,
     pub(crate) shares: crate::share::Shares,
@@ -85,7 +85,7 @@
             clients: Map::default(),
             dbs: Map::default(),
             pools: Map::default(),
-            schedules: Schedules::default(),
+            timers: Timers::default(),
             acts: Vec::new(),
             follower: wv_feed::Follower::default(),
             nodes: 1,
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -62,22 +62,24 @@
             (DbLine::Error(code, _), What::Setup) => self.setup_refused(db, code),
             (DbLine::Error(code, text), _) => {
                 held.code = Some(code);
-                if let What::Ask { client, .. } = expect.what {
+                if let What::Request { client, .. } = expect.what {
                     if let Some(client) = self.clients.get_mut(&client) {
-                        client.ask.ret.clear();
-                        client.ask.ret.extend_from_slice(text);
+                        client.request.ret.clear();
+                        client.request.ret.extend_from_slice(text);
                     }
                 }
             }
             // A client's statement is never returned without a stamp: this belongs to what was sent behind it, its
             // own return was lost, and the connection is out of step.
-            (DbLine::Complete(b"-"), What::Ask { .. }) => self.break_db(db),
-            (DbLine::Row(_) | DbLine::Complete(_), What::Ask { client, number }) => {
-                let Some(held) = self.clients.get_mut(&client).filter(|held| held.ask.number == number) else { return };
-                held.ask.ret.extend_from_slice(raw);
-                if held.ask.ret.len() > HELD_RET_MAX {
-                    held.ask.is_streamed = true;
-                    let ret = std::mem::take(&mut held.ask.ret);
+            (DbLine::Complete(b"-"), What::Request { .. }) => self.break_db(db),
+            (DbLine::Row(_) | DbLine::Complete(_), What::Request { client, number }) => {
+                let Some(held) = self.clients.get_mut(&client).filter(|held| held.request.number == number) else {
+                    return;
+                };
+                held.request.ret.extend_from_slice(raw);
+                if held.request.ret.len() > HELD_RET_MAX {
+                    held.request.is_streamed = true;
+                    let ret = std::mem::take(&mut held.request.ret);
                     held.out.extend_from_slice(&ret);
                     self.acts.push(Act::WriteClient(client));
                     if held.out.len() > SLOW_OUT_MAX {
@@ -104,8 +106,8 @@
         let waiting = self.pools.get_mut(&held.spot).and_then(|pool| pool.waiting.pop_front());
         // It lives but takes no connection, or another database has its place: who waits goes elsewhere.
         if let Some(id) = waiting {
-            if let Some(client) = self.clients.get_mut(&id).filter(|client| client.ask.queued == Some(held.spot)) {
-                client.ask.refused.push(held.spot);
+            if let Some(client) = self.clients.get_mut(&id).filter(|client| client.request.queued == Some(held.spot)) {
+                client.request.refused.push(held.spot);
                 self.retry(id, Some(code));
             }
         }
@@ -145,11 +147,11 @@
                 held.is_doubtful |= state != b'I';
                 self.free_db(db);
             }
-            What::Ask { client, number } => {
+            What::Request { client, number } => {
                 if held.is_doubtful {
                     return self.break_db(db);
                 }
-                let kind = self.clients.get(&client).map_or(0, |client| client.ask.kind());
+                let kind = self.clients.get(&client).map_or(0, |client| client.request.kind());
                 if let Some(pool) = self.pools.get_mut(&spot) {
                     pool.slowest[kind].note(self.now.saturating_sub(expect.sent));
                     pool.returned = pool.returned.max(expect.sent);
@@ -163,20 +165,21 @@
                 if let Some(member) = self.checks.member_mut(spot).filter(|member| member.is_suspect()) {
                     member.up(false, self.now);
                 }
-                self.finish_ask(db, (client, number), code, state, pos);
+                self.finish_request(db, (client, number), code, state, pos);
             }
         }
     }
 
-    fn finish_ask(&mut self, db: u64, (id, number): (u64, u64), code: Option<Code>, state: u8, pos: Option<Pos>) {
+    fn finish_request(&mut self, db: u64, (id, number): (u64, u64), code: Option<Code>, state: u8, pos: Option<Pos>) {
         let (now, is_last) = (self.now, self.dbs.get(&db).is_some_and(|held| held.expects.is_empty()));
         let spot = self.dbs.get(&db).map(|held| held.spot);
-        let Some(client) = self.clients.get_mut(&id).filter(|held| held.ask.is_open && held.ask.number == number)
+        let Some(client) =
+            self.clients.get_mut(&id).filter(|held| held.request.is_open && held.request.number == number)
         else {
             return self.drop_db(db);
         };
-        let (verb, is_txn) = (client.ask.verb(), client.txn.is_some());
-        client.ask.db = None;
+        let (verb, is_txn) = (client.request.verb(), client.txn.is_some());
+        client.request.db = None;
         let Some(code) = code else {
             let is_over = !is_txn || verb == Verb::Commit;
             if is_over && is_last {
@@ -187,9 +190,9 @@
         if code == Code::ReadOnly {
             spot.and_then(|spot| self.checks.member_mut(spot)).into_iter().for_each(|member| member.doubt(now));
         }
-        let text = String::from_utf8_lossy(&client.ask.ret).into_owned();
-        client.ask.ret.clear();
-        client.ask.refused.extend(spot);
+        let text = String::from_utf8_lossy(&client.request.ret).into_owned();
+        client.request.ret.clear();
+        client.request.refused.extend(spot);
         if !is_txn {
             if is_last {
                 self.free_db(db);
--- a/crates/wv-access/src/ease.rs
+++ b/crates/wv-access/src/ease.rs
@@ -1,6 +1,6 @@
 //! Easing databases back in: this node's share of what all together may start on one that returned.
 use crate::core::Core;
-use crate::schedule::Schedule;
+use crate::timer::Timer;
 use wv_check::Spot;
 use wv_ease::{Ease, Plan, Scale};
 
@@ -65,6 +65,6 @@
         // One wake-up at a time serves the whole line.
         let Some(pool) = self.pools.get_mut(&spot).filter(|pool| pool.wake_at <= scale.now) else { return };
         pool.wake_at = at;
-        self.schedules.put(at, Schedule::Ease { spot });
+        self.timers.put(at, Timer::Ease { spot });
     }
 }
--- a/crates/wv-access/src/ends.rs
+++ b/crates/wv-access/src/ends.rs
@@ -31,7 +31,7 @@
         let Some(held) = self.dbs.get_mut(&db) else { return };
         held.holder = None;
         // With a return outstanding only its end is sure to roll back.
-        if held.expects.iter().any(|expect| matches!(expect.what, What::Ask { .. })) {
+        if held.expects.iter().any(|expect| matches!(expect.what, What::Request { .. })) {
             return self.drop_db(db);
         }
         put_query(&mut held.out, b"-", &[b"ABORT"]);
@@ -57,12 +57,12 @@
         if client.database.is_some() {
             self.unseat_session(client.tenant);
         }
-        if client.ask.is_open {
+        if client.request.is_open {
             self.close_share(client.tenant);
         }
         let txn_db = client.txn.as_ref().and_then(|txn| txn.db);
         // A return that is under way has nobody to go to: its connection is in doubt.
-        match client.ask.db.filter(|_| client.ask.is_open) {
+        match client.request.db.filter(|_| client.request.is_open) {
             Some(db) => self.drop_db(db),
             None => txn_db.into_iter().for_each(|db| self.abort_db(db)),
         }
--- a/crates/wv-access/src/exec.rs
+++ b/crates/wv-access/src/exec.rs
@@ -149,7 +149,7 @@
         }
     }
 
-    /// Calls `tick` when a schedule is due.
+    /// Calls `tick` when a timer is due.
     pub async fn keep_time(self) {
         loop {
             let next = self.core.borrow_mut().next_limit();
--- a/crates/wv-access/src/guests.rs
+++ b/crates/wv-access/src/guests.rs
@@ -18,7 +18,7 @@
         self.now = self.now.max(now);
         match msg {
             Hand::Open { hand, host, who } => self.open_guest(link, hand, host, who),
-            Hand::Ask { hand, lines } => self.guest_ask(link, hand, &lines),
+            Hand::Request { hand, lines } => self.guest_request(link, hand, &lines),
             Hand::Return { hand, bytes } => self.hand_returned(hand, &bytes),
             Hand::Refused { hand } => self.hand_refused(hand),
             Hand::End { hand } => match self.hands.guests.get(&(link, hand)).copied() {
@@ -29,7 +29,7 @@
     }
 
     fn open_guest(&mut self, link: u64, hand: u64, host: String, who: String) {
-        let is_known = self.conf.as_ref().is_some_and(|conf| conf.lane(&host).is_some());
+        let is_known = self.conf.as_ref().is_some_and(|conf| conf.route(&host).is_some());
         if !is_known || self.hands.guests.len() >= GUESTS_MAX {
             return self.acts.push(Act::SendHand { link, msg: Hand::Refused { hand } });
         }
@@ -51,12 +51,12 @@
         self.client_gone(id, self.now);
     }
 
-    fn guest_ask(&mut self, link: u64, hand: u64, lines: &[u8]) {
+    fn guest_request(&mut self, link: u64, hand: u64, lines: &[u8]) {
         let Some(id) = self.hands.guests.get(&(link, hand)).copied() else {
             // Refused before, or unknown: nothing of this has run or will.
             return self.acts.push(Act::SendHand { link, msg: Hand::Refused { hand } });
         };
-        let is_resting = |client: &crate::types::Client| client.txn.is_none() && !client.ask.is_open;
+        let is_resting = |client: &crate::types::Client| client.txn.is_none() && !client.request.is_open;
         let is_new = self.clients.get(&id).is_some_and(is_resting);
         // What has begun here ends here; new work goes to whoever owns the shard now.
         if is_new && (!self.owns(id) || self.is_leaving()) {
@@ -75,14 +75,14 @@
         }
     }
 
-    /// Whether the shard of this client's lane is this node's. Where no owner is known, nobody is refused.
+    /// Whether the shard of this client's route is this node's. Where no owner is known, nobody is refused.
     fn owns(&self, id: u64) -> bool {
-        let lane = self
+        let route = self
             .clients
             .get(&id)
             .and_then(|client| client.database.as_ref())
-            .and_then(|host| self.conf.as_ref().and_then(|conf| conf.lane(host)));
-        let owner = lane.and_then(|lane| self.checks.find(&lane.service)).and_then(|at| self.hands.owners.get(&at));
+            .and_then(|host| self.conf.as_ref().and_then(|conf| conf.route(host)));
+        let owner = route.and_then(|route| self.checks.find(&route.service)).and_then(|at| self.hands.owners.get(&at));
         owner.is_none_or(|owner| owner.node == self.hands.me)
     }
 
--- a/crates/wv-access/src/hands.rs
+++ b/crates/wv-access/src/hands.rs
@@ -22,7 +22,7 @@
 pub(crate) struct Way {
     pub link: u64,
     pub is_up: bool,
-    /// Asks that wait for the link to stand.
+    /// Requests that wait for the link to stand.
     pub waiting: Vec<u64>,
     pub failed_until: u64,
 }
@@ -35,7 +35,7 @@
     pub ways: Map<String, Way>,
     /// Sessions here of other nodes' clients: by link and hand, the client they are here.
     pub guests: Map<(u64, u64), u64>,
-    /// Asks handed over since the start.
+    /// Requests handed over since the start.
     pub count: u64,
 }
 
@@ -68,22 +68,23 @@
         list.map(|owner| (owner.service.clone(), owner.node.clone(), owner.number)).collect()
     }
 
-    /// Where this ask is to be handed over to; nowhere if it is this node's own work.
+    /// Where this request is to be handed over to; nowhere if it is this node's own work.
     fn owner_place(&self, id: u64) -> Option<&Owner> {
         let conf = self.conf.as_ref().filter(|conf| !conf.partners.is_empty())?;
         let client = self.clients.get(&id).filter(|client| client.guest.is_none())?;
-        let lane = client.ask.lane.as_ref().filter(|lane| lane.category == Category::Primary)?;
-        let is_here = client.ask.is_direct || client.txn.as_ref().is_some_and(|txn| txn.db.is_some() || txn.is_begun);
-        conf.shards.binary_search(&lane.service).ok().filter(|_| !is_here)?;
-        let owner = self.hands.owners.get(&self.checks.find(&lane.service)?)?;
+        let route = client.request.route.as_ref().filter(|route| route.category == Category::Primary)?;
+        let is_here =
+            client.request.is_direct || client.txn.as_ref().is_some_and(|txn| txn.db.is_some() || txn.is_begun);
+        conf.shards.binary_search(&route.service).ok().filter(|_| !is_here)?;
+        let owner = self.hands.owners.get(&self.checks.find(&route.service)?)?;
         let is_failed = self.hands.ways.get(&owner.place).is_some_and(|way| way.failed_until > self.now);
         (owner.node != self.hands.me && !owner.place.is_empty() && !is_failed).then_some(owner)
     }
 
-    /// Hands the open ask over, where that is to be done. `false` leaves it to this node.
+    /// Hands the open request over, where that is to be done. `false` leaves it to this node.
     pub(crate) fn try_hand(&mut self, id: u64) -> bool {
         if let Some(hand) = self.clients.get(&id).and_then(|client| client.txn.as_ref()?.hand) {
-            self.hand_ask(id, hand);
+            self.hand_request(id, hand);
             return true;
         }
         let Some(place) = self.owner_place(id).map(|owner| owner.place.clone()) else { return false };
@@ -107,7 +108,7 @@
             Some(hand) => hand,
             None => self.open_hand(id, link),
         };
-        self.hand_ask(id, hand);
+        self.hand_request(id, hand);
         true
     }
 
@@ -124,16 +125,16 @@
         hand
     }
 
-    /// The client's session values and shapes, the beginning of its transaction where it is none yet, and its ask.
-    fn hand_ask(&mut self, id: u64, hand: u64) {
+    /// The client's session values and shapes, the beginning of its transaction where it is none yet, and its request.
+    fn hand_request(&mut self, id: u64, hand: u64) {
         let (Some(client), Some(out)) = (self.clients.get_mut(&id), self.hands.out.get_mut(&hand)) else {
             return self.retry_here(id);
         };
-        let ask = &mut client.ask;
-        (ask.hand, ask.queued) = (Some(hand), None);
-        ask.ret.clear();
+        let request = &mut client.request;
+        (request.hand, request.queued) = (Some(hand), None);
+        request.ret.clear();
         let mut lines = Vec::new();
-        out.swallow += wv_pool::sync(&mut lines, &mut out.tie, &client.session, ask.shape, &self.shapes) as u32;
+        out.swallow += wv_pool::sync(&mut lines, &mut out.tie, &client.session, request.shape, &self.shapes) as u32;
         if let Some(txn) = client.txn.as_mut() {
             if txn.hand.is_none() {
                 let begin: &[u8] = if txn.only_reads { b"BEGIN READ" } else { b"BEGIN" };
@@ -141,11 +142,11 @@
                 out.swallow += 1;
                 txn.hand = Some(hand);
             }
-            txn.may_have_written |= ask.verb() == Verb::Write;
+            txn.may_have_written |= request.verb() == Verb::Write;
         }
-        put_query(&mut lines, &ask.id, &[&ask.text]);
+        put_query(&mut lines, &request.id, &[&request.text]);
         self.hands.count += 1;
-        self.acts.push(Act::SendHand { link: out.link, msg: Hand::Ask { hand, lines } });
+        self.acts.push(Act::SendHand { link: out.link, msg: Hand::Request { hand, lines } });
     }
 
     /// Ends the client's session at an owner; what is open there is rolled back.
@@ -166,7 +167,7 @@
             let mut lines = Vec::new();
             put_query(&mut lines, b"-", &[b"ABORT"]);
             out.swallow += 1;
-            self.acts.push(Act::SendHand { link: out.link, msg: Hand::Ask { hand, lines } });
+            self.acts.push(Act::SendHand { link: out.link, msg: Hand::Request { hand, lines } });
         }
     }
 }
--- a/crates/wv-access/src/lib.rs
+++ b/crates/wv-access/src/lib.rs
@@ -15,11 +15,11 @@
 mod offer;
 mod returns;
 mod run;
-mod schedule;
 mod send;
 mod share;
 mod sights;
 mod sock;
+mod timer;
 mod txn;
 mod types;
 
@@ -30,7 +30,7 @@
 
 #[derive(thiserror::Error, Debug)]
 pub enum AccessError {
-    #[error("the boot file gives this role no {0} address")]
+    #[error("the settings file gives this role no {0} address")]
     NoAddress(&'static str),
     #[error("cannot listen on {0}: {1}")]
     Listen(std::net::SocketAddr, std::io::Error),
--- a/crates/wv-access/src/link.rs
+++ b/crates/wv-access/src/link.rs
@@ -16,7 +16,7 @@
 /// After sessions in the own zone failed, those of other zones are kept to for this long.
 const FAR: std::time::Duration = std::time::Duration::from_secs(5);
 
-/// What the session needs of the boot file; reread files change it.
+/// What the session needs of the settings file; reread files change it.
 pub struct Place {
     pub node: String,
     pub zone: String,
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -30,11 +30,11 @@
 
     fn news(&mut self, news: News) -> Result<(), wv_feed::Gap> {
         match news {
-            News::Conf { sequence, body } => {
+            News::Conf { version, body } => {
                 let body = wv_pack::unpack(&body, wv_conf::BODY_MAX).map(std::borrow::Cow::into_owned);
-                self.take_conf(sequence, body);
+                self.take_conf(version, body);
             }
-            News::ConfChange { base, sequence, change } => {
+            News::ConfChange { base, version, change } => {
                 // Made of another one than is held here, it says nothing: the whole is asked for.
                 if self.body.0 != base {
                     return Err(wv_feed::Gap);
@@ -43,7 +43,7 @@
                 if body.is_err() {
                     return Err(wv_feed::Gap);
                 }
-                self.take_conf(sequence, body);
+                self.take_conf(version, body);
             }
             News::Inst(inst) => {
                 let is_new = self.checks.spot(&inst.id).is_none();
@@ -112,7 +112,7 @@
         let resting: Vec<u64> = self
             .clients
             .iter()
-            .filter(|(_, client)| !client.ask.is_open && client.txn.is_none() && client.inbuf.is_empty())
+            .filter(|(_, client)| !client.request.is_open && client.txn.is_none() && client.inbuf.is_empty())
             .map(|(id, _)| *id)
             .collect();
         resting.into_iter().for_each(|id| self.close_client(id));
--- a/crates/wv-access/src/offer.rs
+++ b/crates/wv-access/src/offer.rs
@@ -1,20 +1,20 @@
 //! Offering: the decision object is asked, this side obeys.
 use crate::core::{Core, Pool};
-use crate::schedule::Schedule;
+use crate::timer::Timer;
 use crate::types::Verb;
 use wv_check::Spot;
-use wv_lane::{decide, Decision, Question, Room};
+use wv_route::{decide, Decision, Question, Room};
 use wv_wire::{Code, Pos};
 
-/// An ask that is not offered within this share of its target is refused.
+/// A request that is not offered within this share of its target is refused.
 const OFFER_SHARE: u64 = 4;
 /// Waiting lines are short: who stands further back is refused at once.
 pub(crate) const WAITING_MAX: usize = 64;
 
 impl Core {
-    /// Finds a place for the client's open ask.
+    /// Finds a place for the client's open request.
     pub(crate) fn offer(&mut self, id: u64) {
-        let Some(client) = self.clients.get(&id).filter(|client| client.ask.is_open) else { return };
+        let Some(client) = self.clients.get(&id).filter(|client| client.request.is_open) else { return };
         if let Some(db) = client.txn.as_ref().and_then(|txn| txn.db) {
             return self.send(id, db, None, false);
         }
@@ -22,7 +22,7 @@
             return;
         }
         match self.decide(id) {
-            Decision::Offer { spot, minpos, is_wrapped } => self.seat_ask(id, spot, minpos, is_wrapped),
+            Decision::Offer { spot, minpos, is_wrapped } => self.seat_request(id, spot, minpos, is_wrapped),
             Decision::Wait => {
                 if !self.stranded.contains(&id) {
                     self.stranded.push(id);
@@ -30,7 +30,7 @@
                 self.give_time(id);
             }
             Decision::Refuse(code) => {
-                self.clients.get_mut(&id).into_iter().for_each(|client| client.ask.last_code = Some(code));
+                self.clients.get_mut(&id).into_iter().for_each(|client| client.request.last_code = Some(code));
                 self.refuse(id);
             }
         }
@@ -38,18 +38,18 @@
 
     fn decide(&self, id: u64) -> Decision {
         let Some(client) = self.clients.get(&id) else { return Decision::Refuse(Code::Congested) };
-        let ask = &client.ask;
-        let Some(lane) = ask.lane.as_ref() else { return Decision::Refuse(Code::Congested) };
-        let Some(service) = self.checks.find(&lane.service) else { return Decision::Wait };
+        let request = &client.request;
+        let Some(route) = request.route.as_ref() else { return Decision::Refuse(Code::Congested) };
+        let Some(service) = self.checks.find(&route.service) else { return Decision::Wait };
         let question = Question {
             service,
-            category: lane.category,
+            category: route.category,
             is_txn: client.txn.is_some(),
-            only_reads: client.txn.as_ref().map_or(ask.verb() == Verb::Read, |txn| txn.only_reads),
-            first_byte: client.txn.as_ref().map_or(ask.first_byte, |txn| txn.at),
+            only_reads: client.txn.as_ref().map_or(request.verb() == Verb::Read, |txn| txn.only_reads),
+            first_byte: client.txn.as_ref().map_or(request.first_byte, |txn| txn.at),
             now: self.now,
             zone: &self.zone,
-            refused: &ask.refused,
+            refused: &request.refused,
         };
         decide(&self.checks, &question, &|spot| self.room(spot, client.tenant))
     }
@@ -60,12 +60,12 @@
         Room { outstanding, is_free: self.may_wait(spot, tenant) && self.may_start(spot) }
     }
 
-    fn seat_ask(&mut self, id: u64, spot: Spot, minpos: Option<Pos>, is_wrapped: bool) {
+    fn seat_request(&mut self, id: u64, spot: Spot, minpos: Option<Pos>, is_wrapped: bool) {
         // On one being eased in the waiting line goes first.
         let is_next = !self.eases.contains_key(&spot)
             || self.served == Some(id)
             || self.pools.get(&spot).is_none_or(|pool| pool.waiting.is_empty());
-        self.note_asked(id, spot);
+        self.note_requested(id, spot);
         let is_free = is_next && self.may_start(spot);
         let (may_take, tenant) = (self.may_take(id, spot), self.clients.get(&id).map_or(0, |client| client.tenant));
         let may_wait = self.may_wait(spot, tenant);
@@ -77,7 +77,9 @@
             .iter()
             .enumerate()
             .rev()
-            .filter_map(|(at, db)| self.dbs.get(db).map(|held| (held.tie.gap(&client.session, client.ask.shape), at)))
+            .filter_map(|(at, db)| {
+                self.dbs.get(db).map(|held| (held.tie.gap(&client.session, client.request.shape), at))
+            })
             .min_by_key(|(gap, _)| *gap);
         if let Some((_, at)) = fitting.filter(|_| is_free && may_take) {
             let db = pool.idle.remove(at);
@@ -90,7 +92,7 @@
         pool.waiting.push_back(id);
         let is_covered = (pool.opening as usize) >= pool.waiting.len();
         if let Some(client) = self.clients.get_mut(&id) {
-            client.ask.queued = Some(spot);
+            client.request.queued = Some(spot);
         }
         if !is_free {
             self.start_later(spot);
@@ -100,43 +102,43 @@
         self.give_time(id);
     }
 
-    /// The ask may wait until its share of the target is over.
+    /// The request may wait until its share of the target is over.
     pub(crate) fn give_time(&mut self, id: u64) {
-        if let Some(ask) = self.clients.get(&id).map(|client| &client.ask) {
+        if let Some(request) = self.clients.get(&id).map(|client| &client.request) {
             let at = self.offer_limit(id);
-            self.schedules.put(at, Schedule::Offer { client: id, number: ask.number });
+            self.timers.put(at, Timer::Offer { client: id, number: request.number });
         }
     }
 
     fn offer_limit(&self, id: u64) -> u64 {
-        let Some(ask) = self.clients.get(&id).map(|client| &client.ask) else { return 0 };
-        let Some(lane) = ask.lane.as_ref() else { return ask.at };
-        let share = lane.target_us / OFFER_SHARE;
-        ask.waits_since + share - share / 8
+        let Some(request) = self.clients.get(&id).map(|client| &client.request) else { return 0 };
+        let Some(route) = request.route.as_ref() else { return request.at };
+        let share = route.target_us / OFFER_SHARE;
+        request.waits_since + share - share / 8
     }
 
     /// The time for waiting is over.
     pub(crate) fn offer_again(&mut self, id: u64, number: u64) {
         let is_waiting = self.clients.get(&id).is_some_and(|client| {
-            let ask = &client.ask;
-            ask.is_open && ask.number == number && ask.db.is_none() && ask.hand.is_none()
+            let request = &client.request;
+            request.is_open && request.number == number && request.db.is_none() && request.hand.is_none()
         });
         if is_waiting && self.now >= self.offer_limit(id) {
             self.refuse(id);
         }
     }
 
-    /// An ask that was refused unrun, or a read whose return was lost, goes elsewhere or ends.
+    /// A request that was refused unrun, or a read whose return was lost, goes elsewhere or ends.
     pub(crate) fn retry(&mut self, id: u64, code: Option<Code>) {
         let now = self.now;
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let ask = &mut client.ask;
-        (ask.db, ask.queued, ask.last_code) = (None, None, code.or(ask.last_code));
-        ask.tries += 1;
-        ask.waits_since = now;
-        let bound = ask.lane.as_ref().map_or(1, |lane| lane.max_attempts) + 1;
+        let request = &mut client.request;
+        (request.db, request.queued, request.last_code) = (None, None, code.or(request.last_code));
+        request.tries += 1;
+        request.waits_since = now;
+        let bound = request.route.as_ref().map_or(1, |route| route.max_attempts) + 1;
         // A place in line may have passed while it was away; then the promise is the better return.
-        if ask.tries > bound || now >= ask.limit {
+        if request.tries > bound || now >= request.limit {
             return self.refuse(id);
         }
         self.offer(id);
@@ -148,7 +150,7 @@
             let Some(pool) = self.pools.get_mut(&spot) else { return };
             let clients = &self.clients;
             pool.waiting.retain(|id| {
-                clients.get(id).is_some_and(|client| client.ask.is_open && client.ask.queued == Some(spot))
+                clients.get(id).is_some_and(|client| client.request.is_open && client.request.queued == Some(spot))
             });
             if pool.waiting.is_empty() {
                 return;
@@ -166,7 +168,7 @@
             let first = self.nominate_waiting(spot);
             let Some(pool) = self.pools.get_mut(&spot) else { return };
             let Some(id) = first.and_then(|at| pool.waiting.remove(at)) else { return };
-            self.clients.get_mut(&id).into_iter().for_each(|client| client.ask.queued = None);
+            self.clients.get_mut(&id).into_iter().for_each(|client| client.request.queued = None);
             // Decided anew: what was nominated may have changed while it waited.
             self.served = Some(id);
             self.offer(id);
@@ -180,13 +182,13 @@
         spots.into_iter().for_each(|spot| self.serve_waiting(spot));
     }
 
-    /// Routing state changed: asks that had nowhere to go are offered anew.
+    /// Routing state changed: requests that had nowhere to go are offered anew.
     pub(crate) fn serve_stranded(&mut self) {
         let stranded = std::mem::take(&mut self.stranded);
         for id in stranded {
             let is_waiting = self.clients.get(&id).is_some_and(|client| {
-                let ask = &client.ask;
-                ask.is_open && ask.db.is_none() && ask.queued.is_none() && ask.hand.is_none()
+                let request = &client.request;
+                request.is_open && request.db.is_none() && request.queued.is_none() && request.hand.is_none()
             });
             if is_waiting {
                 self.offer(id);
@@ -194,13 +196,13 @@
         }
     }
 
-    /// Asks waiting for a database that was isolated are offered elsewhere.
+    /// Requests waiting for a database that was isolated are offered elsewhere.
     pub(crate) fn isolate(&mut self, spot: Spot) {
         let pool: Option<&mut Pool> = self.pools.get_mut(&spot);
         let waiting = pool.map(|pool| std::mem::take(&mut pool.waiting)).unwrap_or_default();
         for id in waiting {
-            if let Some(client) = self.clients.get_mut(&id).filter(|client| client.ask.queued == Some(spot)) {
-                client.ask.queued = None;
+            if let Some(client) = self.clients.get_mut(&id).filter(|client| client.request.queued == Some(spot)) {
+                client.request.queued = None;
                 self.offer(id);
             }
         }
--- a/crates/wv-access/src/returns.rs
+++ b/crates/wv-access/src/returns.rs
@@ -6,13 +6,13 @@
 const FAILED_US: u64 = 500_000;
 
 impl Core {
-    /// Nothing of the ask has run elsewhere: it is done here.
+    /// Nothing of the request has run elsewhere: it is done here.
     pub(crate) fn retry_here(&mut self, id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.ask.hand = None;
-        client.ask.is_direct = true;
+        client.request.hand = None;
+        client.request.is_direct = true;
         client.txn.iter_mut().for_each(|txn| txn.hand = None);
-        if client.ask.is_open {
+        if client.request.is_open {
             self.offer(id);
         }
     }
@@ -29,10 +29,10 @@
     fn offer_waiting(&mut self, waiting: Vec<u64>) {
         for id in waiting {
             let is_waiting = |client: &crate::types::Client| {
-                client.ask.is_open
-                    && client.ask.db.is_none()
-                    && client.ask.hand.is_none()
-                    && client.ask.queued.is_none()
+                client.request.is_open
+                    && client.request.db.is_none()
+                    && client.request.hand.is_none()
+                    && client.request.queued.is_none()
             };
             if self.clients.get(&id).is_some_and(is_waiting) {
                 self.offer(id);
@@ -61,8 +61,8 @@
         let Some(out) = self.hands.out.remove(&hand) else { return };
         let Some(client) = self.clients.get_mut(&out.client) else { return };
         client.hand = client.hand.filter(|held| *held != hand);
-        let is_asked = client.ask.is_open && client.ask.hand == Some(hand);
-        client.ask.is_direct = true;
+        let is_asked = client.request.is_open && client.request.hand == Some(hand);
+        client.request.is_direct = true;
         if let Some(txn) = client.txn.as_mut().filter(|txn| txn.hand == Some(hand)) {
             txn.hand = None;
             if !is_asked {
@@ -70,9 +70,9 @@
             }
         }
         if is_asked {
-            client.ask.hand = None;
-            let number = client.ask.number;
-            self.strand_ask(out.client, number);
+            client.request.hand = None;
+            let number = client.request.number;
+            self.strand_request(out.client, number);
         }
     }
 
@@ -85,24 +85,24 @@
         let Some(out) = self.hands.out.remove(&hand) else { return };
         let Some(client) = self.clients.get_mut(&out.client) else { return };
         client.hand = client.hand.filter(|held| *held != hand);
-        if client.ask.hand == Some(hand) || client.txn.as_ref().is_some_and(|txn| txn.hand == Some(hand)) {
+        if client.request.hand == Some(hand) || client.txn.as_ref().is_some_and(|txn| txn.hand == Some(hand)) {
             self.retry_here(out.client);
         }
     }
 
-    /// The open ask is over its limit while an owner works on it; its return may still come and is then nobody's.
+    /// The open request is over its limit while an owner works on it; its return may still come and is then nobody's.
     pub(crate) fn expire_hand(&mut self, id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.ask.hand = None;
-        client.ask.is_direct = true;
+        client.request.hand = None;
+        client.request.is_direct = true;
         client.txn.iter_mut().for_each(|txn| txn.hand = None);
-        let number = client.ask.number;
-        let is_read = client.txn.is_none() && client.ask.verb() == Verb::Read;
+        let number = client.request.number;
+        let is_read = client.txn.is_none() && client.request.verb() == Verb::Read;
         self.end_hand(id);
         if is_read {
-            return self.fail(id, wv_wire::Code::Expired, "over the lane's limit", b'I');
+            return self.fail(id, wv_wire::Code::Expired, "over the route's limit", b'I');
         }
-        self.strand_ask(id, number);
+        self.strand_request(id, number);
     }
 
     /// Bytes that an owner returned.
@@ -134,8 +134,8 @@
                 }
                 None if is_own || out.error.is_some() => {}
                 None => {
-                    let client = self.clients.get_mut(&id).filter(|client| client.ask.hand == Some(hand));
-                    client.into_iter().for_each(|client| client.ask.ret.extend_from_slice(&raw));
+                    let client = self.clients.get_mut(&id).filter(|client| client.request.hand == Some(hand));
+                    client.into_iter().for_each(|client| client.request.ret.extend_from_slice(&raw));
                 }
             }
         }
@@ -149,11 +149,11 @@
         state: u8,
         pos: Option<wv_wire::Pos>,
     ) {
-        let Some(client) = self.clients.get_mut(&id).filter(|client| client.ask.is_open) else { return };
-        if client.ask.hand != Some(hand) {
+        let Some(client) = self.clients.get_mut(&id).filter(|client| client.request.is_open) else { return };
+        if client.request.hand != Some(hand) {
             return;
         }
-        client.ask.hand = None;
+        client.request.hand = None;
         // Whatever ends here ends the transaction there as well.
         if state == b'I' {
             client.txn.iter_mut().for_each(|txn| txn.hand = None);
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -3,10 +3,10 @@
 use crate::link::{keep, Place, Shared};
 use crate::{AccessError, Core};
 use actix::prelude::*;
-use wv_proc::{watch_signals, BootFile, Signal};
+use wv_proc::{watch_signals, SettingsFile, Signal};
 
 const CARE: std::time::Duration = std::time::Duration::from_millis(100);
-/// The boot file's own time of change is looked at every so many rounds of care.
+/// The settings file's own time of change is looked at every so many rounds of care.
 const BOOT_EVERY: u32 = 10;
 /// Old connections are recycled one at a time, every so many rounds.
 const RECYCLE_EVERY: u32 = 20;
@@ -15,17 +15,17 @@
 struct Access {
     node: Node,
     place: Shared,
-    file: BootFile,
+    file: SettingsFile,
     rounds: u32,
     calendar: wv_when::Calendar,
 }
 
 impl Access {
     fn reread(&mut self) {
-        if let Some(boot) = self.file.reread() {
+        if let Some(settings) = self.file.reread() {
             let mut place = self.place.borrow_mut();
-            (place.seeds, place.inner_port) = (boot.seeds, boot.inner_port);
-            self.node.core.borrow_mut().set_grace(boot.grace_us);
+            (place.seeds, place.inner_port) = (settings.seeds, settings.inner_port);
+            self.node.core.borrow_mut().set_grace(settings.grace_us);
         }
     }
 }
@@ -73,31 +73,31 @@
 }
 
 /// Runs until the platform ends the process.
-pub fn run(boot: wv_boot::Boot, boot_path: &str, options: Options) -> Result<(), AccessError> {
-    let front = boot.front.ok_or(AccessError::NoAddress("front"))?;
-    let readiness = boot.readiness.ok_or(AccessError::NoAddress("readiness"))?;
+pub fn run(settings: wv_settings::Settings, settings_path: &str, options: Options) -> Result<(), AccessError> {
+    let front = settings.front.ok_or(AccessError::NoAddress("front"))?;
+    let readiness = settings.readiness.ok_or(AccessError::NoAddress("readiness"))?;
     // Nodes begin with different seeds, so that their sessions are spread.
-    let spread = boot.node.bytes().fold(0u64, |sum, byte| sum.wrapping_mul(131).wrapping_add(u64::from(byte)));
+    let spread = settings.node.bytes().fold(0u64, |sum, byte| sum.wrapping_mul(131).wrapping_add(u64::from(byte)));
     let life = wv_proc::life().wrapping_add(spread);
     let system = System::new();
     system.block_on(async {
         let front_listener = wv_http::listen(front).map_err(|error| AccessError::Listen(front, error))?;
         let ready_listener = wv_http::listen(readiness).map_err(|error| AccessError::Listen(readiness, error))?;
-        let mut core = Core::new(&boot.zone, boot.grace_us);
+        let mut core = Core::new(&settings.zone, settings.grace_us);
         core.set_ease(options.ease);
-        core.set_clients_max(boot.clients_max());
-        core.set_name(&boot.node);
+        core.set_clients_max(settings.clients_max());
+        core.set_name(&settings.node);
         let node = Node::new(core);
-        let hands = boot.hands_addr();
+        let hands = settings.hands_addr();
         let place = Place {
-            node: boot.node.clone(),
-            zone: boot.zone.clone(),
-            seeds: boot.seeds.clone(),
-            inner_port: boot.inner_port,
+            node: settings.node.clone(),
+            zone: settings.zone.clone(),
+            seeds: settings.seeds.clone(),
+            inner_port: settings.inner_port,
             hands: hands.map(|addr| addr.to_string()).unwrap_or_default(),
         };
         let place: Shared = std::rc::Rc::new(std::cell::RefCell::new(place));
-        let clients_max = boot.clients_max();
+        let clients_max = settings.clients_max();
         let probed = node.clone();
         tokio::task::spawn_local(wv_http::serve(ready_listener, BODY_MAX, move |call| {
             let is_ready = probed.core.borrow().is_ready();
@@ -116,9 +116,10 @@
         tokio::task::spawn_local(node.clone().keep_time());
         tokio::task::spawn_local(keep(node.clone(), place.clone(), life));
         let access =
-            Access { node, place, file: BootFile::new(boot_path), rounds: 0, calendar: options.calendar }.start();
+            Access { node, place, file: SettingsFile::new(settings_path), rounds: 0, calendar: options.calendar }
+                .start();
         tokio::task::spawn_local(watch_signals(access));
-        log::info!("access node {} serves {front}", boot.node);
+        log::info!("access node {} serves {front}", settings.node);
         Ok::<(), AccessError>(())
     })?;
     system.run().map_err(|error| AccessError::Listen(front, error))
--- a/crates/wv-access/src/send.rs
+++ b/crates/wv-access/src/send.rs
@@ -1,6 +1,6 @@
 //! Sending: what goes out on a connection, and what is then expected back.
 use crate::core::Core;
-use crate::schedule::Schedule;
+use crate::timer::Timer;
 use crate::types::{Act, Expect, Phase, Verb, What};
 use wv_wire::{put_query, Code, Pos};
 
@@ -11,27 +11,30 @@
 const OVERDUE_AGAIN_US: u64 = 50_000;
 
 impl Core {
-    /// Brings the connection in line with the session and sends the open ask, or first what begins around it.
+    /// Brings the connection in line with the session and sends the open request, or first what begins around it.
     pub(crate) fn send(&mut self, id: u64, db: u64, minpos: Option<Pos>, is_wrapped: bool) {
         let now = self.now;
         let (Some(client), Some(held)) = (self.clients.get_mut(&id), self.dbs.get_mut(&db)) else { return };
-        let ask = &mut client.ask;
-        (ask.db, ask.queued, ask.is_wrapped) = (Some(db), None, is_wrapped);
-        ask.ret.clear();
+        let request = &mut client.request;
+        (request.db, request.queued, request.is_wrapped) = (Some(db), None, is_wrapped);
+        request.ret.clear();
         let spot = held.spot;
         held.phase = Phase::Busy;
         held.since = now;
-        let count = wv_pool::sync(&mut held.out, &mut held.tie, &client.session, ask.shape, &self.shapes);
+        let count = wv_pool::sync(&mut held.out, &mut held.tie, &client.session, request.shape, &self.shapes);
         let sync = Expect { what: What::Sync, sent: now, is_fenced: false };
         held.expects.extend(std::iter::repeat_n(sync, count));
-        let begin =
-            |is_plain| Expect { what: What::Begin { client: id, number: ask.number }, sent: now, is_fenced: is_plain };
+        let begin = |is_plain| Expect {
+            what: What::Begin { client: id, number: request.number },
+            sent: now,
+            is_fenced: is_plain,
+        };
         let mark = minpos.map(|pos| format!("MINPOS {pos} ")).unwrap_or_default();
         // A refused BEGIN leaves the connection outside: what is sent behind it unseen would run on its own.
         // So the statement waits until the transaction stands.
         match client.txn.as_mut() {
             Some(txn) if txn.db.is_none() => {
-                // Read-only transactions are not fenced by the database: on primary lanes they run as plain ones.
+                // Read-only transactions are not fenced by the database: on primary routes they run as plain ones.
                 txn.is_plain = minpos.is_none();
                 if txn.is_plain {
                     put_query(&mut held.out, b"-", &[b"BEGIN"]);
@@ -56,35 +59,35 @@
     fn send_text(&mut self, id: u64, db: u64, mark: &str) {
         let now = self.now;
         let (Some(client), Some(held)) = (self.clients.get_mut(&id), self.dbs.get_mut(&db)) else { return };
-        let ask = &client.ask;
+        let request = &client.request;
         if mark.is_empty() {
-            put_query(&mut held.out, &ask.id, &[&ask.text]);
+            put_query(&mut held.out, &request.id, &[&request.text]);
         } else {
-            put_query(&mut held.out, &ask.id, &[&[mark.as_bytes(), &ask.text[..]].concat()]);
+            put_query(&mut held.out, &request.id, &[&[mark.as_bytes(), &request.text[..]].concat()]);
         }
         // Only what a deposed primary would have refused tells where the log really stands.
-        let is_fenced = match (ask.verb(), client.txn.as_mut()) {
+        let is_fenced = match (request.verb(), client.txn.as_mut()) {
             (Verb::Commit, txn) => txn.is_some_and(|txn| txn.may_have_written),
             (verb, Some(txn)) => {
                 txn.may_have_written |= verb == Verb::Write;
                 txn.is_plain
             }
             (Verb::Write, None) => true,
-            (Verb::Read, None) => ask.is_wrapped,
+            (Verb::Read, None) => request.is_wrapped,
         };
-        let may_be_given_up = match (ask.verb(), client.txn.as_ref()) {
+        let may_be_given_up = match (request.verb(), client.txn.as_ref()) {
             (Verb::Read, _) => true,
             (Verb::Write, txn) => txn.is_some(),
             (Verb::Commit, txn) => txn.is_some_and(|txn| !txn.may_have_written),
         };
         if may_be_given_up {
-            let slowest = self.pools.get(&held.spot).map(|pool| pool.slowest[ask.kind()]).unwrap_or_default();
+            let slowest = self.pools.get(&held.spot).map(|pool| pool.slowest[request.kind()]).unwrap_or_default();
             let wait = slowest.overdue_us().clamp(OVERDUE_MIN_US, OVERDUE_MAX_US);
-            self.schedules.put(now + wait, Schedule::Overdue { client: id, number: ask.number });
+            self.timers.put(now + wait, Timer::Overdue { client: id, number: request.number });
         }
-        let what = What::Ask { client: id, number: ask.number };
+        let what = What::Request { client: id, number: request.number };
         held.expects.push_back(Expect { what, sent: now, is_fenced });
-        if ask.is_wrapped && client.txn.is_none() {
+        if request.is_wrapped && client.txn.is_none() {
             put_query(&mut held.out, b"-", &[b"ABORT"]);
             held.expects.push_back(Expect { what: What::Abort, sent: now, is_fenced: false });
         }
@@ -95,15 +98,15 @@
     /// try can be kept, the client need not wait for the limit to hear so.
     pub(crate) fn overdue(&mut self, id: u64, number: u64) {
         let Some(client) = self.clients.get(&id) else { return };
-        if !client.ask.is_open || client.ask.number != number || client.ask.is_streamed {
+        if !client.request.is_open || client.request.number != number || client.request.is_streamed {
             return;
         }
-        let Some(db) = client.ask.db else { return };
+        let Some(db) = client.request.db else { return };
         let Some(held) = self.dbs.get(&db) else { return };
         let sent = held.expects.front().map_or(self.now, |expect| expect.sent);
         let is_alive = self.pools.get(&held.spot).is_some_and(|pool| pool.returned > sent);
         if !is_alive {
-            self.schedules.put(self.now + OVERDUE_AGAIN_US, Schedule::Overdue { client: id, number });
+            self.timers.put(self.now + OVERDUE_AGAIN_US, Timer::Overdue { client: id, number });
             return;
         }
         let spot = held.spot;
@@ -116,10 +119,9 @@
     pub(crate) fn begun(&mut self, db: u64, id: u64, number: u64, code: Option<Code>, state: u8) {
         let Some(held) = self.dbs.get(&db) else { return };
         let (spot, is_clean) = (held.spot, !held.is_doubtful);
-        let is_open = self
-            .clients
-            .get(&id)
-            .is_some_and(|client| client.ask.is_open && client.ask.number == number && client.ask.db == Some(db));
+        let is_open = self.clients.get(&id).is_some_and(|client| {
+            client.request.is_open && client.request.number == number && client.request.db == Some(db)
+        });
         if !is_open {
             // Its client left meanwhile; an end may already be on its way.
             if held.expects.is_empty() {
@@ -142,15 +144,15 @@
         self.retry(id, code);
     }
 
-    /// Notes that this database did not run the ask.
+    /// Notes that this database did not run the request.
     pub(crate) fn refused_unrun(&mut self, id: u64, spot: wv_check::Spot, code: Code) {
         let now = self.now;
         if code == Code::ReadOnly {
             self.checks.member_mut(spot).into_iter().for_each(|member| member.doubt(now));
         }
         if let Some(client) = self.clients.get_mut(&id) {
-            client.ask.db = None;
-            client.ask.refused.push(spot);
+            client.request.db = None;
+            client.request.refused.push(spot);
             client.txn.iter_mut().for_each(|txn| txn.db = None);
         }
     }
--- a/crates/wv-access/src/share.rs
+++ b/crates/wv-access/src/share.rs
@@ -3,8 +3,8 @@
 use wv_check::Spot;
 use wv_share::{Tally, Tenants};
 
-/// Asks that one node works on at once before those over their share are refused.
-const ASKS_MAX: u32 = 512;
+/// Requests that one node works on at once before those over their share are refused.
+const REQUESTS_MAX: u32 = 512;
 /// Each tenant may have this many wait for one database at least.
 const LINE_LEAST: usize = 8;
 const WAITING_MAX: usize = crate::offer::WAITING_MAX;
@@ -14,7 +14,7 @@
 pub(crate) struct Shares {
     pub tenants: Tenants,
     pub tallies: Vec<Tally>,
-    /// Asks open now, by tenant.
+    /// Requests open now, by tenant.
     pub open: Vec<u32>,
     pub clients_max: usize,
 }
@@ -48,8 +48,8 @@
             if let Some(host) = &client.database {
                 let tenant = self.shares.tenants.find(host, &client.who);
                 self.shares.tallies[tenant as usize].sessions += 1;
-                // An open ask is counted where it was opened.
-                if !client.ask.is_open {
+                // A open request is counted where it was opened.
+                if !client.request.is_open {
                     client.tenant = tenant;
                 }
             }
@@ -87,7 +87,7 @@
         }
     }
 
-    /// An ask was opened. `false` where the node has its hands full and the tenant more than its share of them.
+    /// A request was opened. `false` where the node has its hands full and the tenant more than its share of them.
     pub(crate) fn open_share(&mut self, tenant: u16) -> bool {
         if self.shares.tenants.is_empty() {
             return true;
@@ -96,13 +96,13 @@
         let Some(open) = self.shares.open.get_mut(tenant as usize) else { return true };
         *open += 1;
         let own = u64::from(*open);
-        if all < ASKS_MAX {
+        if all < REQUESTS_MAX {
             return true;
         }
         let has_open = |at: &u16| self.shares.open[*at as usize] > 0;
         let present = (0..self.shares.tenants.len() as u16).filter(has_open);
         let weights: u64 = present.map(|at| self.shares.tenants.weight(at)).sum();
-        own <= u64::from(ASKS_MAX) * self.shares.tenants.weight(tenant) / weights.max(1)
+        own <= u64::from(REQUESTS_MAX) * self.shares.tenants.weight(tenant) / weights.max(1)
     }
 
     pub(crate) fn close_share(&mut self, tenant: u16) {
@@ -128,7 +128,7 @@
         pool.waiting.iter().filter(is_its).count()
     }
 
-    /// Whether this ask may take a connection there now. Transactions may rest, and can't be taken back.
+    /// Whether this request may take a connection there now. Transactions may rest, and can't be taken back.
     pub(crate) fn may_take(&self, id: u64, spot: Spot) -> bool {
         let Some(client) = self.clients.get(&id).filter(|_| self.has_tenants()) else { return true };
         let is_short = client.txn.is_none();
@@ -140,13 +140,13 @@
                 .is_none_or(|pool| pool.line.may_hold(&self.shares.tenants, client.tenant, slots, self.now))
     }
 
-    pub(crate) fn note_asked(&mut self, id: u64, spot: Spot) {
+    pub(crate) fn note_requested(&mut self, id: u64, spot: Spot) {
         if let (true, Some(client)) = (self.has_tenants(), self.clients.get(&id)) {
             self.pools.entry(spot).or_default().line.asked(client.tenant, self.now);
         }
     }
 
-    /// The connection was taken from rest for this ask.
+    /// The connection was taken from rest for this request.
     pub(crate) fn charge(&mut self, id: u64, db: u64, spot: Spot) {
         if !self.has_tenants() {
             return;
@@ -184,7 +184,8 @@
     pub(crate) fn nominate_waiting(&self, spot: Spot) -> Option<usize> {
         let pool = self.pools.get(&spot)?;
         let client = |id: &u64| self.clients.get(id);
-        let precedence = |id: &u64| client(id).and_then(|client| client.ask.lane.as_ref()).map(|lane| lane.precedence);
+        let precedence =
+            |id: &u64| client(id).and_then(|client| client.request.route.as_ref()).map(|route| route.precedence);
         let first = |is_fit: &dyn Fn(&u64) -> bool| {
             let fit = pool.waiting.iter().enumerate().filter(|(_, id)| is_fit(id));
             fit.min_by_key(|(at, id)| (precedence(id), *at)).map(|(at, _)| at)
@@ -201,9 +202,9 @@
     pub(crate) fn come_back_ms(&mut self, id: u64) -> Option<u64> {
         let client = self.clients.get(&id).filter(|_| self.has_tenants())?;
         let tenant = client.tenant;
-        let lane = client.ask.lane.clone()?;
+        let route = client.request.route.clone()?;
         self.shares.tallies.get_mut(tenant as usize).into_iter().for_each(|tally| tally.refused += 1);
-        let service = self.checks.find(&lane.service)?;
+        let service = self.checks.find(&route.service)?;
         let backlog = |(spot, pool): (&Spot, &crate::core::Pool)| {
             let slots = pool.line.entitled(&self.shares.tenants, tenant, self.cap(*spot), self.now);
             self.waiting_of(pool, tenant) as u64 * pool.line.expected_us() / u64::from(slots)
--- a/crates/wv-access/src/txn.rs
+++ b/crates/wv-access/src/txn.rs
@@ -1,13 +1,13 @@
 //! A client's transaction from its `BEGIN` to its end.
 use crate::core::Core;
-use crate::schedule::Schedule;
+use crate::timer::Timer;
 use crate::types::{Fail, Txn};
 use std::rc::Rc;
-use wv_conf::Lane;
+use wv_conf::Route;
 use wv_wire::Code;
 
 impl Core {
-    pub(crate) fn begin(&mut self, id: u64, query: &[u8], lane: Rc<Lane>, only_reads: bool) {
+    pub(crate) fn begin(&mut self, id: u64, query: &[u8], route: Rc<Route>, only_reads: bool) {
         let now = self.now;
         let Some(client) = self.clients.get_mut(&id) else { return };
         if client.txn.is_some() {
@@ -15,7 +15,7 @@
         }
         let at = client.first_byte;
         client.txn = Some(Txn {
-            lane,
+            route,
             begin_id: query.to_vec(),
             only_reads,
             is_plain: true,
@@ -41,7 +41,7 @@
 
     /// A transaction that rests too long is rolled back behind; the client hears of it with its next statement.
     pub(crate) fn txn_idle(&mut self, id: u64, since: u64) {
-        let Some(client) = self.clients.get_mut(&id).filter(|client| !client.ask.is_open) else { return };
+        let Some(client) = self.clients.get_mut(&id).filter(|client| !client.request.is_open) else { return };
         let Some(txn) = client.txn.as_mut().filter(|txn| txn.rests_since == since && txn.fail.is_none()) else {
             return;
         };
@@ -56,7 +56,7 @@
         let (now, wait) = (self.now, self.conf.as_ref().map_or(3_000_000, |conf| conf.limits.txn_idle_us));
         if let Some(txn) = self.clients.get_mut(&id).and_then(|client| client.txn.as_mut()) {
             txn.rests_since = now;
-            self.schedules.put(now + wait, Schedule::TxnIdle { client: id, since: now });
+            self.timers.put(now + wait, Timer::TxnIdle { client: id, since: now });
         }
     }
 }
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 use wv_check::Spot;
-use wv_conf::Lane;
+use wv_conf::Route;
 use wv_wire::Code;
 
 /// What the executor is told to do.
@@ -44,9 +44,9 @@
 
 /// The statement that a client waits for; its buffers are kept from one to the next.
 #[derive(Default)]
-pub struct Ask {
+pub struct Request {
     pub is_open: bool,
-    /// Counts the session's statements, so that old schedules and returns are known as such.
+    /// Counts the session's statements, so that old timers and returns are known as such.
     pub number: u64,
     pub id: Vec<u8>,
     /// The text as sent to databases: prepared names are already ours.
@@ -64,7 +64,7 @@
     pub last_code: Option<Code>,
     /// Since when it waits to be offered, or offered again.
     pub waits_since: u64,
-    pub lane: Option<Rc<Lane>>,
+    pub route: Option<Rc<Route>>,
     pub first_byte: u64,
     pub ret: Vec<u8>,
     pub is_streamed: bool,
@@ -76,15 +76,15 @@
     pub is_direct: bool,
 }
 
-impl Ask {
+impl Request {
     pub fn verb(&self) -> Verb {
         self.verb.unwrap_or(Verb::Write)
     }
 
-    /// Lanes that read on replicas carry other work than those that do not.
+    /// Routes that read on replicas carry other work than those that do not.
     pub fn kind(&self) -> usize {
-        let is_bounded = |lane: &Rc<Lane>| matches!(lane.category, wv_conf::Category::Bounded { .. });
-        usize::from(self.lane.as_ref().is_some_and(is_bounded))
+        let is_bounded = |route: &Rc<Route>| matches!(route.category, wv_conf::Category::Bounded { .. });
+        usize::from(self.route.as_ref().is_some_and(is_bounded))
     }
 }
 
@@ -97,7 +97,7 @@
 
 /// A client's open transaction.
 pub struct Txn {
-    pub lane: Rc<Lane>,
+    pub route: Rc<Route>,
     pub begin_id: Vec<u8>,
     pub only_reads: bool,
     /// Begun as a plain one, which only a database that leads goes on with.
@@ -128,7 +128,7 @@
     pub inbuf: Vec<u8>,
     pub out: Vec<u8>,
     pub session: wv_pool::Session,
-    pub ask: Ask,
+    pub request: Request,
     pub txn: Option<Txn>,
     pub is_closing: bool,
     pub first_byte: u64,
@@ -141,7 +141,7 @@
     Sync,
     Begin { client: u64, number: u64 },
     Abort,
-    Ask { client: u64, number: u64 },
+    Request { client: u64, number: u64 },
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/wv-conf/src/lib.rs
+++ b/crates/wv-conf/src/lib.rs
@@ -15,11 +15,11 @@
     Json(#[from] serde_json::Error),
     #[error(transparent)]
     Path(#[from] PathError),
-    #[error("lane {0} names the unknown service {1}")]
+    #[error("route {0} names the unknown service {1}")]
     UnknownService(String, String),
-    #[error("two lanes share host {0} and prefix {1}")]
+    #[error("two routes share host {0} and prefix {1}")]
     SamePlace(String, String),
-    #[error("lane {0} has an expiryMs of 0")]
+    #[error("route {0} has an expiryMs of 0")]
     NoLimit(String),
     #[error("service {0} stands twice")]
     SameService(String),
@@ -35,7 +35,7 @@
     TwoPlaces(String, String, String),
 }
 
-/// Which databases may run a lane's reads.
+/// Which databases may run a route's reads.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Category {
     Primary,
@@ -43,7 +43,7 @@
 }
 
 #[derive(Clone, PartialEq, Eq, Debug)]
-pub struct Lane {
+pub struct Route {
     pub label: String,
     pub host: String,
     pub category: Category,
@@ -68,11 +68,11 @@
     pub txn_idle_us: u64,
 }
 
-/// One whole configuration under its sequence.
+/// One whole configuration under its version.
 #[derive(Clone, Debug)]
 pub struct Conf {
-    pub sequence: u64,
-    pub lanes: Vec<std::rc::Rc<Lane>>,
+    pub version: u64,
+    pub routes: Vec<std::rc::Rc<Route>>,
     pub services: hashbrown::HashMap<String, Service, ahash::RandomState>,
     pub limits: Limits,
     /// Sections that may be absent; without them nothing is divided and nothing owned.
@@ -95,7 +95,7 @@
     }
 }
 
-fn read_lane(reader: &Reader<'_>) -> Result<(Lane, String), ConfError> {
+fn read_route(reader: &Reader<'_>) -> Result<(Route, String), ConfError> {
     let label = reader.text("label")?.to_owned();
     let expiry_us = ms(reader, "expiryMs")?;
     // A statement that may take no time could never be served: the operator meant something else.
@@ -108,7 +108,7 @@
         _ => Category::Primary,
     };
     let prefix = if reader.has("pathPrefix") { reader.text("pathPrefix")?.to_owned() } else { "/".to_owned() };
-    let lane = Lane {
+    let route = Route {
         host: reader.text("host")?.to_owned(),
         category,
         expiry_us,
@@ -118,7 +118,7 @@
         max_attempts: reader.whole_or("maxAttempts", 1)?.clamp(1, 16) as u32,
         label,
     };
-    Ok((lane, prefix))
+    Ok((route, prefix))
 }
 
 fn read_service(reader: &Reader<'_>) -> Result<Service, ConfError> {
@@ -133,10 +133,10 @@
     pub fn parse(body: &[u8]) -> Result<Conf, ConfError> {
         let value: serde_json::Value = serde_json::from_slice(body)?;
         let reader = Reader::new(&value);
-        let sequence = reader.whole("issue")?;
+        let version = reader.whole("issue")?;
         let mut services = hashbrown::HashMap::default();
-        let (service_list, lane_list) = (reader.list("services")?, reader.list("routing")?);
-        if service_list.len() > ENTRIES_MAX || lane_list.len() > ENTRIES_MAX {
+        let (service_list, route_list) = (reader.list("services")?, reader.list("routing")?);
+        if service_list.len() > ENTRIES_MAX || route_list.len() > ENTRIES_MAX {
             return Err(ConfError::TooMany);
         }
         for entry in service_list {
@@ -147,18 +147,18 @@
             }
         }
         let mut places = hashbrown::HashSet::new();
-        let (mut lanes, mut hosts) = (Vec::new(), hashbrown::HashMap::default());
-        for entry in lane_list {
-            let (lane, prefix) = read_lane(&entry)?;
-            if !services.contains_key(&lane.service) {
-                return Err(ConfError::UnknownService(lane.label, lane.service));
+        let (mut routes, mut hosts) = (Vec::new(), hashbrown::HashMap::default());
+        for entry in route_list {
+            let (route, prefix) = read_route(&entry)?;
+            if !services.contains_key(&route.service) {
+                return Err(ConfError::UnknownService(route.label, route.service));
             }
-            if !places.insert((lane.host.clone(), prefix.clone())) {
-                return Err(ConfError::SamePlace(lane.host, prefix));
+            if !places.insert((route.host.clone(), prefix.clone())) {
+                return Err(ConfError::SamePlace(route.host, prefix));
             }
-            // The wire has no paths: of several lanes with one host the first one counts.
-            hosts.entry(lane.host.clone()).or_insert(lanes.len());
-            lanes.push(std::rc::Rc::new(lane));
+            // The wire has no paths: of several routes with one host the first one counts.
+            hosts.entry(route.host.clone()).or_insert(routes.len());
+            routes.push(std::rc::Rc::new(route));
         }
         let limits = Limits {
             line_bytes: (reader.whole_or("limits.headerBytes", 16_384)? as usize)
@@ -175,11 +175,11 @@
             shards = services.keys().cloned().collect();
         }
         shards.sort();
-        Ok(Conf { sequence, lanes, services, limits, tenants, partners, shards, hosts })
+        Ok(Conf { version, routes, services, limits, tenants, partners, shards, hosts })
     }
 
-    /// The lane whose host is this database name.
-    pub fn lane(&self, database: &str) -> Option<&std::rc::Rc<Lane>> {
-        self.hosts.get(database).and_then(|at| self.lanes.get(*at))
+    /// The route whose host is this database name.
+    pub fn route(&self, database: &str) -> Option<&std::rc::Rc<Route>> {
+        self.hosts.get(database).and_then(|at| self.routes.get(*at))
     }
 }
--- a/crates/wv-conf/src/parts.rs
+++ b/crates/wv-conf/src/parts.rs
@@ -6,7 +6,7 @@
 const NAMES_MAX: usize = 1024;
 const WEIGHT_MAX: u64 = 1_000_000;
 
-/// One who shares the nodes: known by the lane's host, and by the word after it where hosts are shared.
+/// One who shares the nodes: known by the route's host, and by the word after it where hosts are shared.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Tenant {
     pub label: String,
--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -61,18 +61,18 @@
             }
             return self.ret(token, 200, "{}");
         }
-        let ask = self.quorum.next_ask();
-        let told = self.send_peers(&Msg::Inst { ask, inst });
+        let request = self.quorum.next_request();
+        let told = self.send_peers(&Msg::Inst { request, inst });
         let wanted = told.min(1 + self.peers.len() / 2);
         if wanted == 0 {
             return self.ret(token, 200, "{}");
         }
-        self.holds.push(Hold { token, ask, wanted: 1.max(wanted.min(2)), got: 0, limit: self.now + HOLD_US });
+        self.holds.push(Hold { token, request, wanted: 1.max(wanted.min(2)), got: 0, limit: self.now + HOLD_US });
     }
 
     fn spread(&mut self, insts: &[Inst]) {
         for inst in insts {
-            self.send_peers(&Msg::Inst { ask: 0, inst: inst.clone() });
+            self.send_peers(&Msg::Inst { request: 0, inst: inst.clone() });
         }
     }
 
@@ -107,8 +107,8 @@
         self.announce(&changed, true);
     }
 
-    pub(crate) fn inst_held(&mut self, ask: u64) {
-        let Some(at) = self.holds.iter().position(|hold| hold.ask == ask) else { return };
+    pub(crate) fn inst_held(&mut self, request: u64) {
+        let Some(at) = self.holds.iter().position(|hold| hold.request == request) else { return };
         self.holds[at].got += 1;
         if self.holds[at].got >= self.holds[at].wanted {
             let hold = self.holds.swap_remove(at);
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -32,13 +32,13 @@
         let Some(body) = body.filter(|body| body.len() <= crate::core::BODY_MAX) else {
             return self.ret(token, 413, "{\"cause\":\"the configuration is over the bound\"}");
         };
-        // Checked also when its sequence is old: an invalid one is never acknowledged.
+        // Checked also when its version is old: an invalid one is never acknowledged.
         let conf = match wv_conf::Conf::parse(body) {
             Ok(conf) => conf,
             Err(error) => return self.ret(token, 400, cause(&error.to_string())),
         };
         self.waiting.insert(token, Waiting::Put);
-        self.quorum.start(token, CONF, Some(wv_reg::cell(conf.sequence, wv_pack::pack(body))), self.now);
+        self.quorum.start(token, CONF, Some(wv_reg::cell(conf.version, wv_pack::pack(body))), self.now);
         self.run_quorum();
     }
 
@@ -64,7 +64,7 @@
         };
         if done.key == CONF {
             if let Outcome::Read(cell) | Outcome::Written(cell) | Outcome::Held(cell) = &done.outcome {
-                let is_news = cell.sequence > self.published;
+                let is_news = cell.version > self.published;
                 self.in_force(cell);
                 if is_news && matches!(waiting, Waiting::Put) {
                     self.send_peers(&Msg::Committed { key: CONF.to_owned(), cell: cell.clone() });
@@ -73,7 +73,7 @@
         }
         match (waiting, done.outcome) {
             (Waiting::Put, Outcome::Written(_) | Outcome::Held(_)) => self.ret(done.token, 200, "{}"),
-            (Waiting::Get, Outcome::Read(cell)) if cell.sequence == 0 && cell.value.is_empty() => {
+            (Waiting::Get, Outcome::Read(cell)) if cell.version == 0 && cell.value.is_empty() => {
                 self.ret(done.token, 404, "{\"cause\":\"no configuration has been taken yet\"}")
             }
             (Waiting::Get, Outcome::Read(cell)) => match wv_pack::unpack(&cell.value, crate::core::BODY_MAX) {
@@ -91,13 +91,13 @@
 
     /// A configuration that is known to stand on a majority enters the feed, never an older one.
     pub(crate) fn in_force(&mut self, cell: &wv_inner::Cell) {
-        if cell.sequence > self.published && !cell.value.is_empty() {
-            self.published = cell.sequence;
-            log::info!("in force {}", cell.sequence);
+        if cell.version > self.published && !cell.value.is_empty() {
+            self.published = cell.version;
+            log::info!("in force {}", cell.version);
             match wv_pack::unpack(&cell.value, crate::core::BODY_MAX) {
                 Ok(body) => {
                     self.conf = wv_conf::Conf::parse(&body).ok();
-                    let msg = self.feed.publish_conf(cell.sequence, &body);
+                    let msg = self.feed.publish_conf(cell.version, &body);
                     self.tell_followers(&msg);
                 }
                 Err(error) => log::error!("the configuration in force: {error}"),
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -32,7 +32,7 @@
         body: Vec<u8>,
     },
     /// Ask a database of `service` something of the control side; the row comes back as an event.
-    Ask {
+    Request {
         service: String,
         id: String,
         addr: String,
@@ -94,7 +94,7 @@
     pub(crate) holds: Vec<Hold>,
     pub(crate) acts: Vec<Act>,
     pub(crate) next_id: u64,
-    /// The newest configuration sequence known to stand on a majority.
+    /// The newest configuration version known to stand on a majority.
     pub(crate) published: u64,
     pub(crate) is_caught_up: bool,
     pub(crate) is_syncing: bool,
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -179,7 +179,7 @@
 
     fn ask_db(&mut self, service: &str, id: String, text: String) {
         match self.table.get(&id).map(|inst| inst.addr.clone()) {
-            Some(addr) => self.acts.push(Act::Ask { service: service.to_owned(), id, addr, text }),
+            Some(addr) => self.acts.push(Act::Request { service: service.to_owned(), id, addr, text }),
             None => self.duty_event(service, Event::Row { id, word: Err(Silent::Refused) }),
         }
     }
@@ -210,7 +210,7 @@
     pub(crate) fn duty_seen(&mut self, service: String, outcome: Outcome) {
         let Outcome::Read(held) = outcome else { return self.duty_event(&service, Event::Claimed(None)) };
         let own = self.me.bytes().fold(0u64, |sum, byte| (sum * 31 + u64::from(byte)) & 0xffff);
-        let fence = (((held.sequence >> 16) + 1) << 16) | own;
+        let fence = (((held.version >> 16) + 1) << 16) | own;
         let is_succession = !held.value.is_empty() && held.value != self.me.as_bytes();
         self.fences.insert(service.clone(), if is_succession { fence | 1 << 63 } else { fence });
         let cell = wv_reg::cell(fence, self.me.clone().into_bytes());
@@ -220,7 +220,7 @@
     pub(crate) fn duty_claimed(&mut self, service: String, outcome: Outcome) {
         let noted = self.fences.get(&service).copied().unwrap_or(0);
         let (fence, is_succession) = (noted & !(1 << 63), noted >> 63 == 1);
-        let is_ours = matches!(outcome, Outcome::Written(cell) if cell.sequence == fence);
+        let is_ours = matches!(outcome, Outcome::Written(cell) if cell.version == fence);
         self.fences.insert(service.clone(), fence);
         self.duty_event(&service, Event::Claimed(is_ours.then_some((fence, is_succession))));
     }
@@ -228,7 +228,7 @@
     pub(crate) fn duty_confirmed(&mut self, service: String, outcome: Outcome) {
         let fence = self.fences.get(&service).copied();
         let is_ours = matches!(&outcome, Outcome::Read(cell)
-            if Some(cell.sequence) == fence && cell.value == self.me.as_bytes());
+            if Some(cell.version) == fence && cell.value == self.me.as_bytes());
         self.duty_event(&service, Event::Confirmed(is_ours));
     }
 }
--- a/crates/wv-control/src/exec.rs
+++ b/crates/wv-control/src/exec.rs
@@ -23,24 +23,24 @@
     returns: Rc<RefCell<HashMap<u64, oneshot::Sender<wv_http::Return>>>>,
     inner_port: u16,
     pub(crate) name: String,
-    pub(crate) platform: Option<wv_boot::Platform>,
-    pub(crate) pace: Rc<RefCell<crate::ask::Pace>>,
+    pub(crate) platform: Option<wv_settings::Platform>,
+    pub(crate) pace: Rc<RefCell<crate::request::Pace>>,
     epoch: std::time::Instant,
 }
 
 impl Node {
-    pub fn new(core: Core, boot: &wv_boot::Boot) -> Node {
-        let rate = boot.platform.as_ref().map_or(1.0, |platform| platform.duty_rate).max(0.1);
+    pub fn new(core: Core, settings: &wv_settings::Settings) -> Node {
+        let rate = settings.platform.as_ref().map_or(1.0, |platform| platform.duty_rate).max(0.1);
         // Each node keeps well within the rate that all of them share.
-        let pace = crate::ask::Pace { gap_us: (8e6 / rate) as u64, next: 0 };
+        let pace = crate::request::Pace { gap_us: (8e6 / rate) as u64, next: 0 };
         Node {
-            name: boot.node.clone(),
-            platform: boot.platform.clone(),
+            name: settings.node.clone(),
+            platform: settings.platform.clone(),
             pace: Rc::new(RefCell::new(pace)),
             core: Rc::new(RefCell::new(core)),
             links: Default::default(),
             returns: Default::default(),
-            inner_port: boot.inner_port,
+            inner_port: settings.inner_port,
             epoch: std::time::Instant::now(),
         }
     }
@@ -73,7 +73,7 @@
             Act::Dial { link, addr } => {
                 tokio::task::spawn_local(self.clone().dial(link, addr));
             }
-            Act::Ask { service, id, addr, text } => {
+            Act::Request { service, id, addr, text } => {
                 tokio::task::spawn_local(self.clone().ask_db(service, id, addr, text));
             }
             Act::Post { service, id, fence } => {
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -1,5 +1,4 @@
 //! The control role: register, configuration, beats, feed and duties. Logic without sockets; `run` executes.
-mod ask;
 mod beats;
 mod conf;
 mod core;
@@ -9,6 +8,7 @@
 mod own;
 mod peers;
 mod recall;
+mod request;
 mod run;
 mod tick;
 mod types;
@@ -21,7 +21,7 @@
 
 #[derive(thiserror::Error, Debug)]
 pub enum ControlError {
-    #[error("the boot file gives this role no control address")]
+    #[error("the settings file gives this role no control address")]
     NoAddress,
     #[error("cannot listen on {0}: {1}")]
     Listen(std::net::SocketAddr, std::io::Error),
--- a/crates/wv-control/src/own.rs
+++ b/crates/wv-control/src/own.rs
@@ -66,7 +66,7 @@
             return self.owning.retain(|held| *held != service);
         };
         let own = self.me.bytes().fold(0u64, |sum, byte| (sum * 31 + u64::from(byte)) & 0xffff);
-        let number = (((held.sequence >> 16) + 1) << 16) | own;
+        let number = (((held.version >> 16) + 1) << 16) | own;
         let owner = Owner { service: service.clone(), node, place, number };
         let token = self.fresh_id();
         let cell = wv_reg::cell(number, nanoserde::SerBin::serialize_bin(&owner));
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -31,8 +31,8 @@
             },
         );
         self.send(link, self.peers_msg());
-        let ask = self.quorum.next_ask();
-        self.send(link, Msg::Ping { ask });
+        let request = self.quorum.next_request();
+        self.send(link, Msg::Ping { request });
         self.send(link, Msg::Digests { ranges: self.table.digests() });
         self.send(link, Msg::Sessions { nodes: self.roster.sessions(self.now) });
         // Whoever was away hears which shards changed hands meanwhile.
@@ -138,11 +138,11 @@
             Msg::Sessions { nodes } => {
                 self.roster.peer_sessions(addr, nodes, self.now);
             }
-            Msg::Ping { ask } => {
-                let conf = self.store.get(crate::core::CONF).map_or(0, |cell| cell.sequence);
+            Msg::Ping { request } => {
+                let conf = self.store.get(crate::core::CONF).map_or(0, |cell| cell.version);
                 let disk = self.is_core.then_some(self.seat.disk);
                 let set = self.seat.votes_in(&self.me);
-                self.send(link, Msg::Pong { ask, conf, disk, set });
+                self.send(link, Msg::Pong { request, conf, disk, set });
             }
             Msg::Pong { conf, disk, set, .. } => {
                 if let Some(peer) = self.peers.get_mut(addr) {
@@ -157,16 +157,16 @@
                     self.sync_conf();
                 }
             }
-            Msg::Get { ask, set, key } => {
+            Msg::Get { request, set, key } => {
                 let cell = self.local_get(set, &key);
-                cell.into_iter().for_each(|cell| self.send(link, Msg::Got { ask, cell }));
+                cell.into_iter().for_each(|cell| self.send(link, Msg::Got { request, cell }));
             }
-            Msg::Got { ask, cell } => self.quorum.got(addr, ask, cell),
-            Msg::Put { ask, set, key, cell } => {
+            Msg::Got { request, cell } => self.quorum.got(addr, request, cell),
+            Msg::Put { request, set, key, cell } => {
                 let vote = self.local_put(set, &key, &cell);
-                vote.into_iter().for_each(|ok| self.send(link, Msg::PutDone { ask, ok, sequence: cell.sequence }));
+                vote.into_iter().for_each(|ok| self.send(link, Msg::PutDone { request, ok, version: cell.version }));
             }
-            Msg::PutDone { ask, ok, .. } => self.quorum.put_done(addr, ask, ok),
+            Msg::PutDone { request, ok, .. } => self.quorum.put_done(addr, request, ok),
             Msg::GetAll { voters, before, held } => self.give_all(link, &voters, &before, &held),
             Msg::GotAll { set, cells } => self.pulled(addr, set, cells),
             msg @ (Msg::Claim { .. } | Msg::Settle { .. }) => {
@@ -175,13 +175,13 @@
             }
             msg @ (Msg::Claimed { .. } | Msg::Settled { .. }) => self.change_heard(addr, msg),
             Msg::Committed { key, cell } if key == crate::core::CONF => self.in_force(&cell),
-            Msg::Inst { ask, inst } => {
+            Msg::Inst { request, inst } => {
                 self.inst_from_peer(inst);
-                if ask > 0 {
-                    self.send(link, Msg::InstHeld { ask });
+                if request > 0 {
+                    self.send(link, Msg::InstHeld { request });
                 }
             }
-            Msg::InstHeld { ask } => self.inst_held(ask),
+            Msg::InstHeld { request } => self.inst_held(request),
             Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
             Msg::Lead(lead) => self.lead_told(lead),
             Msg::Owner(owner) => self.owner_told(owner),
--- a/crates/wv-control/src/recall.rs
+++ b/crates/wv-control/src/recall.rs
@@ -28,9 +28,9 @@
             nodes: self.nodes_told,
         };
         let value = nanoserde::SerBin::serialize_bin(&kept);
-        let sequence = self.store.get(&key()).map_or(1, |held| held.sequence + 1);
+        let version = self.store.get(&key()).map_or(1, |held| held.version + 1);
         if value.len() <= KEPT_MAX {
-            if let Err(error) = self.store.put(&key(), &wv_reg::cell(sequence, value)) {
+            if let Err(error) = self.store.put(&key(), &wv_reg::cell(version, value)) {
                 log::warn!("the table of databases is not kept: {error}");
             }
         }
--- a/crates/wv-control/src/ask.rs
+++ b/crates/wv-control/src/request.rs
@@ -38,7 +38,7 @@
     }
 }
 
-async fn ask(addr: SocketAddr, service: &str, id: &str, text: &str) -> Word {
+async fn request(addr: SocketAddr, service: &str, id: &str, text: &str) -> Word {
     let stream = wv_http::connect(addr, CONNECT).await.map_err(|error| match error.kind() {
         std::io::ErrorKind::ConnectionRefused => Silent::Refused,
         _ => Silent::Dark,
@@ -62,7 +62,9 @@
 impl Node {
     pub(crate) async fn ask_db(self, service: String, id: String, addr: String, text: String) {
         let word = match addr.parse() {
-            Ok(addr) => tokio::time::timeout(ASK, ask(addr, &service, &id, &text)).await.unwrap_or(Err(Silent::Dark)),
+            Ok(addr) => {
+                tokio::time::timeout(ASK, request(addr, &service, &id, &text)).await.unwrap_or(Err(Silent::Dark))
+            }
             Err(_) => Err(Silent::Dark),
         };
         self.with(|core, now| core.row(&service, &id, word, now));
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -2,7 +2,7 @@
 use crate::exec::Node;
 use crate::{ControlError, Core, Start};
 use actix::prelude::*;
-use wv_proc::{watch_signals, BootFile, Signal};
+use wv_proc::{watch_signals, SettingsFile, Signal};
 
 const TICK: std::time::Duration = std::time::Duration::from_millis(100);
 const BOOT_EVERY: u32 = 10;
@@ -11,7 +11,7 @@
 
 struct Control {
     node: Node,
-    file: BootFile,
+    file: SettingsFile,
     rounds: u32,
     leave_us: u64,
     leaving_since: Option<u64>,
@@ -20,10 +20,10 @@
 
 impl Control {
     fn reread(&mut self) {
-        if let Some(boot) = self.file.reread() {
-            let seeds = boot.seeds.iter().map(|seed| seed.to_string()).collect();
+        if let Some(settings) = self.file.reread() {
+            let seeds = settings.seeds.iter().map(|seed| seed.to_string()).collect();
             self.node.core.borrow_mut().set_seeds(seeds);
-            self.leave_us = boot.grace_us / 4;
+            self.leave_us = settings.grace_us / 4;
         }
     }
 }
@@ -65,8 +65,8 @@
     }
 }
 
-fn open_store(boot: &wv_boot::Boot) -> Result<wv_reg::Store, wv_reg::RegError> {
-    let files: Box<dyn wv_reg::Files> = match &boot.data_dir {
+fn open_store(settings: &wv_settings::Settings) -> Result<wv_reg::Store, wv_reg::RegError> {
+    let files: Box<dyn wv_reg::Files> = match &settings.data_dir {
         Some(dir) => Box::new(wv_reg::ThreadFiles::start(
             Box::new(wv_reg::DirFiles::open(dir)?),
             Box::new(wv_reg::DirFiles::open(dir)?),
@@ -79,30 +79,34 @@
 }
 
 /// Runs until the platform ends the process; `calendar` says when sweeps of repair prefer to run.
-pub fn run(boot: wv_boot::Boot, boot_path: &str, calendar: wv_when::Calendar) -> Result<(), ControlError> {
-    let addr = boot.control.ok_or(ControlError::NoAddress)?;
-    let seeds: Vec<String> = boot.seeds.iter().map(|seed| seed.to_string()).collect();
-    if boot.initial_start && boot.tolerate_machines as usize > seeds.len().saturating_sub(1) / 2 {
-        log::error!("{} voters do not bear the loss of {} machines", seeds.len(), boot.tolerate_machines);
+pub fn run(
+    settings: wv_settings::Settings,
+    settings_path: &str,
+    calendar: wv_when::Calendar,
+) -> Result<(), ControlError> {
+    let addr = settings.control.ok_or(ControlError::NoAddress)?;
+    let seeds: Vec<String> = settings.seeds.iter().map(|seed| seed.to_string()).collect();
+    if settings.initial_start && settings.tolerate_machines as usize > seeds.len().saturating_sub(1) / 2 {
+        log::error!("{} voters do not bear the loss of {} machines", seeds.len(), settings.tolerate_machines);
     }
-    let store = open_store(&boot)?;
+    let store = open_store(&settings)?;
     let start = Start {
         me: addr.to_string(),
-        node: boot.node.clone(),
-        zone: boot.zone.clone(),
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
         life: wv_proc::life(),
         seeds,
-        is_first: boot.initial_start,
-        is_core: boot.data_dir.is_some(),
+        is_first: settings.initial_start,
+        is_core: settings.data_dir.is_some(),
         disk: wv_proc::draw(),
     };
     let core = Core::new(start, store)?;
     let system = System::new();
     system.block_on(async {
         let listener = wv_http::listen(addr).map_err(|error| ControlError::Listen(addr, error))?;
-        let inner = boot.inner_addr(addr);
+        let inner = settings.inner_addr(addr);
         let inner_listener = wv_http::listen(inner).map_err(|error| ControlError::Listen(inner, error))?;
-        let node = Node::new(core, &boot);
+        let node = Node::new(core, &settings);
         let called = node.clone();
         tokio::task::spawn_local(wv_http::serve(listener, crate::core::BODY_MAX, move |call| {
             called.clone().call(call)
@@ -110,14 +114,14 @@
         tokio::task::spawn_local(node.clone().accept(inner_listener));
         let control = Control {
             node,
-            file: BootFile::new(boot_path),
+            file: SettingsFile::new(settings_path),
             rounds: 0,
-            leave_us: boot.grace_us / 4,
+            leave_us: settings.grace_us / 4,
             leaving_since: None,
             calendar,
         };
         tokio::task::spawn_local(watch_signals(control.start()));
-        log::info!("control node {} serves {addr}", boot.node);
+        log::info!("control node {} serves {addr}", settings.node);
         Ok::<(), ControlError>(())
     })?;
     system.run().map_err(|error| ControlError::Listen(addr, error))
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -64,8 +64,8 @@
 
     pub(crate) fn ping(&mut self) {
         self.pinged = self.now;
-        let ask = self.quorum.next_ask();
-        self.send_peers(&Msg::Ping { ask });
+        let request = self.quorum.next_request();
+        self.send_peers(&Msg::Ping { request });
     }
 
     fn dial(&mut self) {
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -46,7 +46,7 @@
 
 pub(crate) struct Hold {
     pub token: u64,
-    pub ask: u64,
+    pub request: u64,
     pub wanted: usize,
     pub got: usize,
     pub limit: u64,
--- a/crates/wv-control/src/voter.rs
+++ b/crates/wv-control/src/voter.rs
@@ -34,13 +34,13 @@
                 }
                 let me = self.me.clone();
                 match msg {
-                    Msg::Get { ask, set, key } => {
+                    Msg::Get { request, set, key } => {
                         let cell = self.local_get(set, &key);
-                        cell.into_iter().for_each(|cell| self.quorum.got(&me, ask, cell));
+                        cell.into_iter().for_each(|cell| self.quorum.got(&me, request, cell));
                     }
-                    Msg::Put { ask, set, key, cell } => {
+                    Msg::Put { request, set, key, cell } => {
                         let vote = self.local_put(set, &key, &cell);
-                        vote.into_iter().for_each(|ok| self.quorum.put_done(&me, ask, ok));
+                        vote.into_iter().for_each(|ok| self.quorum.put_done(&me, request, ok));
                     }
                     _ => {}
                 }
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -146,9 +146,9 @@
         let own = self.me.bytes().fold(0u64, |sum, byte| (sum * 31 + u64::from(byte)) & 0xffff);
         let fence = (((self.met.max(self.seat.fence) >> 16) + 1) << 16) | own;
         log::warn!("set {} is to follow: {}", next.number, next.addrs().collect::<Vec<_>>().join(" "));
-        let ask = self.quorum.next_ask();
+        let request = self.quorum.next_request();
         self.changed = self.now;
-        self.change = Some(Change::new(ask, fence, self.seat.voters.clone(), next, self.now));
+        self.change = Some(Change::new(request, fence, self.seat.voters.clone(), next, self.now));
         self.run_voters();
     }
 
@@ -198,13 +198,13 @@
     pub(crate) fn change_word(&mut self, msg: Msg) -> Option<Msg> {
         let noted = |error: wv_reg::RegError| log::error!("a word on the next voters is not kept: {error}");
         match msg {
-            Msg::Claim { ask, set, fence } => {
+            Msg::Claim { request, set, fence } => {
                 let claimed = self.seat.claim(&mut self.store, &self.me, set, fence)?.map_err(noted).ok()?;
-                Some(Msg::Claimed { ask, ok: claimed.is_ok, fence: claimed.fence, next: claimed.next })
+                Some(Msg::Claimed { request, ok: claimed.is_ok, fence: claimed.fence, next: claimed.next })
             }
-            Msg::Settle { ask, set, fence, next } => {
+            Msg::Settle { request, set, fence, next } => {
                 let ok = self.seat.settle(&mut self.store, &self.me, (set, fence), &next)?.map_err(noted).ok()?;
-                Some(Msg::Settled { ask, ok })
+                Some(Msg::Settled { request, ok })
             }
             _ => None,
         }
@@ -212,8 +212,8 @@
 
     pub(crate) fn change_heard(&mut self, voter: &str, msg: Msg) {
         let end = self.change.as_mut().and_then(|change| match msg {
-            Msg::Claimed { ask, ok, fence, next } => change.claimed(voter, ask, ok, fence, next),
-            Msg::Settled { ask, ok } => change.settled(voter, ask, ok),
+            Msg::Claimed { request, ok, fence, next } => change.claimed(voter, request, ok, fence, next),
+            Msg::Settled { request, ok } => change.settled(voter, request, ok),
             _ => None,
         });
         match end {
--- a/crates/wv-feed/src/follow.rs
+++ b/crates/wv-feed/src/follow.rs
@@ -7,7 +7,7 @@
 pub struct Feed {
     life: u64,
     place: u64,
-    /// The configuration in force: its sequence, the news of it packed, and its body.
+    /// The configuration in force: its version, the news of it packed, and its body.
     conf: Option<(u64, News, Vec<u8>)>,
     nodes: u32,
     leads: std::collections::BTreeMap<String, Lead>,
@@ -29,13 +29,13 @@
     }
 
     /// A configuration came into force: followers hear what differs, newcomers the whole.
-    pub fn publish_conf(&mut self, sequence: u64, body: &[u8]) -> Msg {
-        let whole = News::Conf { sequence, body: wv_pack::pack(body) };
+    pub fn publish_conf(&mut self, version: u64, body: &[u8]) -> Msg {
+        let whole = News::Conf { version, body: wv_pack::pack(body) };
         let news = match self.conf.take() {
-            Some((base, _, old)) => News::ConfChange { base, sequence, change: wv_pack::delta(&old, body) },
+            Some((base, _, old)) => News::ConfChange { base, version, change: wv_pack::delta(&old, body) },
             None => whole.clone(),
         };
-        self.conf = Some((sequence, whole, body.to_vec()));
+        self.conf = Some((version, whole, body.to_vec()));
         self.publish(news)
     }
 
--- a/crates/wv-fleet/src/load.rs
+++ b/crates/wv-fleet/src/load.rs
@@ -7,7 +7,7 @@
 /// One client at work: operations one after the other, tried again after a promise.
 pub struct Load {
     client: usize,
-    lane: String,
+    route: String,
     luck: Luck,
     texts: Vec<String>,
     at: usize,
@@ -27,13 +27,13 @@
 const PROMISES: [&str; 6] = ["CONGESTED", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "OVERLOAD"];
 
 impl World {
-    /// Starts `count` clients at work on `lane`, spread over the access nodes.
-    pub fn load(&mut self, count: usize, lane: &str) {
+    /// Starts `count` clients at work on `route`, spread over the access nodes.
+    pub fn load(&mut self, count: usize, route: &str) {
         for _ in 0..count {
             let at = self.loads.len();
             self.loads.push(Load {
                 client: usize::MAX,
-                lane: lane.to_owned(),
+                route: route.to_owned(),
                 luck: Luck::new(at as u64 + 11),
                 texts: Vec::new(),
                 at: 0,
@@ -62,14 +62,14 @@
         self.loads.iter().fold((0, 0), |sum, load| (sum.0 + load.done, sum.1 + load.failed))
     }
 
-    /// The same for one lane.
-    pub fn lane_done(&self, lane: &str) -> (u32, u32) {
-        let loads = self.loads.iter().filter(|load| load.lane == lane);
+    /// The same for one route.
+    pub fn route_done(&self, route: &str) -> (u32, u32) {
+        let loads = self.loads.iter().filter(|load| load.route == route);
         loads.fold((0, 0), |sum, load| (sum.0 + load.done, sum.1 + load.failed))
     }
 
-    pub fn slowest(&self, lane: &str) -> u64 {
-        self.loads.iter().filter(|load| load.lane == lane).map(|load| load.slowest_us).max().unwrap_or(0)
+    pub fn slowest(&self, route: &str) -> u64 {
+        self.loads.iter().filter(|load| load.route == route).map(|load| load.slowest_us).max().unwrap_or(0)
     }
 
     /// Forgets how slow the slowest operation was.
@@ -109,8 +109,8 @@
                 return;
             }
             let Some(node) = up.get(at % up.len().max(1)).copied() else { return self.again(at, 100 * MS) };
-            let lane = self.loads[at].lane.clone();
-            let client = self.client(node, &lane);
+            let route = self.loads[at].route.clone();
+            let client = self.client(node, &route);
             self.clients[client].load = Some(at);
             self.loads[at].client = client;
             self.loads[at].values.clear();
@@ -128,14 +128,14 @@
             }
             self.plan(at);
         }
-        self.ask(at);
+        self.request(at);
     }
 
     fn plan(&mut self, at: usize) {
         let now = self.now;
         let load = &mut self.loads[at];
         let kind = load.luck.below(100);
-        let texts: Vec<&str> = match (load.lane.starts_with('b'), kind) {
+        let texts: Vec<&str> = match (load.route.starts_with('b'), kind) {
             (true, 0..=9) => vec!["BEGIN READ", "READ k", "READ k", "COMMIT"],
             (true, 10..=30) => vec!["EXECUTE s k"],
             (true, _) => vec!["READ k"],
@@ -148,7 +148,7 @@
         (load.at, load.begun) = (0, now);
     }
 
-    fn ask(&mut self, at: usize) {
+    fn request(&mut self, at: usize) {
         let now = self.now;
         let load = &mut self.loads[at];
         let Some(text) = load.texts.get(load.at).cloned() else { return };
@@ -159,7 +159,7 @@
             load.begun = now;
         }
         let first_byte = if is_txn { load.begun } else { now };
-        let since = if load.lane.starts_with('b') { first_byte.saturating_sub(1500 * MS) } else { first_byte };
+        let since = if load.route.starts_with('b') { first_byte.saturating_sub(1500 * MS) } else { first_byte };
         if text.starts_with("WRITE") {
             load.tags.push(tag.clone());
         }
@@ -227,6 +227,6 @@
         load.is_broken = true;
         load.texts = vec!["ABORT".to_owned()];
         load.at = 0;
-        self.ask(at);
+        self.request(at);
     }
 }
--- a/crates/wv-fleet/src/log.rs
+++ b/crates/wv-fleet/src/log.rs
@@ -4,7 +4,7 @@
 
 impl Base {
     /// The control side's own calls.
-    pub fn ask(&mut self, text: &str) -> Option<wv_wire::Status> {
+    pub fn request(&mut self, text: &str) -> Option<wv_wire::Status> {
         let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
         match verb {
             "SUSPEND" => self.held = rest.parse().unwrap_or(0),
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -146,7 +146,7 @@
         acts.into_iter().for_each(|act| self.access_act(at, act));
         if let Some(next) = next.filter(|next| *next < self.access[at].armed) {
             self.access[at].armed = next;
-            self.put(next.saturating_sub(now), Ev::Schedule(at));
+            self.put(next.saturating_sub(now), Ev::Timer(at));
         }
         if let Some(to) = self.access[at].session.filter(|_| !sights.is_empty()) {
             self.put(HOP, Ev::Link { to, msg: Msg::Sights(sights) });
@@ -219,7 +219,7 @@
             ControlAct::Return { token, status, body } => {
                 self.returns.insert(token, (status, body));
             }
-            ControlAct::Ask { service, id, text, .. } => {
+            ControlAct::Request { service, id, text, .. } => {
                 let is_open = |base: &usize| {
                     let held = &self.bases[*base];
                     !held.is_dark && !self.is_cut(&self.controls[at].name, &held.id)
@@ -227,9 +227,9 @@
                 let word = match self.base(&id).filter(is_open) {
                     None => Err(wv_promo::Silent::Dark),
                     Some(base) if !self.bases[base].is_up => Err(wv_promo::Silent::Refused),
-                    Some(base) => self.bases[base].ask(&text).ok_or(wv_promo::Silent::Dark),
+                    Some(base) => self.bases[base].request(&text).ok_or(wv_promo::Silent::Dark),
                 };
-                self.note(format!("{} asks {id}: {text}", self.controls[at].name));
+                self.note(format!("{} requests {id}: {text}", self.controls[at].name));
                 let wait = if word.is_ok() { 15 * MS } else { 100 * MS };
                 self.put(wait, Ev::Row { control: at, service, id, word });
             }
--- a/crates/wv-fleet/src/states.rs
+++ b/crates/wv-fleet/src/states.rs
@@ -42,32 +42,32 @@
         self.controls[at].core.as_ref().is_some_and(|core| core.is_changing())
     }
 
-    /// A configuration with one primary lane `p` and one bounded lane `b` onto service `s`.
-    pub fn conf(sequence: u64) -> Vec<u8> {
-        World::conf_of(sequence, &["s".to_owned()])
+    /// A configuration with one primary route `p` and one bounded route `b` onto service `s`.
+    pub fn conf(version: u64) -> Vec<u8> {
+        World::conf_of(version, &["s".to_owned()])
     }
 
-    /// The first service's lanes are `p` and `b`, the others' `p.NAME` and `b.NAME`.
-    pub fn conf_of(sequence: u64, services: &[String]) -> Vec<u8> {
-        let lane = |at: usize, service: &str, (kind, category): (&str, &str), target: u32, precedence: u32| {
+    /// The first service's routes are `p` and `b`, the others' `p.NAME` and `b.NAME`.
+    pub fn conf_of(version: u64, services: &[String]) -> Vec<u8> {
+        let route = |at: usize, service: &str, (kind, category): (&str, &str), target: u32, precedence: u32| {
             let label = if at == 0 { kind.to_owned() } else { format!("{kind}.{service}") };
             serde_json::json!({"label": label, "host": label, "pathPrefix": "/", "category": category,
                 "expiryMs": 1000, "targetMs": target, "precedence": precedence, "destination": service,
                 "maxAttempts": 2, "maxStalenessMs": 1500})
         };
-        let lanes: Vec<serde_json::Value> = services
+        let routes: Vec<serde_json::Value> = services
             .iter()
             .enumerate()
             .flat_map(|(at, service)| {
-                let primary = lane(at, service, ("p", "primary"), 200, 1);
-                [primary, lane(at, service, ("b", "bounded_staleness"), 800, 2)]
+                let primary = route(at, service, ("p", "primary"), 200, 1);
+                [primary, route(at, service, ("b", "bounded_staleness"), 800, 2)]
             })
             .collect();
         let services: Vec<serde_json::Value> = services
             .iter()
             .map(|service| serde_json::json!({"label": service, "maxConnections": 100, "syncReplicas": 1}))
             .collect();
-        serde_json::json!({"issue": sequence, "routing": lanes, "services": services,
+        serde_json::json!({"issue": version, "routing": routes, "services": services,
             "limits": {"headerBytes": 16384, "bodyBytes": 262144, "headerTimerMs": 3000, "txnIdleMs": 3000}})
         .to_string()
         .into_bytes()
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -8,7 +8,7 @@
 
 pub(crate) enum Ev {
     Care(usize),
-    Schedule(usize),
+    Timer(usize),
     Session(usize),
     ControlTick(usize),
     DbOpened { access: usize, db: u64, life: u64 },
@@ -139,7 +139,7 @@
                 self.with_access(at, |core, now| core.housekeep(now));
                 self.put(100 * MS, Ev::Care(at));
             }
-            Ev::Schedule(at) => {
+            Ev::Timer(at) => {
                 self.access[at].armed = u64::MAX;
                 self.with_access(at, |core, now| core.tick(now));
             }
--- a/crates/wv-fleet/tests/failover.rs
+++ b/crates/wv-fleet/tests/failover.rs
@@ -123,8 +123,8 @@
         let mut holder = None;
         while holder.is_none() {
             world.run(5 * MS);
-            let asks = world.course.iter().rev().find(|(_, text)| text.contains("asks"));
-            holder = asks.and_then(|(_, text)| text[1..2].parse::<usize>().ok());
+            let requests = world.course.iter().rev().find(|(_, text)| text.contains("requests"));
+            holder = requests.and_then(|(_, text)| text[1..2].parse::<usize>().ok());
         }
         world.run(moment * MS);
         world.kill_control(holder.unwrap_or(0));
@@ -220,7 +220,7 @@
     (world.bases[0].is_primary, world.bases[0].term) = (true, 1);
     world.bases[lead].is_draining = true;
     world.run(2 * S);
-    expect_that!(world.course.iter().any(|(_, text)| text.contains("asks i-s0: YIELD 2")), eq(true));
+    expect_that!(world.course.iter().any(|(_, text)| text.contains("requests i-s0: YIELD 2")), eq(true));
     expect_that!(world.bases[0].is_primary && world.bases[0].term == 1, eq(false));
     // No rules are judged here: a database that forgets its deposition has broken the fence they rest on.
     expect_that!(world.bases[lead].is_primary, eq(false));
--- a/crates/wv-fleet/tests/hands.rs
+++ b/crates/wv-fleet/tests/hands.rs
@@ -1,4 +1,4 @@
-//! Stories of one ask that is handed over to the owner of its shard.
+//! Stories of one request that is handed over to the owner of its shard.
 use googletest::prelude::*;
 use wv_fleet::{World, MS, S};
 
@@ -38,7 +38,7 @@
     let core = world.access[other].core.as_mut().expect("it runs");
     let link = core.hand_in(0);
     core.hand(link, wv_inner::Hand::Open { hand: 5, host: "p".to_owned(), who: "u".to_owned() }, 0);
-    core.hand(link, wv_inner::Hand::Ask { hand: 5, lines: b"QUERY w1 WRITE k d\r\n".to_vec() }, 0);
+    core.hand(link, wv_inner::Hand::Request { hand: 5, lines: b"QUERY w1 WRITE k d\r\n".to_vec() }, 0);
     let refused = wv_access::Act::SendHand { link, msg: wv_inner::Hand::Refused { hand: 5 } };
     expect_that!(core.take_acts(), eq(&vec![refused]));
 }
--- a/crates/wv-fleet/tests/scale.rs
+++ b/crates/wv-fleet/tests/scale.rs
@@ -7,25 +7,25 @@
     let names: Vec<String> = (0..30).map(|at| format!("s{at}")).collect();
     let mut world = World::of(80, 8, &names);
     world.run(3 * S);
-    let long = |sequence: u64, lanes: usize| {
+    let long = |version: u64, routes: usize| {
         let mut value: serde_json::Value =
-            serde_json::from_slice(&World::conf_of(sequence, &names)).expect("the stand-in's own");
-        let lane = value["routing"][0].clone();
+            serde_json::from_slice(&World::conf_of(version, &names)).expect("the stand-in's own");
+        let route = value["routing"][0].clone();
         let list = value["routing"].as_array_mut().expect("a list");
-        list.extend((0..lanes).map(|at| {
-            let mut lane = lane.clone();
-            (lane["label"], lane["host"]) = (format!("x{at}").into(), format!("x{at}").into());
-            lane
+        list.extend((0..routes).map(|at| {
+            let mut route = route.clone();
+            (route["label"], route["host"]) = (format!("x{at}").into(), format!("x{at}").into());
+            route
         }));
         value.to_string().into_bytes()
     };
-    for (sequence, lanes) in [(1, 1000), (2, 1001), (3, 1400)] {
-        let token = world.call(sequence as usize, "PUT", "/configuration", &long(sequence, lanes));
+    for (version, routes) in [(1, 1000), (2, 1001), (3, 1400)] {
+        let token = world.call(version as usize, "PUT", "/configuration", &long(version, routes));
         world.run(S);
         expect_that!(world.returns.get(&token).map(|ret| ret.0), some(eq(200)));
         for node in [0, 17, 79] {
-            let client = world.client(node, &format!("x{}", lanes - 1));
-            expect_that!(world.take(client), elements_are![eq("IDLE I -")], "node {node}, sequence {sequence}");
+            let client = world.client(node, &format!("x{}", routes - 1));
+            expect_that!(world.take(client), elements_are![eq("IDLE I -")], "node {node}, version {version}");
         }
     }
     // Nodes that nobody asks anything of hold no more than what is kept warm.
--- a/crates/wv-fleet/tests/shards.rs
+++ b/crates/wv-fleet/tests/shards.rs
@@ -8,9 +8,9 @@
 }
 
 /// Four services; the first two access nodes are the north's, the others the south's.
-fn conf(sequence: u64, north: u64, south: u64) -> Vec<u8> {
+fn conf(version: u64, north: u64, south: u64) -> Vec<u8> {
     let mut value: serde_json::Value =
-        serde_json::from_slice(&World::conf_of(sequence, &services())).expect("the stand-in's own");
+        serde_json::from_slice(&World::conf_of(version, &services())).expect("the stand-in's own");
     value["partners"] = serde_json::json!([
         {"label": "north", "portion": north, "nodes": ["a0", "a1"]},
         {"label": "south", "portion": south, "nodes": ["a2", "a3"]},
@@ -47,8 +47,8 @@
 }
 
 fn work(world: &mut World) {
-    for lane in ["p", "p.s1", "p.s2", "p.s3"] {
-        world.load(6, lane);
+    for route in ["p", "p.s1", "p.s2", "p.s3"] {
+        world.load(6, route);
     }
     world.load(6, "b");
     world.run(2 * S);
@@ -78,7 +78,7 @@
     let (done, failed) = during(&mut world, 3 * S);
     expect_that!(done, gt(400));
     expect_that!(failed, eq(0));
-    // Only owners hold connections to the primaries that statements of primary lanes ran on.
+    // Only owners hold connections to the primaries that statements of primary routes ran on.
     let handed: u64 = (0..4).map(|at| world.handed(at)).sum();
     expect_that!(handed, gt(200));
     expect_that!(end(&mut world), is_empty());
@@ -202,9 +202,9 @@
     let mut world = fleet();
     let held = owners(&mut world, 0);
     let (shard, owner) = held.iter().next().map(|(shard, owner)| (shard.clone(), owner.clone())).expect("one");
-    let lane = if shard == "s0" { "p".to_owned() } else { format!("p.{shard}") };
+    let route = if shard == "s0" { "p".to_owned() } else { format!("p.{shard}") };
     let elsewhere = (0..4).find(|at| format!("a{at}") != owner).expect("one");
-    let client = world.client(elsewhere, &lane);
+    let client = world.client(elsewhere, &route);
     for line in ["QUERY a1 ASSIGN tenant t1", "QUERY a2 DEFINE mine WRITE q7", "QUERY a3 BEGIN"] {
         world.say(client, line);
     }
--- a/crates/wv-fleet/tests/tenants.rs
+++ b/crates/wv-fleet/tests/tenants.rs
@@ -3,11 +3,11 @@
 use wv_fleet::{World, MS, S};
 
 /// Scans on `p` and `b`, apps on `x`; with `shares` of none, first come is first served.
-fn conf(sequence: u64, shares: Option<(u64, u64)>) -> Vec<u8> {
-    let mut value: serde_json::Value = serde_json::from_slice(&World::conf(sequence)).expect("the stand-in's own");
-    let mut lane = value["routing"][0].clone();
-    (lane["label"], lane["host"]) = ("x".into(), "x".into());
-    value["routing"].as_array_mut().expect("a list").push(lane);
+fn conf(version: u64, shares: Option<(u64, u64)>) -> Vec<u8> {
+    let mut value: serde_json::Value = serde_json::from_slice(&World::conf(version)).expect("the stand-in's own");
+    let mut route = value["routing"][0].clone();
+    (route["label"], route["host"]) = ("x".into(), "x".into());
+    value["routing"].as_array_mut().expect("a list").push(route);
     value["services"][0]["maxConnections"] = 18.into();
     if let Some((scans, apps)) = shares {
         value["tenants"] = serde_json::json!([
@@ -27,8 +27,8 @@
     world
 }
 
-fn done(world: &World, lane: &str) -> (u32, u32) {
-    world.lane_done(lane)
+fn done(world: &World, route: &str) -> (u32, u32) {
+    world.route_done(route)
 }
 
 /// Scans at an even pace while apps come with many times their share.
--- a/crates/wv-fleet/tests/traffic.rs
+++ b/crates/wv-fleet/tests/traffic.rs
@@ -1,4 +1,4 @@
-//! Stories of sessions, pools and lanes.
+//! Stories of sessions, pools and routes.
 use googletest::prelude::*;
 use wv_fleet::{World, MS, S};
 
--- a/crates/wv-fleet/tests/voters.rs
+++ b/crates/wv-fleet/tests/voters.rs
@@ -2,8 +2,8 @@
 use googletest::prelude::*;
 use wv_fleet::{World, MS, S};
 
-fn put(world: &mut World, control: usize, sequence: u64) -> u16 {
-    let token = world.call(control, "PUT", "/configuration", &World::conf(sequence));
+fn put(world: &mut World, control: usize, version: u64) -> u16 {
+    let token = world.call(control, "PUT", "/configuration", &World::conf(version));
     world.run(1200 * MS);
     world.returns.get(&token).map_or(0, |ret| ret.0)
 }
@@ -15,8 +15,8 @@
     (status, String::from_utf8_lossy(&body).into_owned())
 }
 
-fn conf(sequence: u64) -> String {
-    String::from_utf8_lossy(&World::conf(sequence)).into_owned()
+fn conf(version: u64) -> String {
+    String::from_utf8_lossy(&World::conf(version)).into_owned()
 }
 
 /// The voters as `control` knows them: the set's number and the addresses in it.
@@ -161,12 +161,12 @@
     world.run(300 * MS);
     let new = replace(&mut world, 1);
     let mut last = 0;
-    for sequence in 50..62 {
-        let by = if sequence % 2 == 0 { 0 } else { 2 };
-        let token = world.call(by, "PUT", "/configuration", &World::conf(sequence));
+    for version in 50..62 {
+        let by = if version % 2 == 0 { 0 } else { 2 };
+        let token = world.call(by, "PUT", "/configuration", &World::conf(version));
         world.run(237 * MS);
         if world.returns.get(&token).is_some_and(|ret| ret.0 == 200) {
-            last = sequence;
+            last = version;
         }
     }
     world.run(3 * S);
--- a/crates/wv-http/src/lib.rs
+++ b/crates/wv-http/src/lib.rs
@@ -70,10 +70,10 @@
         open.set(open.get() + 1);
         let (open, handle) = (open.clone(), handle.clone());
         tokio::task::spawn_local(async move {
-            let service = hyper::service::service_fn(move |ask: Request<Incoming>| {
+            let service = hyper::service::service_fn(move |request: Request<Incoming>| {
                 let handle = handle.clone();
                 async move {
-                    let (head, body) = ask.into_parts();
+                    let (head, body) = request.into_parts();
                     let body = Limited::new(body, body_max).collect().await.ok().map(|body| body.to_bytes());
                     let call = Call { method: head.method.to_string(), path: head.uri.path().to_owned(), body };
                     Ok::<_, std::convert::Infallible>(respond(handle(call).await))
@@ -104,15 +104,15 @@
         let driver = tokio::task::spawn_local(async move {
             let _ = conn.await;
         });
-        let mut ask = Request::builder().method(method).uri(path).header("Host", addr.to_string());
+        let mut request = Request::builder().method(method).uri(path).header("Host", addr.to_string());
         for (name, value) in headers {
-            ask = ask.header(*name, value);
+            request = request.header(*name, value);
         }
-        let ask = ask
+        let request = request
             .header("Content-Type", "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|_| HttpError::Build)?;
-        let ret = sender.send_request(ask).await;
+        let ret = sender.send_request(request).await;
         driver.abort();
         Ok(ret?.status().as_u16())
     };
--- a/crates/wv-inner/src/hand.rs
+++ b/crates/wv-inner/src/hand.rs
@@ -10,7 +10,7 @@
         who: String,
     },
     /// Lines as the client would say them there: its values and shapes first, then what it asks.
-    Ask {
+    Request {
         hand: u64,
         lines: Vec<u8>,
     },
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -21,6 +21,7 @@
     pub draining: bool,
     pub cold_us: u64,
     pub primary: bool,
+    /// Rises with each beat.
     pub sequence: u64,
     pub gone: bool,
 }
@@ -63,13 +64,13 @@
 pub enum News {
     /// A whole configuration, packed.
     Conf {
-        sequence: u64,
+        version: u64,
         body: Vec<u8>,
     },
     /// What makes it of the one before, for whoever holds that.
     ConfChange {
         base: u64,
-        sequence: u64,
+        version: u64,
         change: Vec<u8>,
     },
     Inst(Inst),
@@ -91,10 +92,10 @@
     },
 }
 
-/// A register's value: the highest sequence wins, the tie word settles equal ones.
+/// A register's value: the highest version wins, the tie word settles equal ones.
 #[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
 pub struct Cell {
-    pub sequence: u64,
+    pub version: u64,
     pub tie: u32,
     pub value: Vec<u8>,
 }
@@ -149,65 +150,65 @@
         sights: Vec<Sighting>,
     },
     Ping {
-        ask: u64,
+        request: u64,
     },
     /// `disk` is the speaker's own (none where it keeps nothing), `set` the one it votes in, 0 for none.
     Pong {
-        ask: u64,
+        request: u64,
         conf: u64,
         disk: Option<u64>,
         set: u64,
     },
     /// Register calls name the set they are counted in; voters of another one do not answer.
     Get {
-        ask: u64,
+        request: u64,
         set: u64,
         key: String,
     },
     Got {
-        ask: u64,
+        request: u64,
         cell: Cell,
     },
     Put {
-        ask: u64,
+        request: u64,
         set: u64,
         key: String,
         cell: Cell,
     },
     /// `ok` false where the copy here is newer.
     PutDone {
-        ask: u64,
+        request: u64,
         ok: bool,
-        sequence: u64,
+        version: u64,
     },
     /// The right to name the successor of `set`, under a fence.
     Claim {
-        ask: u64,
+        request: u64,
         set: u64,
         fence: u64,
     },
     /// What this voter last accepted as the successor; `ok` false where it has seen a higher fence.
     Claimed {
-        ask: u64,
+        request: u64,
         ok: bool,
         fence: u64,
         next: Option<(u64, Voters)>,
     },
     Settle {
-        ask: u64,
+        request: u64,
         set: u64,
         fence: u64,
         next: Voters,
     },
     Settled {
-        ask: u64,
+        request: u64,
         ok: bool,
     },
     /// All registers, for a member of a settled set that does not vote in it yet.
     GetAll {
         voters: Voters,
         before: Voters,
-        /// What the asker holds of each: key, sequence and tie. Only what is newer is returned.
+        /// What the asker holds of each: key, version and tie. Only what is newer is returned.
         held: Vec<(String, u64, u32)>,
     },
     /// `set` is the one in which the speaker voted last.
@@ -220,11 +221,11 @@
         cell: Cell,
     },
     Inst {
-        ask: u64,
+        request: u64,
         inst: Inst,
     },
     InstHeld {
-        ask: u64,
+        request: u64,
     },
     /// Repair: digests of the instance table over ranges of keys.
     Digests {
--- a/crates/wv-pack/tests/pack.rs
+++ b/crates/wv-pack/tests/pack.rs
@@ -1,13 +1,14 @@
 use googletest::prelude::*;
 use wv_pack::{apply, delta, pack, unpack, PackError};
 
-fn body(issue: u32, lanes: std::ops::Range<u32>) -> Vec<u8> {
-    let lanes: Vec<String> = lanes.map(|at| format!("{{\"label\":\"r-{}\",\"host\":\"h{at}\"}}", at * 7919)).collect();
-    format!("{{\"issue\":{issue},\"routing\":[{}],\"limits\":{{}}}}", lanes.join(",")).into_bytes()
+fn body(issue: u32, routes: std::ops::Range<u32>) -> Vec<u8> {
+    let routes: Vec<String> =
+        routes.map(|at| format!("{{\"label\":\"r-{}\",\"host\":\"h{at}\"}}", at * 7919)).collect();
+    format!("{{\"issue\":{issue},\"routing\":[{}],\"limits\":{{}}}}", routes.join(",")).into_bytes()
 }
 
 #[gtest]
-fn given_a_long_configuration_that_gains_and_loses_lanes_then_the_change_is_short_and_makes_it_whole() {
+fn given_a_long_configuration_that_gains_and_loses_routes_then_the_change_is_short_and_makes_it_whole() {
     let (old, new) = (body(1, 0..1400), body(2, 3..1403));
     let change = delta(&old, &new);
     expect_that!(change.len(), lt(600));
--- a/crates/wv-proc/src/lib.rs
+++ b/crates/wv-proc/src/lib.rs
@@ -1,4 +1,4 @@
-//! What both roles do as processes: signals as actor messages, and the boot file read again when it changes.
+//! What both roles do as processes: signals as actor messages, and the settings file read again when it changes.
 mod carry;
 
 use actix::prelude::*;
@@ -33,8 +33,8 @@
     std::collections::hash_map::RandomState::new().build_hasher().finish()
 }
 
-/// The boot file and when it last changed.
-pub struct BootFile {
+/// The settings file and when it last changed.
+pub struct SettingsFile {
     path: String,
     seen: Option<std::time::SystemTime>,
 }
@@ -43,9 +43,9 @@
     std::fs::metadata(path).and_then(|meta| meta.modified()).ok()
 }
 
-impl BootFile {
-    pub fn new(path: &str) -> BootFile {
-        BootFile { path: path.to_owned(), seen: changed(path) }
+impl SettingsFile {
+    pub fn new(path: &str) -> SettingsFile {
+        SettingsFile { path: path.to_owned(), seen: changed(path) }
     }
 
     /// Whether it changed since it was last read; it may change without any signal.
@@ -54,15 +54,15 @@
     }
 
     /// Reads it again. What runs goes on with what it had: a bad file must not take a node down.
-    pub fn reread(&mut self) -> Option<wv_boot::Boot> {
+    pub fn reread(&mut self) -> Option<wv_settings::Settings> {
         self.seen = changed(&self.path);
-        match wv_boot::Boot::load(&self.path) {
-            Ok(boot) => {
-                log::info!("boot file read again");
-                Some(boot)
+        match wv_settings::Settings::load(&self.path) {
+            Ok(settings) => {
+                log::info!("settings file read again");
+                Some(settings)
             }
             Err(error) => {
-                log::warn!("boot file not taken, the old settings stay: {error}");
+                log::warn!("settings file not taken, the old settings stay: {error}");
                 None
             }
         }
@@ -84,15 +84,15 @@
 
     #[gtest]
     fn given_a_boot_file_that_goes_bad_then_it_is_not_taken_and_taken_again_once_mended() {
-        let path = std::env::temp_dir().join(format!("windvalve-boot-{}.yaml", std::process::id()));
+        let path = std::env::temp_dir().join(format!("windvalve-settings-{}.yaml", std::process::id()));
         let write = |text: &str| std::fs::write(&path, text).is_ok();
         expect_that!(write(GOOD), eq(true));
-        let mut file = BootFile::new(path.to_str().unwrap_or_default());
-        expect_that!(file.reread().map(|boot| boot.node), some(eq("a")));
+        let mut file = SettingsFile::new(path.to_str().unwrap_or_default());
+        expect_that!(file.reread().map(|settings| settings.node), some(eq("a")));
         expect_that!(write("nodeName: [1, 2"), eq(true));
         expect_that!(file.reread().is_none(), eq(true));
         expect_that!(write(&GOOD.replace("zone: z", "zone: y\nfieldOfTomorrow: 3")), eq(true));
-        expect_that!(file.reread().map(|boot| boot.zone), some(eq("y")));
+        expect_that!(file.reread().map(|settings| settings.zone), some(eq("y")));
         expect_that!(std::fs::remove_file(&path).is_ok(), eq(true));
         expect_that!(file.is_changed(), eq(true));
     }
--- a/crates/wv-reg/src/change.rs
+++ b/crates/wv-reg/src/change.rs
@@ -63,7 +63,7 @@
 
 /// One attempt at agreeing on a successor.
 pub struct Change {
-    ask: u64,
+    request: u64,
     fence: u64,
     from: Voters,
     next: Voters,
@@ -73,9 +73,9 @@
 }
 
 impl Change {
-    pub fn new(ask: u64, fence: u64, from: Voters, next: Voters, now: u64) -> Change {
+    pub fn new(request: u64, fence: u64, from: Voters, next: Voters, now: u64) -> Change {
         let phase = Phase::Claiming { acks: Vec::new(), best: None };
-        Change { ask, fence, from, next, phase, limit: now + LIMIT_US, resend: 0 }
+        Change { request, fence, from, next, phase, limit: now + LIMIT_US, resend: 0 }
     }
 
     /// What is to be sent to whom now; an end where the time is over.
@@ -87,10 +87,10 @@
             return Ok(Vec::new());
         }
         self.resend = now + RESEND_US;
-        let (ask, set, fence) = (self.ask, self.from.number, self.fence);
+        let (request, set, fence) = (self.request, self.from.number, self.fence);
         let (acks, msg) = match &self.phase {
-            Phase::Claiming { acks, .. } => (acks, Msg::Claim { ask, set, fence }),
-            Phase::Settling { acks } => (acks, Msg::Settle { ask, set, fence, next: self.next.clone() }),
+            Phase::Claiming { acks, .. } => (acks, Msg::Claim { request, set, fence }),
+            Phase::Settling { acks } => (acks, Msg::Settle { request, set, fence, next: self.next.clone() }),
         };
         let open = self.from.addrs().filter(|addr| !acks.iter().any(|known| known == addr));
         Ok(open.map(|addr| (addr.to_owned(), msg.clone())).collect())
@@ -99,14 +99,14 @@
     pub fn claimed(
         &mut self,
         voter: &str,
-        ask: u64,
+        request: u64,
         is_ok: bool,
         fence: u64,
         next: Option<(u64, Voters)>,
     ) -> Option<End> {
         let majority = self.from.majority();
         let Phase::Claiming { acks, best } = &mut self.phase else { return None };
-        if ask != self.ask || acks.iter().any(|known| known == voter) {
+        if request != self.request || acks.iter().any(|known| known == voter) {
             return None;
         }
         if !is_ok {
@@ -127,10 +127,10 @@
         None
     }
 
-    pub fn settled(&mut self, voter: &str, ask: u64, is_ok: bool) -> Option<End> {
+    pub fn settled(&mut self, voter: &str, request: u64, is_ok: bool) -> Option<End> {
         let majority = self.from.majority();
         let Phase::Settling { acks } = &mut self.phase else { return None };
-        if ask != self.ask || acks.iter().any(|known| known == voter) {
+        if request != self.request || acks.iter().any(|known| known == voter) {
             return None;
         }
         if !is_ok {
--- a/crates/wv-reg/src/lib.rs
+++ b/crates/wv-reg/src/lib.rs
@@ -1,4 +1,4 @@
-//! The control state: a register written to and read from a majority of disks, highest sequence wins.
+//! The control state: a register written to and read from a majority of disks, highest version wins.
 mod change;
 mod files;
 mod quorum;
@@ -32,11 +32,11 @@
 
 /// The order of two copies of one register.
 pub fn newer(left: &wv_inner::Cell, right: &wv_inner::Cell) -> bool {
-    (left.sequence, left.tie) > (right.sequence, right.tie)
+    (left.version, left.tie) > (right.version, right.tie)
 }
 
-/// A cell whose tie word is drawn from its bytes, so that two writers of one sequence settle alike everywhere.
-pub fn cell(sequence: u64, value: Vec<u8>) -> wv_inner::Cell {
+/// A cell whose tie word is drawn from its bytes, so that two writers of one version settle alike everywhere.
+pub fn cell(version: u64, value: Vec<u8>) -> wv_inner::Cell {
     let tie = crc32fast::hash(&value);
-    wv_inner::Cell { sequence, tie, value }
+    wv_inner::Cell { version, tie, value }
 }
--- a/crates/wv-reg/src/quorum.rs
+++ b/crates/wv-reg/src/quorum.rs
@@ -32,7 +32,7 @@
 }
 
 struct Op {
-    ask: u64,
+    request: u64,
     token: u64,
     key: String,
     wanted: Option<Cell>,
@@ -45,7 +45,7 @@
 #[derive(Default)]
 pub struct Quorum {
     voters: Voters,
-    next_ask: u64,
+    next_request: u64,
     ops: Vec<Op>,
     out: Vec<(String, Msg)>,
     done: Vec<Done>,
@@ -57,8 +57,8 @@
     pub fn set_voters(&mut self, voters: Voters) {
         self.voters = voters;
         for op in &mut self.ops {
-            self.next_ask += 1;
-            (op.ask, op.resend, op.phase) = (self.next_ask, 0, Phase::Reading { acks: Vec::new() });
+            self.next_request += 1;
+            (op.request, op.resend, op.phase) = (self.next_request, 0, Phase::Reading { acks: Vec::new() });
         }
     }
 
@@ -70,9 +70,9 @@
         self.voters.majority()
     }
 
-    pub fn next_ask(&mut self) -> u64 {
-        self.next_ask += 1;
-        self.next_ask
+    pub fn next_request(&mut self) -> u64 {
+        self.next_request += 1;
+        self.next_request
     }
 
     /// Reads `key`; with `wanted`, writes it where nothing newer is found.
@@ -81,15 +81,15 @@
             self.done.push(Done { token, key: key.to_owned(), outcome: Outcome::Unsure });
             return;
         }
-        let ask = self.next_ask();
+        let request = self.next_request();
         let phase = Phase::Reading { acks: Vec::new() };
-        self.ops.push(Op { ask, token, key: key.to_owned(), wanted, phase, limit: now + LIMIT_US, resend: now });
+        self.ops.push(Op { request, token, key: key.to_owned(), wanted, phase, limit: now + LIMIT_US, resend: now });
         self.tick(now);
     }
 
-    pub fn got(&mut self, voter: &str, ask: u64, cell: Cell) {
-        let (majority, next_ask) = (self.majority(), self.next_ask + 1);
-        let Some(op) = self.ops.iter_mut().find(|op| op.ask == ask) else { return };
+    pub fn got(&mut self, voter: &str, request: u64, cell: Cell) {
+        let (majority, next_request) = (self.majority(), self.next_request + 1);
+        let Some(op) = self.ops.iter_mut().find(|op| op.request == request) else { return };
         let Phase::Reading { acks } = &mut op.phase else { return };
         if acks.iter().any(|(known, _)| known == voter) {
             return;
@@ -106,29 +106,29 @@
             }
         });
         let is_agreed = acks.iter().all(|(_, cell)| *cell == best);
-        let ours = op.wanted.clone().filter(|wanted| wanted.sequence > best.sequence);
+        let ours = op.wanted.clone().filter(|wanted| wanted.version > best.version);
         // Nothing is shown before a majority holds it, else a later reader could miss it.
         if ours.is_none() && is_agreed {
             let outcome = if op.wanted.is_some() { Outcome::Held(best) } else { Outcome::Read(best) };
-            self.finish(ask, outcome);
+            self.finish(request, outcome);
             return;
         }
         let is_ours = ours.is_some();
         op.phase = Phase::Writing { cell: ours.unwrap_or(best), acks: Vec::new(), is_ours };
-        op.ask = next_ask;
+        op.request = next_request;
         op.resend = 0;
-        self.next_ask = next_ask;
+        self.next_request = next_request;
     }
 
-    pub fn put_done(&mut self, voter: &str, ask: u64, ok: bool) {
-        let (majority, next_ask) = (self.majority(), self.next_ask + 1);
-        let Some(op) = self.ops.iter_mut().find(|op| op.ask == ask) else { return };
+    pub fn put_done(&mut self, voter: &str, request: u64, ok: bool) {
+        let (majority, next_request) = (self.majority(), self.next_request + 1);
+        let Some(op) = self.ops.iter_mut().find(|op| op.request == request) else { return };
         let Phase::Writing { cell, acks, is_ours } = &mut op.phase else { return };
         if !ok {
             // A newer copy came in between: look again and settle on what is there.
             op.phase = Phase::Reading { acks: Vec::new() };
-            (op.ask, op.resend) = (next_ask, 0);
-            self.next_ask = next_ask;
+            (op.request, op.resend) = (next_request, 0);
+            self.next_request = next_request;
             return;
         }
         if !acks.iter().any(|known| known == voter) {
@@ -141,12 +141,12 @@
                 (false, true) => Outcome::Held(cell),
                 (false, false) => Outcome::Read(cell),
             };
-            self.finish(ask, outcome);
+            self.finish(request, outcome);
         }
     }
 
-    fn finish(&mut self, ask: u64, outcome: Outcome) {
-        if let Some(at) = self.ops.iter().position(|op| op.ask == ask) {
+    fn finish(&mut self, request: u64, outcome: Outcome) {
+        if let Some(at) = self.ops.iter().position(|op| op.request == request) {
             let op = self.ops.swap_remove(at);
             self.done.push(Done { token: op.token, key: op.key, outcome });
         }
@@ -154,18 +154,21 @@
 
     /// Sends what is due and gives up what is over its limit.
     pub fn tick(&mut self, now: u64) {
-        let over: Vec<u64> = self.ops.iter().filter(|op| op.limit <= now).map(|op| op.ask).collect();
-        over.into_iter().for_each(|ask| self.finish(ask, Outcome::Unsure));
+        let over: Vec<u64> = self.ops.iter().filter(|op| op.limit <= now).map(|op| op.request).collect();
+        over.into_iter().for_each(|request| self.finish(request, Outcome::Unsure));
         for op in self.ops.iter_mut().filter(|op| op.resend <= now) {
             op.resend = now + RESEND_US;
             for voter in self.voters.addrs() {
                 let msg = match &op.phase {
                     Phase::Reading { acks } if !acks.iter().any(|(known, _)| known == voter) => {
-                        Msg::Get { ask: op.ask, set: self.voters.number, key: op.key.clone() }
-                    }
-                    Phase::Writing { cell, acks, .. } if !acks.iter().any(|known| known == voter) => {
-                        Msg::Put { ask: op.ask, set: self.voters.number, key: op.key.clone(), cell: cell.clone() }
+                        Msg::Get { request: op.request, set: self.voters.number, key: op.key.clone() }
                     }
+                    Phase::Writing { cell, acks, .. } if !acks.iter().any(|known| known == voter) => Msg::Put {
+                        request: op.request,
+                        set: self.voters.number,
+                        key: op.key.clone(),
+                        cell: cell.clone(),
+                    },
                     _ => continue,
                 };
                 self.out.push((voter.to_owned(), msg));
--- a/crates/wv-reg/src/seat.rs
+++ b/crates/wv-reg/src/seat.rs
@@ -58,8 +58,8 @@
     }
 
     fn cell(&self, store: &Store) -> (String, Cell) {
-        let sequence = store.get(KEY).map_or(1, |held| held.sequence + 1);
-        (KEY.to_owned(), cell(sequence, nanoserde::SerBin::serialize_bin(self)))
+        let version = store.get(KEY).map_or(1, |held| held.version + 1);
+        (KEY.to_owned(), cell(version, nanoserde::SerBin::serialize_bin(self)))
     }
 
     /// Takes `changed` over once the disk has it.
@@ -121,7 +121,7 @@
         let cells = store.state().map(|state| &state.cells[..]).unwrap_or_default();
         let is_wanted = |(key, cell): &&(String, Cell)| {
             let known = held.iter().find(|(known, _, _)| known == key);
-            !key.starts_with(LOCAL) && known.is_none_or(|known| (cell.sequence, cell.tie) > (known.1, known.2))
+            !key.starts_with(LOCAL) && known.is_none_or(|known| (cell.version, cell.tie) > (known.1, known.2))
         };
         cells.iter().filter(is_wanted).cloned().collect()
     }
@@ -130,7 +130,7 @@
     pub fn held(store: &Store) -> Vec<(String, u64, u32)> {
         let cells = store.state().map(|state| &state.cells[..]).unwrap_or_default();
         let shared = cells.iter().filter(|(key, _)| !key.starts_with(LOCAL));
-        shared.map(|(key, cell)| (key.clone(), cell.sequence, cell.tie)).collect()
+        shared.map(|(key, cell)| (key.clone(), cell.version, cell.tie)).collect()
     }
 
     /// The registers of the set before, merged, make this disk a voter of the newest one: in one write.
--- a/crates/wv-replay/src/day.rs
+++ b/crates/wv-replay/src/day.rs
@@ -7,12 +7,12 @@
 
 #[derive(Clone, PartialEq, Debug)]
 pub enum What {
-    /// The standard lanes under this sequence.
+    /// The standard routes under this version.
     Conf(u64),
     /// A configuration in the operator's own words.
     Put(String),
     Load {
-        lane: String,
+        route: String,
         count: usize,
     },
     Stop,
@@ -51,7 +51,7 @@
     Client {
         name: String,
         node: String,
-        lane: String,
+        route: String,
     },
     Say {
         name: String,
@@ -126,10 +126,10 @@
     let db = "a database, as in s0";
     let node = "a node, as in a0 or c1";
     Ok(match words.word("an event")? {
-        "conf" => What::Conf(words.number("a sequence")?),
+        "conf" => What::Conf(words.number("a version")?),
         "put" => What::Put(words.rest("a configuration")?),
         "load" => What::Load {
-            lane: words.name("a lane, as in p")?,
+            route: words.name("a route, as in p")?,
             count: words.number::<usize>("a number of clients")?.min(10_000),
         },
         "stop" => What::Stop,
@@ -167,7 +167,7 @@
         "client" => What::Client {
             name: words.name("a name")?,
             node: words.name("an access node, as in a0")?,
-            lane: words.name("a lane, as in p")?,
+            route: words.name("a route, as in p")?,
         },
         "say" => What::Say { name: words.name("a client's name")?, text: words.rest("a line of the wire")? },
         _ => return words.fail("an event such as conf, load, crash, dark, kill, cut, client or say"),
--- a/crates/wv-replay/src/play.rs
+++ b/crates/wv-replay/src/play.rs
@@ -151,9 +151,9 @@
             what => self.line(format!("day: {}", format!("{what:?}").to_lowercase())),
         }
         match &event.what {
-            What::Conf(sequence) => self.put(&World::conf_of(*sequence, &day.services)),
+            What::Conf(version) => self.put(&World::conf_of(*version, &day.services)),
             What::Put(body) => self.put(body.as_bytes()),
-            What::Load { lane, count } => self.world.load(*count, lane),
+            What::Load { route, count } => self.world.load(*count, route),
             What::Stop => self.world.stop_load(),
             What::Crash(db) => self.database(event, db).map(|at| self.world.crash(at))?,
             What::Dark(db) => self.database(event, db).map(|at| self.world.darken(at))?,
@@ -199,9 +199,9 @@
                 self.world.cut.remove(&(other, one));
             }
             What::Platform { is_up } => self.world.is_platform_down = !is_up,
-            What::Client { name, node, lane } => {
+            What::Client { name, node, route } => {
                 let at = self.node(event, node, "access node")?;
-                let client = self.world.client(at, lane);
+                let client = self.world.client(at, route);
                 self.clients.insert(name.clone(), client);
             }
             What::Say { name, text } => {
--- a/crates/wv-replay/src/ring.rs
+++ b/crates/wv-replay/src/ring.rs
@@ -33,8 +33,8 @@
                     _ => {}
                 }
             }
-            ["in", "force", sequence, ..] if sequence.parse::<u64>().is_ok_and(|sequence| sequence > 1) => {
-                events.push(format!("{at:.3} conf {sequence}"));
+            ["in", "force", version, ..] if version.parse::<u64>().is_ok_and(|version| version > 1) => {
+                events.push(format!("{at:.3} conf {version}"));
             }
             ["nodes", count, ..] => nodes = count.parse().unwrap_or(nodes).clamp(1, 200),
             _ => {}
--- a/crates/wv-replay/tests/replay.rs
+++ b/crates/wv-replay/tests/replay.rs
@@ -44,7 +44,7 @@
 #[gtest]
 fn given_bad_lines_then_each_is_named_with_its_number_and_what_was_expected() {
     for (text, line, wanted) in [
-        ("0 conf x", 1, "a sequence"),
+        ("0 conf x", 1, "a version"),
         ("\n# fine\n-1 stop", 3, "between 0 and 86400"),
         ("0 conf 1\n1 fly s0", 2, "an event such as"),
         ("fleet access=0", 1, "access=N"),
--- a/crates/wv-lane/src/lib.rs
+++ b/crates/wv-route/src/lib.rs
@@ -1,4 +1,4 @@
-//! The decision object: where an ask goes, from routing state alone. It reads, it never waits.
+//! The decision object: where a request goes, from routing state alone. It reads, it never waits.
 use wv_check::{Checks, Spot, State};
 use wv_conf::Category;
 use wv_wire::{Code, Pos};
@@ -23,7 +23,7 @@
     pub first_byte: u64,
     pub now: u64,
     pub zone: &'a str,
-    /// Databases that refused this ask already.
+    /// Databases that refused this request already.
     pub refused: &'a [Spot],
 }
 
--- a/crates/wv-boot/src/lib.rs
+++ b/crates/wv-settings/src/lib.rs
@@ -1,18 +1,18 @@
-//! The boot file: what the platform tells a process at its start. Unknown fields are skipped.
+//! The settings file: what the platform tells a process at its start. Unknown fields are skipped.
 
 #[derive(thiserror::Error, Debug)]
-pub enum BootError {
-    #[error("WINDVALVE_BOOT is not set and no --boot was given")]
+pub enum SettingsError {
+    #[error("WINDVALVE_BOOT is not set and no --settings was given")]
     Unnamed,
-    #[error("boot file {0}: {1}")]
+    #[error("settings file {0}: {1}")]
     Read(String, std::io::Error),
-    #[error("boot file {0} is not readable as YAML: {1}")]
+    #[error("settings file {0} is not readable as YAML: {1}")]
     Yaml(String, serde_yaml_ng::Error),
-    #[error("boot file {0}: {1}")]
+    #[error("settings file {0}: {1}")]
     Field(String, wv_conf::PathError),
-    #[error("boot file {0}: {1} is not an address (IP:PORT): {2:?}")]
+    #[error("settings file {0}: {1} is not an address (IP:PORT): {2:?}")]
     Address(String, &'static str, String),
-    #[error("boot file {0}: {1}")]
+    #[error("settings file {0}: {1}")]
     Value(String, &'static str),
 }
 
@@ -23,7 +23,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct Boot {
+pub struct Settings {
     pub node: String,
     pub zone: String,
     pub ip: std::net::IpAddr,
@@ -45,29 +45,29 @@
     pub platform: Option<Platform>,
 }
 
-fn addr(file: &str, name: &'static str, text: &str) -> Result<std::net::SocketAddr, BootError> {
-    text.parse().map_err(|_| BootError::Address(file.to_owned(), name, text.to_owned()))
+fn addr(file: &str, name: &'static str, text: &str) -> Result<std::net::SocketAddr, SettingsError> {
+    text.parse().map_err(|_| SettingsError::Address(file.to_owned(), name, text.to_owned()))
 }
 
-impl Boot {
+impl Settings {
     /// The path in force: the flag first, else `WINDVALVE_BOOT`.
-    pub fn path(flag: Option<&str>) -> Result<String, BootError> {
-        flag.map(str::to_owned).or_else(|| std::env::var("WINDVALVE_BOOT").ok()).ok_or(BootError::Unnamed)
+    pub fn path(flag: Option<&str>) -> Result<String, SettingsError> {
+        flag.map(str::to_owned).or_else(|| std::env::var("WINDVALVE_BOOT").ok()).ok_or(SettingsError::Unnamed)
     }
 
-    pub fn load(path: &str) -> Result<Boot, BootError> {
+    pub fn load(path: &str) -> Result<Settings, SettingsError> {
         std::fs::read_to_string(path)
-            .map_err(|error| BootError::Read(path.to_owned(), error))
-            .and_then(|text| Boot::parse(path, &text))
+            .map_err(|error| SettingsError::Read(path.to_owned(), error))
+            .and_then(|text| Settings::parse(path, &text))
     }
 
-    pub fn parse(file: &str, text: &str) -> Result<Boot, BootError> {
+    pub fn parse(file: &str, text: &str) -> Result<Settings, SettingsError> {
         let value: serde_json::Value =
-            serde_yaml_ng::from_str(text).map_err(|error| BootError::Yaml(file.to_owned(), error))?;
+            serde_yaml_ng::from_str(text).map_err(|error| SettingsError::Yaml(file.to_owned(), error))?;
         let reader = wv_conf::Reader::new(&value);
-        let field = |error| BootError::Field(file.to_owned(), error);
+        let field = |error| SettingsError::Field(file.to_owned(), error);
         let ip_text = reader.text("ip").map_err(field)?;
-        let ip = ip_text.parse().map_err(|_| BootError::Address(file.to_owned(), "ip", ip_text.to_owned()))?;
+        let ip = ip_text.parse().map_err(|_| SettingsError::Address(file.to_owned(), "ip", ip_text.to_owned()))?;
         let listen = |name: &'static str, path: &str| {
             reader
                 .has(path)
@@ -77,18 +77,18 @@
         let ports = reader.list("internalPorts").map_err(field)?;
         let inner_port = ports
             .first()
-            .ok_or(BootError::Value(file.to_owned(), "internalPorts is empty"))?
+            .ok_or(SettingsError::Value(file.to_owned(), "internalPorts is empty"))?
             .itself_whole()
             .map_err(field)?;
         let inner_port = u16::try_from(inner_port)
             .ok()
             .filter(|port| *port > 0)
-            .ok_or(BootError::Value(file.to_owned(), "internalPorts[0] is not a port"))?;
+            .ok_or(SettingsError::Value(file.to_owned(), "internalPorts[0] is not a port"))?;
         let inner_last = ports.get(1).map_or(Ok(u64::from(inner_port)), |port| port.itself_whole()).map_err(field)?;
         let inner_last = u16::try_from(inner_last)
             .ok()
             .filter(|last| *last >= inner_port)
-            .ok_or(BootError::Value(file.to_owned(), "internalPorts[1] is not a port at or after the first"))?;
+            .ok_or(SettingsError::Value(file.to_owned(), "internalPorts[1] is not a port at or after the first"))?;
         let seeds = reader
             .list("seeds")
             .map_err(field)?
@@ -111,7 +111,7 @@
                 addr(file, "platformApi.address", place).map(|addr| Platform { addr, duty_rate })
             })
             .transpose()?;
-        Ok(Boot {
+        Ok(Settings {
             node: reader.text("nodeName").map_err(field)?.to_owned(),
             zone: reader.text("zone").map_err(field)?.to_owned(),
             ip,
--- a/crates/wv-share/tests/fair.rs
+++ b/crates/wv-share/tests/fair.rs
@@ -35,7 +35,7 @@
     for (long, short) in [(10_000, 10_000), (40_000, 5_000), (3_000, 30_000)] {
         let held = serve(&tenants, 20_000, |_, tenant| tenant > 0, |tenant| if tenant == 1 { long } else { short });
         let ratio = held[1] as f64 / held[2] as f64;
-        expect_that!(ratio, all![gt(2.9), lt(3.1)], "asks of {long} and {short}");
+        expect_that!(ratio, all![gt(2.9), lt(3.1)], "requests of {long} and {short}");
     }
 }
 
