--- a/crates/windvalve/src/cli.rs
+++ b/crates/windvalve/src/cli.rs
@@ -38,6 +38,7 @@
                 .help("Whether databases that return are eased in"),
         )
         .arg(number("ease-ms", "MS", "How long a returned database is eased in (default 3000)"))
+        .arg(number("record", "EVENTS", "Record sessions and arrivals, up to so many events (default 0: nothing)"))
         .arg(number("ease-first", "SHARE", "The share of its capacity offered at first, over 0 to 2 (default 0.5)"));
     let control = Command::new("control").about("Knows databases and nodes, holds the configuration").args([
         settings(),
@@ -61,15 +62,7 @@
                 .conflicts_with_all(["settings", "configuration"])
                 .help("Data folder of a control node; it is only read"),
         );
-    let replay = Command::new("replay")
-        .about("Plays a recorded day through the in-memory fleet with the real logic")
-        .arg(Arg::new("file").value_name("FILE").required(true).help("The day, or with --from-log a written-out log"))
-        .arg(number("until", "S", "Stop at this second of the day"))
-        .arg(Arg::new("service").long("service").value_name("NAME").help("Leave out what concerns other services only"))
-        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("The timeline and the summary as JSON"))
-        .arg(
-            Arg::new("from-log").long("from-log").action(ArgAction::SetTrue).help("Print the day that a log tells of"),
-        );
+    let replay = replay();
     Command::new("windvalve")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Database pooler with failover")
@@ -81,3 +74,36 @@
 pub fn text<'a>(found: &'a ArgMatches, name: &str) -> Option<&'a str> {
     found.get_one::<String>(name).map(String::as_str)
 }
+
+fn replay() -> Command {
+    let file = Arg::new("file").value_name("FILE").num_args(1..).required_unless_present("generate");
+    let many = |name: &'static str, value: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name(value).action(ArgAction::Append).help(help)
+    };
+    Command::new("replay")
+        .about("Plays a recorded day or hour through the in-memory fleet with the real logic")
+        .arg(file.help("A day, an hour (one merged file, or those of several nodes), or with --from-log a log"))
+        .arg(number("until", "S", "Stop at this second"))
+        .arg(Arg::new("service").long("service").value_name("NAME").help("Day: leave out what concerns other services"))
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("The whole outcome as JSON"))
+        .arg(Arg::new("from-log").long("from-log").action(ArgAction::SetTrue).help("Print the day that a log tells of"))
+        .arg(Arg::new("merge").long("merge").action(ArgAction::SetTrue).help("Hour: print the files as one recording"))
+        .arg(many("offset", "NODE=S", "Hour: add this to the times of a node whose clock is known to be off"))
+        .arg(many("drop", "NODE@S[:S]", "Hour: drop an access node, c0 … or a database then, back at the second time"))
+        .arg(number("from", "S", "Hour: begin at this second, with the sessions that are open then"))
+        .arg(number("seed", "N", "Hour: the seed of what is drawn (default 1)"))
+        .arg(number("control", "N", "Hour: control nodes (default 3)"))
+        .arg(number("work-ms", "MS", "Hour: how long a statement takes a database (default 3)"))
+        .arg(number("browse-ms", "MS", "Hour: what is tolerated of browsing at the 99th (default: the route's aim)"))
+        .arg(
+            Arg::new("generate")
+                .long("generate")
+                .value_name("USERS")
+                .help("Print a made-up hour: couriers or cadastre"),
+        )
+        .arg(number("nodes", "N", "Made-up hour: access nodes (default 6)"))
+        .arg(number("services", "N", "Made-up hour: services (default 2)"))
+        .arg(number("sessions", "N", "Made-up hour: sessions (default 200)"))
+        .arg(number("seconds", "S", "Made-up hour: how long (default 60)"))
+        .arg(number("rate", "N", "Made-up hour: requests a second in the middle of the wave (default 100)"))
+}
--- a/crates/windvalve/src/main.rs
+++ b/crates/windvalve/src/main.rs
@@ -1,5 +1,6 @@
 //! windvalve: a database pooler with failover. One program; the role is a subcommand.
 mod cli;
+mod hour;
 mod ring;
 
 use clap::ArgMatches;
@@ -17,6 +18,8 @@
     Data(String, wv_reg::RegError),
     #[error("{0}: {1}")]
     Replay(String, wv_replay::ReplayError),
+    #[error(transparent)]
+    Hour(#[from] wv_replay::HourError),
     #[error("--{0}: {1} is not within {2}")]
     Flag(&'static str, f64, &'static str),
     #[error("--calendar: {0}")]
@@ -41,7 +44,7 @@
     }
 }
 
-fn read(path: &str) -> Result<Vec<u8>, MainError> {
+pub(crate) fn read(path: &str) -> Result<Vec<u8>, MainError> {
     std::fs::read(path).map_err(|error| MainError::Read(path.to_owned(), error))
 }
 
@@ -74,7 +77,14 @@
 }
 
 fn replay(found: &ArgMatches) -> Result<(), MainError> {
-    let path = text(found, "file").unwrap_or_default();
+    if let Some(users) = text(found, "generate") {
+        return hour::generate(found, users);
+    }
+    let paths: Vec<String> = found.get_many::<String>("file").unwrap_or_default().cloned().collect();
+    let path = paths.first().map(String::as_str).unwrap_or_default();
+    if !found.get_flag("from-log") && hour::is_hour(path)? {
+        return hour::run(found, &paths);
+    }
     let body = String::from_utf8_lossy(&read(path)?).into_owned();
     if found.get_flag("from-log") {
         print!("{}", wv_replay::from_ring(&body));
@@ -114,7 +124,11 @@
         }
         ease.first = first;
     }
-    Ok(wv_access::Options { ease, calendar: calendar(found)? })
+    let record = found.get_one::<f64>("record").copied().unwrap_or(0.0);
+    if !(0.0..=1e8).contains(&record) {
+        return Err(MainError::Flag("record", record, "0 to 100000000 events"));
+    }
+    Ok(wv_access::Options { ease, calendar: calendar(found)?, record: record as usize })
 }
 
 fn load_settings(found: &ArgMatches) -> Result<(wv_settings::Settings, String), MainError> {
--- a/crates/wv-access/src/answer.rs
+++ b/crates/wv-access/src/answer.rs
@@ -47,8 +47,9 @@
     pub(crate) fn pass(&mut self, id: u64, state: u8, pos: Option<Pos>) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.request.is_open = false;
-        let tenant = client.tenant;
+        let (tenant, is_commit) = (client.tenant, client.request.verb() == Verb::Commit);
         self.close_share(tenant);
+        self.note_done(id, is_commit);
         let Some(client) = self.clients.get_mut(&id) else { return };
         let verb = client.request.verb();
         let state = match client.txn.as_mut() {
@@ -73,6 +74,9 @@
 
     /// Ends the open request with an error; `state` as the client is to see it.
     pub(crate) fn fail(&mut self, id: u64, code: Code, text: &str, state: u8) {
+        if !code.is_unrun() {
+            self.slots.shards.values_mut().for_each(|shard| shard.marks.blur(id));
+        }
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.request.is_open = false;
         let tenant = client.tenant;
--- a/crates/wv-access/src/care.rs
+++ b/crates/wv-access/src/care.rs
@@ -28,6 +28,7 @@
                 self.checks.service(name);
             });
             self.set_tenants(&conf);
+            self.set_plans(&conf);
             self.conf = Some(Rc::new(conf));
             self.set_up_awaited();
         }
@@ -116,8 +117,10 @@
         }
         for (spot, count) in wanted {
             let is_isolated = self.checks.member(spot).is_some_and(|member| member.is_isolated());
-            let (opening, standing) =
-                self.pools.get(&spot).map_or((0, 0), |pool| (pool.opening, pool.idle.len() as u32 + pool.opening));
+            let (opening, standing) = self
+                .pools
+                .get(&spot)
+                .map_or((0, 0), |pool| (pool.opening, (pool.idle.len() + pool.early.len()) as u32 + pool.opening));
             let is_wanted = if is_isolated { opening == 0 } else { standing < count };
             let is_opened = is_wanted && if is_isolated { self.open_look(spot) } else { self.open_db(spot) };
             if is_opened {
--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -2,8 +2,6 @@
 use crate::core::Core;
 use crate::timer::Timer;
 use crate::types::{Act, Client, Fail, Request, Verb};
-use std::rc::Rc;
-use wv_conf::Route;
 use wv_wire::{cut_line, ClientLine, Code, Text};
 
 /// More of the word that names a client is not kept.
@@ -118,6 +116,7 @@
         if !self.seat_session(id) {
             return self.end_with(id, Code::Congested, "too many sessions, come back after 1000 ms");
         }
+        self.record_open(id);
         let Some(client) = self.clients.get_mut(&id) else { return };
         wv_wire::put_idle(&mut client.out, b'I', None);
         self.acts.push(Act::WriteClient(id));
@@ -204,40 +203,4 @@
             Text::Unknown => self.own_error(id, Code::Malformed, "not understood"),
         }
     }
-
-    fn open_request(
-        &mut self,
-        id: u64,
-        query: &[u8],
-        text: &[&[u8]],
-        verb: Verb,
-        shape: Option<u32>,
-        route: &Rc<Route>,
-    ) {
-        let now = self.now;
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        let request = &mut client.request;
-        request.number += 1;
-        request.is_open = true;
-        request.id.clear();
-        request.id.extend_from_slice(query);
-        request.text.clear();
-        text.iter().for_each(|part| request.text.extend_from_slice(part));
-        (request.verb, request.shape, request.at, request.limit) = (Some(verb), shape, now, now + route.expiry_us);
-        (request.tries, request.db, request.queued, request.last_code, request.is_streamed) =
-            (0, None, None, None, false);
-        (request.hand, request.is_direct) = (None, false);
-        request.route = Some(route.clone());
-        request.waits_since = now;
-        request.first_byte = client.first_byte;
-        request.refused.clear();
-        request.ret.clear();
-        let timer = Timer::Expiry { client: id, number: request.number };
-        self.timers.put(request.limit, timer);
-        let tenant = client.tenant;
-        if !self.open_share(tenant) {
-            return self.refuse(id);
-        }
-        self.offer(id);
-    }
 }
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -1,3 +1,4 @@
+pub use crate::pool::Pool;
 use crate::timer::Timers;
 use crate::types::{Act, Client, Db, Lost, Phase};
 use std::rc::Rc;
@@ -13,33 +14,7 @@
 const HOLD_FIRST_US: u64 = 15_000;
 const HOLD_LAST_US: u64 = 400_000;
 
-pub type Map<K, V> = hashbrown::HashMap<K, V, ahash::RandomState>;
-
-/// The connections to one database and who waits for one.
-#[derive(Default)]
-pub struct Pool {
-    pub idle: Vec<u64>,
-    pub all: u32,
-    pub opening: u32,
-    pub waiting: std::collections::VecDeque<u64>,
-    /// When anything last came from this database.
-    pub heard: u64,
-    /// Openings that failed in a row, and until when the next one waits.
-    pub fails: u32,
-    pub not_before: u64,
-    /// The newest sending time among the statements that have returned.
-    pub returned: u64,
-    /// How long statements take there.
-    pub work: wv_ease::Work,
-    /// The slowest of late, of routes that read on replicas and of the others.
-    pub slowest: [wv_ease::Slowest; 2],
-    /// When a request was last offered here.
-    pub used: u64,
-    /// When its line is next served while it is being eased in.
-    pub wake_at: u64,
-    /// Who of the tenants holds and is owed what there.
-    pub line: wv_share::Line,
-}
+pub type Map<K, V> = hashbrown::HashMap<K, V, wv_conf::Fixed>;
 
 /// All state of an access node. Events and time go in, acts come out.
 pub struct Core {
@@ -80,6 +55,8 @@
     pub(crate) eases: Map<Spot, wv_ease::Ease>,
     pub(crate) shares: crate::share::Shares,
     pub(crate) hands: crate::hands::Hands,
+    pub(crate) slots: crate::slots::Slots,
+    pub(crate) recorder: crate::record::Recorder,
 }
 
 impl Core {
@@ -114,6 +91,8 @@
             eases: Map::default(),
             shares: Default::default(),
             hands: Default::default(),
+            slots: Default::default(),
+            recorder: Default::default(),
         }
     }
 
@@ -133,7 +112,7 @@
 
     /// Whether sightings changed that the control side has not heard of.
     pub fn has_sights(&self) -> bool {
-        self.sights_due
+        self.sights_due || self.slots.is_due
     }
 
     pub fn client_out(&mut self, client: u64) -> Option<&mut Vec<u8>> {
@@ -197,6 +176,7 @@
             code: None,
             is_doubtful: false,
             holder: None,
+            term: 0,
             charge: None,
             since: self.now,
             opened: self.now,
@@ -230,6 +210,7 @@
                 pool.opening = pool.opening.saturating_sub(1);
             }
             pool.idle.retain(|idle| *idle != db);
+            pool.early.retain(|early| *early != db);
         }
         Some(held)
     }
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -87,6 +87,7 @@
                     }
                 }
             }
+            (DbLine::Row(row), What::Probe) => self.probed(db, row),
             (DbLine::Row(_) | DbLine::Complete(_), _) => {}
             (DbLine::Unknown, _) => self.break_db(db),
         }
@@ -139,6 +140,13 @@
                 if self.checks.member(spot).is_some_and(|member| member.is_isolated()) {
                     return self.drop_db(db);
                 }
+                if self.is_probed(spot) {
+                    return self.probe(db);
+                }
+                self.free_db(db);
+            }
+            What::Probe => {
+                held.is_doubtful |= code.is_some();
                 self.free_db(db);
             }
             What::Sync => held.is_doubtful |= code.is_some(),
@@ -171,6 +179,9 @@
     }
 
     fn finish_request(&mut self, db: u64, (id, number): (u64, u64), code: Option<Code>, state: u8, pos: Option<Pos>) {
+        if code == Some(Code::ReadOnly) {
+            self.distrust(db);
+        }
         let (now, is_last) = (self.now, self.dbs.get(&db).is_some_and(|held| held.expects.is_empty()));
         let spot = self.dbs.get(&db).map(|held| held.spot);
         let Some(client) =
--- a/crates/wv-access/src/ends.rs
+++ b/crates/wv-access/src/ends.rs
@@ -13,9 +13,14 @@
         let Some(held) = self.dbs.get(&db) else { return };
         let is_gone = self.checks.member(spot).is_none_or(|member| member.inst.gone || member.inst.id != held.id);
         let is_over = self.pools.get(&spot).is_some_and(|pool| pool.all > self.cap(spot) && pool.waiting.is_empty());
+        let fitness = self.fitness(db);
         let Some(held) = self.dbs.get_mut(&db) else { return };
-        if held.is_doubtful || !held.expects.is_empty() || is_gone || is_over {
+        if held.is_doubtful || !held.expects.is_empty() || is_gone || is_over || fitness.is_lt() {
             self.close_db(db);
+        } else if fitness.is_gt() {
+            // Promoted since this node's map was made: kept until the next one tells what holds under that term.
+            (held.phase, held.holder) = (Phase::Idle, None);
+            self.pools.entry(spot).or_default().early.push(db);
         } else {
             held.phase = Phase::Idle;
             held.holder = None;
@@ -25,6 +30,14 @@
         self.serve_waiting(spot);
     }
 
+    /// A database that is said to lead refused a write on this connection: it may have lost the lead since that was set
+    /// up and won it again, and then takes writes on newer ones alone.
+    pub(crate) fn distrust(&mut self, db: u64) {
+        let Some(spot) = self.dbs.get(&db).map(|held| held.spot) else { return };
+        let is_lead = self.checks.checker(spot.service).and_then(|checker| checker.leader()) == Some(spot.seat);
+        self.dbs.get_mut(&db).filter(|_| is_lead).into_iter().for_each(|held| held.is_doubtful = true);
+    }
+
     /// Rolls back what the connection holds and returns it to the pool.
     pub(crate) fn abort_db(&mut self, db: u64) {
         let now = self.now;
@@ -49,6 +62,8 @@
     /// The client's connection ended.
     pub fn client_gone(&mut self, id: u64, now: u64) {
         self.now = self.now.max(now);
+        self.record_close(id);
+        self.slots.shards.values_mut().for_each(|shard| shard.marks.blur(id));
         let Some(client) = self.clients.remove(&id) else { return };
         client.hand.into_iter().for_each(|hand| self.drop_hand(hand));
         if let Some(guest) = client.guest {
--- a/crates/wv-access/src/link.rs
+++ b/crates/wv-access/src/link.rs
@@ -130,6 +130,7 @@
     wv_inner::put_frame(&mut out, &hello);
     wv_inner::put_frame(&mut out, &Msg::Follow { life: follow_life, place: follow_place });
     wv_inner::put_frame(&mut out, &Msg::Sights(node.core.borrow_mut().take_sights(Telling::Whole)));
+    put_reports(node, &mut out, true);
     let (mut buf, mut is_heard, mut beats) = (Vec::new(), false, 0u32);
     let mut heard = tokio::time::Instant::now();
     let mut ticks = tokio::time::interval(BEAT);
@@ -160,12 +161,14 @@
                 if !sights.is_empty() {
                     wv_inner::put_frame(&mut out, &Msg::Sights(sights));
                 }
+                put_reports(node, &mut out, false);
             }
             _ = node.sights.notified() => {
                 let sights = node.core.borrow_mut().take_sights(Telling::Changes);
                 if !sights.is_empty() {
                     wv_inner::put_frame(&mut out, &Msg::Sights(sights));
                 }
+                put_reports(node, &mut out, false);
             }
         }
         loop {
@@ -180,6 +183,10 @@
                         Msg::Beat { fresh: false } => return End::Deaf,
                         Msg::Beat { .. } => {}
                         Msg::Peers { addrs, zones, voters, .. } => known.learn(&addrs, &zones, &zone, &voters),
+                        Msg::Marked { shard, attempt, serial, .. } => {
+                            node.with(|core, now| core.marked(&shard, attempt, serial, now));
+                        }
+                        Msg::Filled { shard, serial, .. } => node.with(|core, now| core.filled(&shard, serial, now)),
                         msg => {
                             if node.with(|core, now| core.feed(msg, now)).is_err() {
                                 wv_inner::put_frame(&mut out, &Msg::Follow { life: 0, place: 0 });
@@ -191,3 +198,8 @@
         }
     }
 }
+
+fn put_reports(node: &Node, out: &mut Vec<u8>, is_start: bool) {
+    let reports = node.core.borrow_mut().take_reports(is_start);
+    reports.iter().for_each(|msg| wv_inner::put_frame(out, msg));
+}
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -58,6 +58,7 @@
             }
             News::Lead(lead) => {
                 self.checks.lead(&lead, self.now);
+                self.refit(&lead.service);
                 self.checks.find(&lead.service).into_iter().for_each(|service| {
                     self.promoting.remove(&service);
                 });
@@ -70,6 +71,7 @@
                 self.checks.spot(&id).into_iter().for_each(|spot| self.ease_in(spot, falls));
             }
             News::Owner(owner) => self.own(owner),
+            News::Slots(map) => self.take_slots(map),
             News::Nodes(nodes) => self.nodes = nodes.max(1),
         }
         Ok(())
--- a/crates/wv-access/src/offer.rs
+++ b/crates/wv-access/src/offer.rs
@@ -14,7 +14,13 @@
 impl Core {
     /// Finds a place for the client's open request.
     pub(crate) fn offer(&mut self, id: u64) {
-        let Some(client) = self.clients.get(&id).filter(|client| client.request.is_open) else { return };
+        if !self.clients.get(&id).is_some_and(|client| client.request.is_open) {
+            return;
+        }
+        if self.is_gated(id) {
+            return self.wait(id);
+        }
+        let Some(client) = self.clients.get(&id) else { return };
         if let Some(db) = client.txn.as_ref().and_then(|txn| txn.db) {
             return self.send(id, db, None, false);
         }
@@ -23,12 +29,7 @@
         }
         match self.decide(id) {
             Decision::Offer { spot, minpos, is_wrapped } => self.seat_request(id, spot, minpos, is_wrapped),
-            Decision::Wait => {
-                if !self.stranded.contains(&id) {
-                    self.stranded.push(id);
-                }
-                self.give_time(id);
-            }
+            Decision::Wait => self.wait(id),
             Decision::Refuse(code) => {
                 self.clients.get_mut(&id).into_iter().for_each(|client| client.request.last_code = Some(code));
                 self.refuse(id);
@@ -36,11 +37,20 @@
         }
     }
 
+    /// Nothing can take it now: it is offered anew when something changes, and refused when its time is over.
+    fn wait(&mut self, id: u64) {
+        if !self.stranded.contains(&id) {
+            self.stranded.push(id);
+        }
+        self.give_time(id);
+    }
+
     fn decide(&self, id: u64) -> Decision {
         let Some(client) = self.clients.get(&id) else { return Decision::Refuse(Code::Congested) };
         let request = &client.request;
         let Some(route) = request.route.as_ref() else { return Decision::Refuse(Code::Congested) };
-        let Some(service) = self.checks.find(&route.service) else { return Decision::Wait };
+        let place = self.service_of(id);
+        let Some(service) = place.and_then(|place| self.checks.find(&place)) else { return Decision::Wait };
         let question = Question {
             service,
             category: route.category,
--- /dev/null
+++ b/crates/wv-access/src/open.rs
@@ -0,0 +1,74 @@
+//! A statement that has to go to a database: opened, and offered for the first time.
+use crate::core::Core;
+use crate::timer::Timer;
+use crate::types::Verb;
+use std::rc::Rc;
+use wv_conf::Route;
+use wv_wire::Code;
+
+impl Core {
+    pub(crate) fn open_request(
+        &mut self,
+        id: u64,
+        query: &[u8],
+        text: &[&[u8]],
+        verb: Verb,
+        shape: Option<u32>,
+        route: &Rc<Route>,
+    ) {
+        let now = self.now;
+        // Only where shards are planned to be split it matters which thing is meant.
+        let named = if self.has_slots() { name_of(text, shape.is_some()) } else { Default::default() };
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let request = &mut client.request;
+        request.number += 1;
+        request.is_open = true;
+        request.id.clear();
+        request.id.extend_from_slice(query);
+        request.text.clear();
+        text.iter().for_each(|part| request.text.extend_from_slice(part));
+        (request.verb, request.shape, request.at, request.limit) = (Some(verb), shape, now, now + route.expiry_us);
+        (request.tries, request.db, request.queued, request.last_code, request.is_streamed) =
+            (0, None, None, None, false);
+        (request.hand, request.is_direct) = (None, false);
+        request.route = Some(route.clone());
+        request.named = named;
+        request.waits_since = now;
+        request.first_byte = client.first_byte;
+        request.refused.clear();
+        request.ret.clear();
+        let timer = Timer::Expiry { client: id, number: request.number };
+        self.timers.put(request.limit, timer);
+        let tenant = client.tenant;
+        if self.is_recording() {
+            self.record_request(id);
+        }
+        if !self.open_share(tenant) {
+            return self.refuse(id);
+        }
+        if self.is_across(id) {
+            return self.roll_back(
+                id,
+                Code::Aborted,
+                "rolled back: a transaction stays within one shard, and these things stand on two",
+            );
+        }
+        if let Some(client) = self.clients.get_mut(&id) {
+            let slot = client.request.named.slot;
+            client.txn.iter_mut().for_each(|txn| txn.slot = txn.slot.or(slot));
+        }
+        self.offer(id);
+    }
+}
+
+/// The thing that a text names, its slot, and how much it writes.
+fn name_of(text: &[&[u8]], is_prepared: bool) -> crate::slots::Named {
+    let rest = match text {
+        [_, rest] if is_prepared => rest,
+        [whole] => wv_wire::cut_word(whole).1,
+        _ => return Default::default(),
+    };
+    let (thing, data) = wv_wire::cut_word(rest);
+    let slot = (!thing.is_empty()).then(|| wv_inner::slot(thing));
+    crate::slots::Named { thing: thing.to_vec(), slot, bytes: data.len() as u32 }
+}
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -70,6 +70,15 @@
 pub struct Options {
     pub ease: wv_ease::Plan,
     pub calendar: wv_when::Calendar,
+    /// How many events of clients are recorded, 0 for none.
+    pub record: usize,
+}
+
+fn recording(text: String) -> wv_http::Return {
+    match text.is_empty() {
+        true => wv_http::Return::new(404, "{\"cause\":\"nothing is recorded here: start with --record\"}"),
+        false => wv_http::Return::new(200, text),
+    }
 }
 
 /// Runs until the platform ends the process.
@@ -87,6 +96,9 @@
         core.set_ease(options.ease);
         core.set_clients_max(settings.clients_max());
         core.set_name(&settings.node);
+        core.set_life(life);
+        let epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        core.set_record(options.record, wv_proc::draw(), epoch.map_or(0, |since| since.as_micros() as u64));
         let node = Node::new(core);
         let hands = settings.hands_addr();
         let place = Place {
@@ -102,6 +114,7 @@
         tokio::task::spawn_local(wv_http::serve(ready_listener, BODY_MAX, move |call| {
             let is_ready = probed.core.borrow().is_ready();
             std::future::ready(match (call.path.as_str(), is_ready) {
+                ("/recording", _) => recording(probed.core.borrow().recording()),
                 ("/tenants", _) => wv_http::Return::new(200, probed.core.borrow().tenants_json()),
                 ("/readiness", true) => wv_http::Return::new(200, "{\"ready\":true}"),
                 ("/readiness", false) => wv_http::Return::new(503, "{\"ready\":false}"),
--- a/crates/wv-access/src/send.rs
+++ b/crates/wv-access/src/send.rs
@@ -58,6 +58,7 @@
 
     fn send_text(&mut self, id: u64, db: u64, mark: &str) {
         let now = self.now;
+        self.mark(id);
         let (Some(client), Some(held)) = (self.clients.get_mut(&id), self.dbs.get_mut(&db)) else { return };
         let request = &client.request;
         if mark.is_empty() {
@@ -135,6 +136,9 @@
         if !is_clean {
             return self.break_db(db);
         }
+        if code == Some(Code::ReadOnly) {
+            self.distrust(db);
+        }
         self.refused_unrun(id, spot, code.unwrap_or(Code::Failed));
         if state == b'I' {
             self.free_db(db);
--- a/crates/wv-access/src/txn.rs
+++ b/crates/wv-access/src/txn.rs
@@ -24,6 +24,9 @@
             hand: None,
             is_begun: false,
             may_have_written: false,
+            slot: None,
+            written: Vec::new(),
+            recorded: None,
             fail: None,
             rests_since: now,
         });
@@ -39,6 +42,15 @@
         txn.hand.into_iter().for_each(|hand| self.abort_hand(hand));
     }
 
+    /// Ends the open request with an error, and what its transaction has done with it.
+    pub(crate) fn roll_back(&mut self, id: u64, code: Code, text: &str) {
+        let txn = self.clients.get_mut(&id).and_then(|client| client.txn.as_mut());
+        let (db, hand) = txn.map_or((None, None), |txn| (txn.db.take(), txn.hand.take()));
+        db.into_iter().for_each(|db| self.abort_db(db));
+        hand.into_iter().for_each(|hand| self.abort_hand(hand));
+        self.fail(id, code, text, b'E');
+    }
+
     /// A transaction that rests too long is rolled back behind; the client hears of it with its next statement.
     pub(crate) fn txn_idle(&mut self, id: u64, since: u64) {
         let Some(client) = self.clients.get_mut(&id).filter(|client| !client.request.is_open) else { return };
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -65,6 +65,7 @@
     /// Since when it waits to be offered, or offered again.
     pub waits_since: u64,
     pub route: Option<Rc<Route>>,
+    pub named: crate::slots::Named,
     pub first_byte: u64,
     pub ret: Vec<u8>,
     pub is_streamed: bool,
@@ -111,6 +112,11 @@
     pub is_begun: bool,
     /// A statement that may have written was sent.
     pub may_have_written: bool,
+    /// The slot of the first thing that it named, and what it has written.
+    pub slot: Option<u16>,
+    pub written: Vec<(Vec<u8>, u32)>,
+    /// Where it stands in the recording.
+    pub recorded: Option<usize>,
     pub fail: Option<Fail>,
     pub rests_since: u64,
 }
@@ -139,9 +145,17 @@
 pub enum What {
     Setup,
     Sync,
-    Begin { client: u64, number: u64 },
+    Begin {
+        client: u64,
+        number: u64,
+    },
     Abort,
-    Request { client: u64, number: u64 },
+    /// Under which term the database is.
+    Probe,
+    Request {
+        client: u64,
+        number: u64,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -174,6 +188,8 @@
     pub is_doubtful: bool,
     /// The client whose transaction holds it.
     pub holder: Option<u64>,
+    /// The term that the database said when the connection was set up, 0 where it was not asked.
+    pub term: u64,
     /// Whose share its present use counts against.
     pub charge: Option<crate::share::Charge>,
     pub since: u64,
--- a/crates/wv-check/src/fenced.rs
+++ b/crates/wv-check/src/fenced.rs
@@ -10,10 +10,20 @@
 #[derive(Default)]
 pub struct Fenced {
     seen: std::collections::VecDeque<(u64, Pos)>,
+    /// What was sent before this tells nothing any more.
+    floor: u64,
 }
 
 impl Fenced {
+    /// Rows came to this service by another way than its log tells: sightings begin anew.
+    pub fn reset(&mut self, now: u64) {
+        (self.floor, self.seen) = (now, Default::default());
+    }
+
     pub fn note(&mut self, sent: u64, pos: Pos) {
+        if sent < self.floor {
+            return;
+        }
         // A statement overtaken by a later one tells nothing that is worth a slot of its own.
         if self.seen.back().is_some_and(|(last, held)| sent < last + GAP_US && pos.term <= held.term) {
             return;
--- a/crates/wv-conf/src/lib.rs
+++ b/crates/wv-conf/src/lib.rs
@@ -1,9 +1,11 @@
 //! The operator's configuration: read whole, checked, and kept as sent.
 mod parts;
 mod path;
+mod plans;
 
 pub use parts::{is_meant, Partner, Tenant, PARTS_MAX};
 pub use path::{PathError, Reader};
+pub use plans::ShardPlan;
 
 /// Bounds on what a configuration may hold.
 pub const BODY_MAX: usize = 1 << 20;
@@ -31,10 +33,31 @@
     UnknownName(String, String),
     #[error("{0}: {1} stands twice")]
     SameLabel(String, String),
+    #[error("{0}: {1}")]
+    Calendar(String, String),
     #[error("{0}: {1} belongs to {2} already")]
     TwoPlaces(String, String, String),
 }
 
+/// Hashes alike in every process, so that what is gone through in the order of a table goes alike too: a replay must
+/// come out the same each time. Keys are the operator's and our own, never a client's.
+#[derive(Clone)]
+pub struct Fixed(ahash::RandomState);
+
+impl Default for Fixed {
+    fn default() -> Fixed {
+        Fixed(ahash::RandomState::with_seeds(0x77, 0x69, 0x6e, 0x64))
+    }
+}
+
+impl std::hash::BuildHasher for Fixed {
+    type Hasher = ahash::AHasher;
+
+    fn build_hasher(&self) -> ahash::AHasher {
+        self.0.build_hasher()
+    }
+}
+
 /// Which databases may run a route's reads.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Category {
@@ -73,14 +96,16 @@
 pub struct Conf {
     pub version: u64,
     pub routes: Vec<std::rc::Rc<Route>>,
-    pub services: hashbrown::HashMap<String, Service, ahash::RandomState>,
+    pub services: hashbrown::HashMap<String, Service, Fixed>,
     pub limits: Limits,
     /// Sections that may be absent; without them nothing is divided and nothing owned.
     pub tenants: Vec<Tenant>,
     pub partners: Vec<Partner>,
     /// The services that are shared among partners.
     pub shards: Vec<String>,
-    hosts: hashbrown::HashMap<String, usize, ahash::RandomState>,
+    /// The services that are to be split in time.
+    pub plans: Vec<ShardPlan>,
+    hosts: hashbrown::HashMap<String, usize, Fixed>,
 }
 
 fn ms(reader: &Reader<'_>, path: &str) -> Result<u64, PathError> {
@@ -175,7 +200,10 @@
             shards = services.keys().cloned().collect();
         }
         shards.sort();
-        Ok(Conf { version, routes, services, limits, tenants, partners, shards, hosts })
+        let is_synced = |name: &str| services.get(name).map(|service: &Service| service.sync_replicas > 0);
+        let routed = |name: &str| routes.iter().find(|route| route.service == name).map(|route| route.label.clone());
+        let plans = plans::plans(&reader, is_synced, routed)?;
+        Ok(Conf { version, routes, services, limits, tenants, partners, shards, plans, hosts })
     }
 
     /// The route whose host is this database name.
--- a/crates/wv-conf/src/parts.rs
+++ b/crates/wv-conf/src/parts.rs
@@ -52,7 +52,7 @@
         .collect()
 }
 
-fn entries<'a>(reader: &Reader<'a>, path: &str) -> Result<Vec<Reader<'a>>, ConfError> {
+pub(crate) fn entries<'a>(reader: &Reader<'a>, path: &str) -> Result<Vec<Reader<'a>>, ConfError> {
     let list = if reader.has(path) { reader.list(path)? } else { Vec::new() };
     (list.len() <= PARTS_MAX).then_some(list).ok_or_else(|| ConfError::TooManyOf(path.to_owned(), PARTS_MAX))
 }
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -21,9 +21,14 @@
             ("GET", ["instances"]) => self.list_insts(token),
             ("GET", ["voters"]) => self.list_voters(token),
             ("GET", ["shards"]) => self.list_shards(token),
-            (_, ["shards"] | ["voters"] | ["configuration"] | ["instances"] | ["instances", _]) => {
-                self.ret(token, 405, "{\"cause\":\"this method is not served here\"}")
+            ("GET", ["forecast" | "splits"]) => self.list_outlooks(token),
+            (_, [part @ ("forecast" | "splits" | "things"), shard]) => {
+                self.call_shard(token, method, (part, shard), body)
             }
+            (
+                _,
+                ["forecast" | "splits" | "shards"] | ["voters"] | ["configuration"] | ["instances"] | ["instances", _],
+            ) => self.ret(token, 405, "{\"cause\":\"this method is not served here\"}"),
             _ => self.ret(token, 404, "{\"cause\":\"no such path\"}"),
         }
     }
@@ -37,6 +42,13 @@
             Ok(conf) => conf,
             Err(error) => return self.ret(token, 400, cause(&error.to_string())),
         };
+        // What has moved is found only through its plan.
+        let is_kept = |shard: &String| conf.plans.iter().any(|plan| plan.shard == *shard);
+        let moved = self.feed.slots().values().filter(|map| !map.moved.is_empty()).map(|map| &map.shard);
+        if let Some(shard) = moved.into_iter().find(|shard| !is_kept(shard)).filter(|_| conf.version > self.published) {
+            let text = format!("shardPlans: slots of {shard} have moved, so its plan has to stay");
+            return self.ret(token, 400, cause(&text));
+        }
         self.waiting.insert(token, Waiting::Put);
         self.quorum.start(token, CONF, Some(wv_reg::cell(conf.version, wv_pack::pack(body))), self.now);
         self.run_quorum();
@@ -59,6 +71,7 @@
             Waiting::Claim(service) => return self.duty_claimed(service, done.outcome),
             Waiting::Confirm(service) => return self.duty_confirmed(service, done.outcome),
             Waiting::OwnSeen(service, node) => return self.own_seen(service, node, done.outcome),
+            Waiting::Keep(shard, keep) => return self.kept(shard, keep, done.outcome),
             Waiting::OwnPut(owner) => return self.own_put(owner, done.outcome),
             waiting => waiting,
         };
@@ -97,6 +110,7 @@
             match wv_pack::unpack(&cell.value, crate::core::BODY_MAX) {
                 Ok(body) => {
                     self.conf = wv_conf::Conf::parse(&body).ok();
+                    self.sync_slots();
                     let msg = self.feed.publish_conf(cell.version, &body);
                     self.tell_followers(&msg);
                 }
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -1,3 +1,4 @@
+pub use crate::types::{Act, Start};
 use crate::types::{Fall, Hold, Link, Peer, Waiting};
 use std::collections::BTreeMap;
 use wv_feed::{Feed, Table};
@@ -12,54 +13,6 @@
 /// A majority heard within this is fresh contact.
 pub const FRESH_US: u64 = 1_300_000;
 
-/// What the executor is told to do.
-#[derive(Clone, PartialEq, Debug)]
-pub enum Act {
-    Send {
-        link: u64,
-        msg: Msg,
-    },
-    Close {
-        link: u64,
-    },
-    Dial {
-        link: u64,
-        addr: String,
-    },
-    Return {
-        token: u64,
-        status: u16,
-        body: Vec<u8>,
-    },
-    /// Ask a database of `service` something of the control side; the row comes back as an event.
-    Request {
-        service: String,
-        id: String,
-        addr: String,
-        text: String,
-    },
-    /// `POST /promotion` under the fence; its return comes back as an event.
-    Post {
-        service: String,
-        id: String,
-        fence: u64,
-    },
-}
-
-/// What a control node is started with.
-pub struct Start {
-    pub me: String,
-    pub node: String,
-    pub zone: String,
-    pub life: u64,
-    pub seeds: Vec<String>,
-    pub is_first: bool,
-    /// Whether what this node keeps outlives its process, so that it may vote.
-    pub is_core: bool,
-    /// A number drawn at random for a disk that is written for the first time.
-    pub disk: u64,
-}
-
 /// Machines that start together may read one time: the place in one node's feed must never pass for another's.
 fn own_life(life: u64, me: &str) -> u64 {
     let own =
@@ -128,6 +81,13 @@
     pub(crate) sessions_told: Vec<wv_inner::Session>,
     pub(crate) sessions_age: u32,
     pub(crate) is_window_open: bool,
+    /// The time of day, less this process's own.
+    pub(crate) epoch: u64,
+    /// Planned shards that are held here; those whose maps are known or being read; what holders show of theirs.
+    pub(crate) shards: BTreeMap<String, crate::shards::Shard>,
+    pub(crate) synced: std::collections::BTreeSet<String>,
+    pub(crate) syncing: std::collections::BTreeSet<String>,
+    pub(crate) outlooks: BTreeMap<String, String>,
 }
 
 impl Core {
@@ -189,6 +149,11 @@
             sessions_told: Vec::new(),
             sessions_age: 0,
             is_window_open: true,
+            epoch: 0,
+            shards: BTreeMap::new(),
+            synced: Default::default(),
+            syncing: Default::default(),
+            outlooks: BTreeMap::new(),
         };
         core.roster.set_core(core.is_core);
         core.recall_table();
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -4,15 +4,10 @@
 use wv_inner::{Lead, Msg, News, Sight, Sighting};
 use wv_promo::{Event, Left, Order, Seat, Silent, View, Word};
 use wv_reg::Outcome;
-use wv_wire::Pos;
 
-/// Sightings older than this count no more.
-const SIGHT_US: u64 = 9_000_000;
 /// A node that has just started first hears who is there.
 const SETTLE_US: u64 = 800_000;
 
-/// In a large fleet a few that agree are enough: each sees only what it uses.
-const WITNESSES_MAX: usize = 4;
 /// How long nodes may count on a writer after the platform was called.
 const PROMOTING_US: u64 = 1_500_000;
 
@@ -38,45 +33,6 @@
         }
     }
 
-    /// Each node's word on `id`: the sighting and how old it is.
-    fn words<'a>(&'a self, id: &str) -> impl Iterator<Item = (&'a Sighting, u64)> {
-        let now = self.now;
-        let words = self.sights.get(id).into_iter().flat_map(|words| words.values());
-        let is_live = move |(at, sight): &&(u64, Sighting)| at + SIGHT_US > now || sight.sight == Sight::Up;
-        words.filter(is_live).map(move |(at, sight)| (sight, now - at))
-    }
-
-    /// Several nodes agree, though not all need to: one cut link is no reason, one blind node no hindrance.
-    pub(crate) fn is_down(&self, id: &str) -> bool {
-        let is_bad = |sight: &Sighting| matches!(sight.sight, Sight::Refused | Sight::Dark);
-        let down = self.words(id).filter(|(sight, _)| is_bad(sight)).count();
-        let nodes = self.roster.count();
-        down >= nodes.div_ceil(4).clamp(2, WITNESSES_MAX).min(nodes.max(1))
-    }
-
-    fn refused_us(&self, id: &str) -> Option<u64> {
-        let is_refused = |sight: &Sighting| sight.sight == Sight::Refused;
-        self.words(id).all(|(sight, _)| is_refused(sight)).then_some(())?;
-        let lasting = || self.words(id).map(|(sight, ago)| sight.since_us + ago);
-        let (longest, shortest) = (lasting().max()?, lasting().min()?);
-        let is_heard = self.words(id).any(|(sight, ago)| sight.heard_ago_us.saturating_add(ago) < longest);
-        Some(if is_heard { shortest } else { longest })
-    }
-
-    fn fenced(&self, id: &str) -> Option<(u64, Pos)> {
-        self.words(id)
-            .filter_map(|(sight, ago)| Some((sight.fenced_ago_us + ago, Pos::parse(sight.fenced.as_bytes())?)))
-            .min_by_key(|(ago, _)| *ago)
-    }
-
-    /// The newest term that anyone has seen of this service.
-    fn known_term(&self, service: &str) -> u64 {
-        let ids = self.table.of(service).map(|inst| inst.id.as_str());
-        let seen = ids.flat_map(|id| self.words(id)).filter_map(|(sight, _)| Pos::parse(sight.fenced.as_bytes()));
-        let told = self.feed.lead(service).map_or(0, |lead| lead.term);
-        seen.map(|pos| pos.term).max().unwrap_or(0).max(told)
-    }
-
     /// The databases of a service, and those that left it under the present lead.
     fn seats(&self, service: &str, lead: Option<&str>) -> Vec<Seat> {
         let led = self.led.get(service).copied().unwrap_or(0);
@@ -109,6 +65,7 @@
             lead: lead.as_deref(),
             sync_replicas: service_conf.map_or(1, |held| held.sync_replicas),
             seats: &seats,
+            is_raise_wanted: self.is_raise_wanted(service),
             is_lead_doubted: lead
                 .as_deref()
                 .is_some_and(|lead| self.words(lead).any(|(sight, _)| sight.sight != Sight::Up)),
@@ -122,6 +79,7 @@
         orders.into_iter().for_each(|order| self.obey(service, order));
     }
 
+    /// All duties that are held here, and those held until now, which have something to undo.
     pub(crate) fn run_duties(&mut self) {
         let Some(conf) = self.conf.as_ref() else { return };
         let is_engaged = |service: &&String| self.duties.get(*service).is_some_and(wv_promo::Duty::is_engaged);
--- a/crates/wv-control/src/exec.rs
+++ b/crates/wv-control/src/exec.rs
@@ -76,6 +76,9 @@
             Act::Request { service, id, addr, text } => {
                 tokio::task::spawn_local(self.clone().ask_db(service, id, addr, text));
             }
+            Act::Run { run, service, id, addr, texts } => {
+                tokio::task::spawn_local(self.clone().run_texts(run, service, (id, addr), texts));
+            }
             Act::Post { service, id, fence } => {
                 tokio::task::spawn_local(self.clone().post(service, id, fence));
             }
--- /dev/null
+++ b/crates/wv-control/src/outlook.rs
@@ -0,0 +1,107 @@
+//! What operators are shown of planned shards, and where their calls on them go.
+use crate::conf::cause;
+use crate::core::Core;
+use crate::shards::Shard;
+use wv_fill::{Crossing, Forecast, Outlook};
+
+fn forecast_json(outlook: Option<&Outlook>) -> serde_json::Value {
+    let time = |us: Option<u64>| us.map(wv_when::text);
+    match outlook {
+        None => serde_json::json!({ "state": "not measured yet" }),
+        Some(Outlook::TooShort { days, wanted }) => {
+            serde_json::json!({ "state": "too little history", "days": days, "wanted": wanted })
+        }
+        Some(Outlook::Known(Forecast { rows_per_day, bytes_per_day, crossing, is_by_bytes, days, .. })) => {
+            let Crossing { early_us, likely_us, late_us } = *crossing;
+            serde_json::json!({
+                "state": "known", "days": days, "rowsPerDay": rows_per_day.round(), "bytesPerDay": bytes_per_day.round(),
+                "reachedFirst": if *is_by_bytes { "bytes" } else { "rows" },
+                "early": time(early_us), "likely": time(likely_us), "late": time(late_us), "confidence": 0.9,
+            })
+        }
+    }
+}
+
+impl Core {
+    /// Whether the split of a shard is driven here.
+    pub fn holds_shard(&self, shard: &str) -> bool {
+        self.shards.get(shard).is_some_and(|held| held.split.has_ballot())
+    }
+
+    /// The slot map of a shard as this node knows it.
+    pub fn slot_map(&self, shard: &str) -> Option<wv_inner::SlotMap> {
+        self.feed.slots().get(shard).cloned()
+    }
+
+    /// One planned shard: how full, what is foretold, how far its split is.
+    pub(crate) fn describe(&self, shard: &str, held: &Shard) -> serde_json::Value {
+        let (rows, bytes) = self.shard_totals(shard, held);
+        let plan = self.shard_plan(shard);
+        let share = |found: u64, max: u64| (max > 0).then(|| (found as f64 / max as f64 * 1e4).round() / 1e4);
+        let map = self.feed.slots().get(shard);
+        let moving = map.and_then(|map| map.moving.as_ref());
+        let moved: Vec<serde_json::Value> = map
+            .iter()
+            .flat_map(|map| &map.moved)
+            .map(|range| serde_json::json!({ "from": range.from, "until": range.until, "at": range.target }))
+            .collect();
+        let (copied, left, surges) = held.split.counts();
+        let advice = held.fill.advice.as_ref();
+        serde_json::json!({
+            "shard": shard, "rows": rows, "bytes": bytes, "error": (held.fill.sample.error() * 1e4).round() / 1e4,
+            "rowsShare": plan.and_then(|plan| share(rows, plan.rows_max)),
+            "bytesShare": plan.and_then(|plan| share(bytes, plan.bytes_max)),
+            "names": held.split.names.len(), "forecast": forecast_json(held.fill.outlook.as_ref()),
+            "warning": advice.map(|advice| serde_json::json!({
+                "early": wv_when::text(advice.early_us), "likely": advice.likely_us.map(wv_when::text),
+                "splitFrom": wv_when::text(advice.from_us), "splitUntil": wv_when::text(advice.until_us),
+                "raised": wv_when::text(advice.raised_us),
+            })),
+            "split": {
+                "phase": map.map(|map| format!("{:?}", map.phase).to_lowercase()), "step": held.split.step_name(),
+                "number": map.map_or(0, |map| map.number), "term": map.map_or(0, |map| map.term),
+                "moving": moving.map(|range| serde_json::json!({ "from": range.from, "until": range.until, "at": range.target })),
+                "moved": moved, "copied": copied, "left": left, "pausesForOthers": surges, "why": held.split.why,
+            },
+        })
+    }
+
+    /// `GET /forecast` and `GET /splits`: all planned shards, as their holders last told of them.
+    pub(crate) fn list_outlooks(&mut self, token: u64) {
+        let Some(conf) = self.conf.as_ref() else {
+            return self.ret(token, 404, cause("no configuration has been taken yet"));
+        };
+        let told = |plan: &wv_conf::ShardPlan| {
+            let text = self.outlooks.get(&plan.shard)?;
+            serde_json::from_str::<serde_json::Value>(text).ok()
+        };
+        let unknown = |shard: &str| serde_json::json!({ "shard": shard, "forecast": forecast_json(None) });
+        let list: Vec<serde_json::Value> =
+            conf.plans.iter().map(|plan| told(plan).unwrap_or_else(|| unknown(&plan.shard))).collect();
+        self.ret(token, 200, serde_json::json!({ "shards": list }).to_string());
+    }
+
+    /// Calls that change something of a planned shard are its holder's: others send the caller there.
+    pub(crate) fn call_shard(&mut self, token: u64, method: &str, path: (&str, &str), body: Option<&[u8]>) {
+        let (part, shard) = path;
+        if self.conf.is_none() {
+            return self.ret(token, 503, cause("this node has just started, call again"));
+        }
+        if self.shard_plan(shard).is_none() {
+            return self.ret(token, 404, cause("no such planned shard"));
+        }
+        let holder = self.shard_holder(shard);
+        if holder != self.me {
+            return self.ret(token, 307, format!("http://{holder}/{part}/{shard}"));
+        }
+        let text = body.and_then(|body| std::str::from_utf8(body).ok());
+        match (method, part, text) {
+            (_, _, None) => self.ret(token, 413, cause("the body is over the bound, or no text")),
+            ("PUT", "splits", _) => self.want_split(shard, true, token),
+            ("DELETE", "splits", _) => self.want_split(shard, false, token),
+            ("PUT", "things", Some(text)) => self.list_things(shard, text, token),
+            ("PUT", "forecast", Some(text)) => self.bring_history(shard, text, token),
+            _ => self.ret(token, 405, cause("this method is not served here")),
+        }
+    }
+}
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -38,6 +38,8 @@
         // Whoever was away hears which shards changed hands meanwhile.
         let owners: Vec<Msg> = self.feed.owners().values().cloned().map(Msg::Owner).collect();
         owners.into_iter().for_each(|owner| self.send(link, owner));
+        let maps: Vec<Msg> = self.feed.slots().values().cloned().map(Msg::Slots).collect();
+        maps.into_iter().for_each(|map| self.send(link, map));
         self.pull();
     }
 
@@ -100,6 +102,8 @@
                 self.serve_follows();
             }
             Msg::Sights(sights) => self.hear_sights(node, sights),
+            Msg::Marks(marks) => self.take_marks(node, marks),
+            Msg::Fill(fill) => self.take_fill(node, fill),
             _ => self.acts.push(crate::Act::Close { link }),
         }
     }
@@ -107,7 +111,7 @@
     /// Followers are served once a majority is in fresh contact. Without one what is known here may be old: they ask
     /// elsewhere, unless this node has only just started, when all others may be no further.
     pub(crate) fn serve_follows(&mut self) {
-        let is_ready = self.is_fresh() && self.is_caught_up && !self.is_leaving;
+        let is_ready = self.is_fresh() && self.is_caught_up && self.syncing.is_empty() && !self.is_leaving;
         let is_young = self.now < self.born + AWAIT_US && !self.is_leaving;
         if !is_ready && is_young {
             return;
@@ -186,6 +190,16 @@
             Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
             Msg::Lead(lead) => self.lead_told(lead),
             Msg::Owner(owner) => self.owner_told(owner),
+            Msg::Slots(map) => self.slots_told(map),
+            Msg::PeerMarks { node, marks } => self.take_marks(&node, marks),
+            Msg::PeerFill { node, fill } => self.take_fill(&node, fill),
+            Msg::Outlook { shard, text } => {
+                self.outlooks.insert(shard, text);
+            }
+            Msg::Marked { ref node, .. } | Msg::Filled { ref node, .. } => {
+                let node = node.clone();
+                self.pass_on(&node, &msg);
+            }
             Msg::Promoting { service, id, us } => {
                 self.publish(wv_inner::News::Promoting { service, id, us });
             }
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -43,7 +43,11 @@
                 let is_open = control.calendar.is_open_now();
                 control.node.core.borrow_mut().set_window(is_open);
             }
-            control.node.with(|core, now| core.tick(now));
+            let epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+            control.node.with(|core, now| {
+                core.tick(now);
+                core.set_epoch(epoch.map_or(0, |since| since.as_micros() as u64));
+            });
             if control.leaving_since.is_some_and(|since| control.node.now() > since + control.leave_us) {
                 System::current().stop();
             }
--- /dev/null
+++ b/crates/wv-control/src/run_texts.rs
@@ -0,0 +1,83 @@
+//! Own texts at a database: one after the other on a connection of their own, up to the first that fails.
+use crate::exec::Node;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use wv_split::Reply;
+use wv_wire::{cut_line, DbLine};
+
+const CONNECT: std::time::Duration = std::time::Duration::from_millis(300);
+/// Until all replies are in.
+const RUN: std::time::Duration = std::time::Duration::from_secs(5);
+const REPLY_MAX: usize = 2 << 20;
+
+/// One whole reply. `None` for anything that is none, and for rows that are no text: they could not be written again.
+async fn read(stream: &mut tokio::net::TcpStream, buf: &mut Vec<u8>) -> Option<Reply> {
+    let mut reply = Reply::default();
+    loop {
+        while let Some((line, len)) = cut_line(buf) {
+            let is_over = match DbLine::parse(line) {
+                DbLine::Row(row) => {
+                    reply.rows.push(std::str::from_utf8(row).ok()?.to_owned());
+                    false
+                }
+                DbLine::Complete(_) => false,
+                DbLine::Error(code, _) => {
+                    reply.code = Some(code);
+                    false
+                }
+                DbLine::Idle(_, pos) => {
+                    reply.pos = pos;
+                    true
+                }
+                DbLine::Unknown => return None,
+            };
+            buf.drain(..len);
+            if is_over {
+                return Some(reply);
+            }
+        }
+        let len = stream.read_buf(buf).await.ok()?;
+        if len == 0 || buf.len() > REPLY_MAX {
+            return None;
+        }
+    }
+}
+
+/// What follows a `BEGIN` is sent only once that has come back; all the rest goes out together.
+async fn run(addr: &str, service: &str, id: &str, texts: &[String]) -> Option<Vec<Reply>> {
+    let mut stream = wv_http::connect(addr.parse().ok()?, CONNECT).await.ok()?;
+    let mut buf = Vec::new();
+    let mut out = Vec::new();
+    wv_wire::put_line(&mut out, &[b"SETUP", service.as_bytes(), b"windvalve", id.as_bytes()]);
+    stream.write_all(&out).await.ok()?;
+    read(&mut stream, &mut buf).await.filter(|reply| reply.code.is_none())?;
+    let begin = texts.iter().position(|text| text == "BEGIN").map_or(0, |at| at + 1);
+    let mut replies = Vec::new();
+    // The last one ends the transaction: a commit is sent only when all before it came back well.
+    let last = texts.len().saturating_sub(1).max(begin);
+    for part in [&texts[..begin], &texts[begin..last], &texts[last..]] {
+        out.clear();
+        part.iter().for_each(|text| wv_wire::put_query(&mut out, b"-", &[text.as_bytes()]));
+        stream.write_all(&out).await.ok()?;
+        for _ in part {
+            replies.push(read(&mut stream, &mut buf).await?);
+        }
+        if replies.iter().any(|reply| reply.code.is_some()) {
+            return Some(replies);
+        }
+    }
+    let _ = stream.write_all(b"RELEASE\r\n").await;
+    Some(replies)
+}
+
+impl Node {
+    pub(crate) async fn run_texts(
+        self,
+        number: u64,
+        service: String,
+        (id, addr): (String, String),
+        texts: Vec<String>,
+    ) {
+        let replies = tokio::time::timeout(RUN, run(&addr, &service, &id, &texts)).await.ok().flatten();
+        self.with(|core, now| core.ran(number, replies, now));
+    }
+}
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -56,6 +56,7 @@
         self.run_voters();
         self.run_duties();
         self.run_owners();
+        self.run_shards();
         self.tell_nodes();
         self.quorum.tick(self.now);
         self.run_quorum();
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -1,4 +1,61 @@
 //! What a control node keeps on its links, peers and calls.
+use wv_inner::Msg;
+
+/// What the executor is told to do.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Act {
+    Send {
+        link: u64,
+        msg: Msg,
+    },
+    Close {
+        link: u64,
+    },
+    Dial {
+        link: u64,
+        addr: String,
+    },
+    Return {
+        token: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
+    /// Ask a database of `service` something of the control side; the row comes back as an event.
+    Request {
+        service: String,
+        id: String,
+        addr: String,
+        text: String,
+    },
+    /// Texts for a database, one after the other on a connection of their own, up to the first that fails.
+    Run {
+        run: u64,
+        service: String,
+        id: String,
+        addr: String,
+        texts: Vec<String>,
+    },
+    /// `POST /promotion` under the fence; its return comes back as an event.
+    Post {
+        service: String,
+        id: String,
+        fence: u64,
+    },
+}
+
+/// What a control node is started with.
+pub struct Start {
+    pub me: String,
+    pub node: String,
+    pub zone: String,
+    pub life: u64,
+    pub seeds: Vec<String>,
+    pub is_first: bool,
+    /// Whether what this node keeps outlives its process, so that it may vote.
+    pub is_core: bool,
+    /// A number drawn at random for a disk that is written for the first time.
+    pub disk: u64,
+}
 
 pub(crate) struct Link {
     /// The control address of a control node, once it said hello.
@@ -35,6 +92,8 @@
     /// Reading who owns a shard before it is given to this node.
     OwnSeen(String, String),
     OwnPut(wv_inner::Owner),
+    /// A step of what a planned shard's holder keeps.
+    Keep(String, crate::keep::Keep),
 }
 
 #[derive(Default)]
--- a/crates/wv-control/src/words.rs
+++ b/crates/wv-control/src/words.rs
@@ -1,7 +1,13 @@
 //! Words of access nodes on databases: each goes to the control node that holds the duty of the service, and no further.
 use crate::core::Core;
 use std::collections::BTreeMap;
-use wv_inner::{Msg, Sighting};
+use wv_inner::{Msg, Sight, Sighting};
+use wv_wire::Pos;
+
+/// Sightings older than this count no more.
+const SIGHT_US: u64 = 9_000_000;
+/// In a large fleet a few that agree are enough: each sees only what it uses.
+const WITNESSES_MAX: usize = 4;
 
 impl Core {
     /// A node's words, heard on its own session.
@@ -52,4 +58,55 @@
             !words.is_empty()
         });
     }
+
+    /// Each node's word on `id`: the sighting and how old it is.
+    pub(crate) fn words<'a>(&'a self, id: &str) -> impl Iterator<Item = (&'a Sighting, u64)> {
+        let now = self.now;
+        let words = self.sights.get(id).into_iter().flat_map(|words| words.values());
+        let is_live = move |(at, sight): &&(u64, Sighting)| at + SIGHT_US > now || sight.sight == Sight::Up;
+        words.filter(is_live).map(move |(at, sight)| (sight, now - at))
+    }
+
+    /// Several nodes agree, though not all need to: one cut link is no reason, one blind node no hindrance.
+    pub(crate) fn is_down(&self, id: &str) -> bool {
+        let is_bad = |sight: &Sighting| matches!(sight.sight, Sight::Refused | Sight::Dark);
+        let down = self.words(id).filter(|(sight, _)| is_bad(sight)).count();
+        let nodes = self.roster.count();
+        down >= nodes.div_ceil(4).clamp(2, WITNESSES_MAX).min(nodes.max(1))
+    }
+
+    /// For how long all that look at it have been refused. Who looks later than others says nothing against them, unless
+    /// it has heard from the database since they were first refused.
+    pub(crate) fn refused_us(&self, id: &str) -> Option<u64> {
+        let is_refused = |sight: &Sighting| sight.sight == Sight::Refused;
+        self.words(id).all(|(sight, _)| is_refused(sight)).then_some(())?;
+        let lasting = || self.words(id).map(|(sight, ago)| sight.since_us + ago);
+        let (longest, shortest) = (lasting().max()?, lasting().min()?);
+        let is_heard = self.words(id).any(|(sight, ago)| sight.heard_ago_us.saturating_add(ago) < longest);
+        Some(if is_heard { shortest } else { longest })
+    }
+
+    pub(crate) fn fenced(&self, id: &str) -> Option<(u64, Pos)> {
+        self.words(id)
+            .filter_map(|(sight, ago)| Some((sight.fenced_ago_us + ago, Pos::parse(sight.fenced.as_bytes())?)))
+            .min_by_key(|(ago, _)| *ago)
+    }
+
+    /// The newest term that anyone has seen of this service.
+    pub(crate) fn known_term(&self, service: &str) -> u64 {
+        let ids = self.table.of(service).map(|inst| inst.id.as_str());
+        let seen = ids.flat_map(|id| self.words(id)).filter_map(|(sight, _)| Pos::parse(sight.fenced.as_bytes()));
+        let told = self.feed.lead(service).map_or(0, |lead| lead.term);
+        seen.map(|pos| pos.term).max().unwrap_or(0).max(told)
+    }
+
+    /// A split wants the term of this service left behind, as source or as target.
+    pub(crate) fn is_raise_wanted(&self, service: &str) -> bool {
+        let term = || self.known_term(service);
+        let target = |map: &wv_inner::SlotMap| map.moving.as_ref().is_some_and(|range| range.target == service);
+        self.feed.slots().values().any(|map| {
+            (map.shard == service && map.raise > 0 && term() <= map.raise)
+                || (target(map) && map.raise_target > 0 && term() <= map.raise_target)
+        })
+    }
 }
--- a/crates/wv-feed/src/follow.rs
+++ b/crates/wv-feed/src/follow.rs
@@ -1,4 +1,4 @@
-use wv_inner::{Lead, Msg, News, Owner};
+use wv_inner::{Lead, Msg, News, Owner, SlotMap};
 
 /// Changes kept for followers that come back; those further behind take a snapshot.
 const KEPT: usize = 1024;
@@ -12,6 +12,7 @@
     nodes: u32,
     leads: std::collections::BTreeMap<String, Lead>,
     owners: std::collections::BTreeMap<String, Owner>,
+    slots: std::collections::BTreeMap<String, SlotMap>,
     changes: std::collections::VecDeque<(u64, News)>,
 }
 
@@ -24,6 +25,7 @@
             nodes: 0,
             leads: Default::default(),
             owners: Default::default(),
+            slots: Default::default(),
             changes: Default::default(),
         }
     }
@@ -49,6 +51,9 @@
             News::Owner(owner) => {
                 self.owners.insert(owner.service.clone(), owner.clone());
             }
+            News::Slots(map) => {
+                self.slots.insert(map.shard.clone(), map.clone());
+            }
             News::Conf { .. } | News::ConfChange { .. } => {}
             News::Inst(_) | News::Ease { .. } | News::Promoting { .. } => {}
         }
@@ -68,6 +73,10 @@
         &self.owners
     }
 
+    pub fn slots(&self) -> &std::collections::BTreeMap<String, SlotMap> {
+        &self.slots
+    }
+
     pub fn leads(&self) -> impl Iterator<Item = &Lead> {
         self.leads.values()
     }
@@ -83,7 +92,9 @@
                 .map(|(place, news)| Msg::Change { place: *place, news: news.clone() })
                 .collect();
         }
-        let mut news: Vec<News> = self.conf.iter().map(|(_, whole, _)| whole.clone()).collect();
+        // Slot maps come before anything that lets work start.
+        let mut news: Vec<News> = self.slots.values().cloned().map(News::Slots).collect();
+        news.extend(self.conf.iter().map(|(_, whole, _)| whole.clone()));
         news.extend(table.iter().cloned().map(News::Inst));
         news.extend(self.leads.values().cloned().map(News::Lead));
         news.extend(self.owners.values().cloned().map(News::Owner));
--- a/crates/wv-fleet/src/base.rs
+++ b/crates/wv-fleet/src/base.rs
@@ -2,18 +2,28 @@
 use std::collections::{BTreeMap, BTreeSet};
 use wv_wire::{cut_word, Code, Pos};
 
-/// One committed write: its place, and the query id of the try that made it.
+/// A write: the query id of the try that made it (`-` for windvalve's own), and the row.
+#[derive(Clone, Debug, PartialEq, Default)]
+pub struct Write {
+    pub tag: String,
+    pub thing: String,
+    pub data: String,
+}
+
+/// One committed write at its place.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     pub pos: Pos,
-    pub tag: String,
+    pub write: Write,
 }
 
 #[derive(Default)]
 pub struct Conn {
     pub state: u8,
     pub is_plain: bool,
-    pub writes: Vec<String>,
+    pub writes: Vec<Write>,
+    /// Its database lost the lead since it was set up: no write is taken on it, also if it leads again.
+    pub is_deposed: bool,
     pub values: BTreeMap<String, String>,
     pub defined: BTreeMap<String, (bool, String)>,
     pub is_set_up: bool,
@@ -22,8 +32,10 @@
 /// What a text leads to beyond its direct answer.
 pub enum Outcome {
     Say(String),
-    /// A commit of these tags, answered once enough replicas have it.
-    Commit(Vec<String>),
+    /// A write that waits for its transaction's commit.
+    Keep(Write),
+    /// A commit of these, answered once enough replicas have it.
+    Commit(Vec<Write>),
     /// A read ran on this many applied entries.
     Read(String),
     /// Replication is stopped or let go on.
@@ -44,6 +56,8 @@
     pub term: u64,
     pub log: Vec<Entry>,
     pub applied: usize,
+    /// What stands of each thing in what is applied.
+    pub rows: BTreeMap<String, String>,
     pub held: u64,
     pub apply_lag: u64,
     /// How long a statement takes it.
@@ -61,6 +75,11 @@
     pub busy: BTreeSet<u64>,
 }
 
+/// One thing stands there from the start.
+pub(crate) fn first_rows() -> BTreeMap<String, String> {
+    BTreeMap::from([("k".to_owned(), "0".to_owned())])
+}
+
 impl Base {
     pub fn new(service: &str, at: usize) -> Base {
         Base {
@@ -77,6 +96,7 @@
             term: 1,
             log: Vec::new(),
             applied: 0,
+            rows: first_rows(),
             held: 0,
             apply_lag: 20_000,
             work_us: 3000,
@@ -104,7 +124,14 @@
 
     pub fn row(&self) -> String {
         let role = if self.is_primary { "primary" } else { "replica" };
-        let row = format!("ROW {role} {} {} {} 0 0 {}\r\n", self.term, self.received(), self.held, self.conns.len());
+        let row = format!(
+            "ROW {role} {} {} {} 0 {} {}\r\n",
+            self.term,
+            self.received(),
+            self.held,
+            self.busy.len(),
+            self.conns.len()
+        );
         self.complete(&row, "-", b'I')
     }
 
@@ -125,9 +152,10 @@
             return self.run(conn, &more);
         }
         let is_plain = self.conns.get(&conn).is_some_and(|held| held.is_plain);
-        let is_deposed = state == b'T' && is_plain && !self.is_primary;
+        let is_old = self.conns.get(&conn).is_some_and(|held| held.is_deposed);
+        let is_deposed = state == b'T' && is_plain && (!self.is_primary || is_old);
         match verb {
-            "BEGIN" if rest.is_empty() && !self.is_primary => self.error(conn, Code::ReadOnly, true),
+            "BEGIN" if rest.is_empty() && (!self.is_primary || is_old) => self.error(conn, Code::ReadOnly, true),
             "BEGIN" => self.set(conn, |held| (held.state, held.is_plain) = (b'T', rest.is_empty())),
             "ABORT" => self.set(conn, |held| {
                 held.state = b'I';
@@ -165,16 +193,16 @@
                 })
             }
             "EXECUTE" => {
-                let name = rest.split(' ').next().unwrap_or_default();
+                let (name, row) = rest.split_once(' ').unwrap_or((rest, ""));
                 match self.conns.get(&conn).and_then(|held| held.defined.get(name)).map(|held| held.0) {
-                    Some(true) => self.write(conn, state),
-                    Some(false) => self.read(),
+                    Some(true) => self.write(conn, state, row),
+                    Some(false) => self.read(row),
                     None => self.error(conn, Code::Undefined, true),
                 }
             }
             "READ" | "WRITE" if self.is_congested => self.error(conn, Code::Congested, true),
-            "READ" => self.read(),
-            "WRITE" => self.write(conn, state),
+            "READ" => self.read(rest),
+            "WRITE" => self.write(conn, state, rest),
             "ENQUIRY" => Outcome::Row,
             "SUSPEND" => {
                 self.held = rest.parse().unwrap_or(0);
@@ -196,17 +224,20 @@
         Outcome::Say(self.complete("", "-", state))
     }
 
-    fn read(&self) -> Outcome {
-        Outcome::Read(format!("ROW {}\r\n", self.applied))
+    fn read(&self, thing: &str) -> Outcome {
+        let row = self.rows.get(thing).map(|data| format!("ROW {data}\r\n"));
+        Outcome::Read(row.unwrap_or_default())
     }
 
-    fn write(&mut self, conn: u64, state: u8) -> Outcome {
-        if !self.is_primary {
+    fn write(&mut self, conn: u64, state: u8, row: &str) -> Outcome {
+        if !self.is_primary || self.conns.get(&conn).is_some_and(|held| held.is_deposed) {
             return self.error(conn, Code::ReadOnly, true);
         }
+        let (thing, data) = row.split_once(' ').unwrap_or((row, ""));
+        let write = Write { tag: String::new(), thing: thing.to_owned(), data: data.to_owned() };
         if state == b'T' {
-            return Outcome::Say(String::new());
+            return Outcome::Keep(write);
         }
-        Outcome::Commit(Vec::new())
+        Outcome::Commit(vec![write])
     }
 }
--- a/crates/wv-fleet/src/clients.rs
+++ b/crates/wv-fleet/src/clients.rs
@@ -1,14 +1,16 @@
 //! Clients of the world, spoken for line by line.
-use crate::world::World;
+use crate::world::{Ev, World};
 use crate::S;
 use std::collections::BTreeMap;
 
 pub(crate) struct Client {
-    node: usize,
+    pub(crate) node: usize,
     pub(crate) id: Option<u64>,
     buf: Vec<u8>,
     heard: Vec<String>,
     pub(crate) load: Option<usize>,
+    /// The session of the hour that it is.
+    pub(crate) session: Option<usize>,
 }
 
 /// What a statement's client holds, for the stand-ins to be judged by.
@@ -24,14 +26,20 @@
     /// A session on an access node, set up for `database`.
     pub fn client(&mut self, node: usize, database: &str) -> usize {
         let id = self.with_access(node, |core, now| core.client_open(now));
-        self.clients.push(Client { node, id, buf: Vec::new(), heard: Vec::new(), load: None });
+        self.clients.push(Client { node, id, buf: Vec::new(), heard: Vec::new(), load: None, session: None });
         let at = self.clients.len() - 1;
+        if let Some(id) = id {
+            self.client_of.insert((node, id), at);
+        }
         self.say(at, &format!("SETUP {database} u{at}"));
         at
     }
 
     /// One line from a client.
     pub fn say(&mut self, client: usize, line: &str) {
+        if self.frozen.contains(&self.clients[client].node) {
+            return self.held_back.push(Ev::Say { client, line: line.to_owned() });
+        }
         let (node, id) = (self.clients[client].node, self.clients[client].id);
         let bytes = format!("{line}\r\n").into_bytes();
         if let Some(id) = id {
@@ -43,6 +51,7 @@
     pub fn leave(&mut self, client: usize) {
         let node = self.clients[client].node;
         if let Some(id) = self.clients[client].id.take() {
+            self.client_of.remove(&(node, id));
             self.with_access(node, |core, now| core.client_gone(id, now));
         }
     }
@@ -57,8 +66,7 @@
     }
 
     pub(crate) fn client_heard(&mut self, node: usize, id: u64, bytes: &[u8]) {
-        let found = self.clients.iter().position(|client| client.node == node && client.id == Some(id));
-        let Some(at) = found else { return };
+        let Some(at) = self.client_of.get(&(node, id)).copied() else { return };
         self.clients[at].buf.extend_from_slice(bytes);
         while let Some((line, len)) = wv_wire::cut_line(&self.clients[at].buf) {
             let line = String::from_utf8_lossy(line).into_owned();
@@ -68,16 +76,22 @@
                 let lines = self.take(at);
                 self.returned(load, &lines);
             }
+            if let (Some(session), true) = (self.clients[at].session, line.starts_with("IDLE")) {
+                let lines = self.take(at);
+                self.answered(session, &lines);
+            }
         }
     }
 
     pub(crate) fn client_closed(&mut self, node: usize, id: u64) {
-        let found = self.clients.iter().position(|client| client.node == node && client.id == Some(id));
-        let Some(at) = found else { return };
+        let Some(at) = self.client_of.remove(&(node, id)) else { return };
         self.clients[at].id = None;
         if let Some(load) = self.clients[at].load {
             self.cut_off(load);
         }
+        if let Some(session) = self.clients[at].session {
+            self.hour_cut(session);
+        }
     }
 
     pub(crate) fn judge_read(&mut self, base: usize, id: &str) {
--- /dev/null
+++ b/crates/wv-fleet/src/events.rs
@@ -0,0 +1,210 @@
+//! What happens in the world, and to whom.
+use crate::nodes::End;
+use crate::world::World;
+use crate::MS;
+use wv_access::Lost;
+use wv_inner::Msg;
+
+pub(crate) enum Ev {
+    Care(usize),
+    Timer(usize),
+    Session(usize),
+    ControlTick(usize),
+    DbOpened {
+        access: usize,
+        db: u64,
+        life: u64,
+    },
+    DbIn {
+        base: usize,
+        conn: u64,
+        bytes: Vec<u8>,
+    },
+    DbOut {
+        access: usize,
+        db: u64,
+        bytes: Vec<u8>,
+        life: u64,
+    },
+    DbEnd {
+        access: usize,
+        db: u64,
+        lost: Lost,
+        life: u64,
+    },
+    Replicate {
+        from: usize,
+        to: usize,
+        len: usize,
+    },
+    Apply {
+        base: usize,
+        len: usize,
+    },
+    Beat {
+        base: usize,
+    },
+    Link {
+        to: End,
+        msg: Msg,
+    },
+    LinkUp {
+        control: usize,
+        link: u64,
+    },
+    LinkDown {
+        end: End,
+    },
+    Row {
+        control: usize,
+        service: String,
+        id: String,
+        word: wv_promo::Word,
+    },
+    Posted {
+        control: usize,
+        service: String,
+        code: Option<u16>,
+    },
+    Promote {
+        base: usize,
+    },
+    Free {
+        base: usize,
+        conn: u64,
+    },
+    Step {
+        client: usize,
+        life: u64,
+    },
+    /// Sessions of a recorded hour, and their requests.
+    Enter {
+        session: usize,
+    },
+    Leave {
+        session: usize,
+    },
+    Arrive {
+        op: usize,
+    },
+    Overdue {
+        op: usize,
+    },
+    Retry {
+        session: usize,
+        turn: u64,
+    },
+    Say {
+        client: usize,
+        line: String,
+    },
+    /// Own texts reach a database, and their replies the control node.
+    Run {
+        control: usize,
+        run: u64,
+        base: usize,
+        conn: u64,
+        texts: Vec<String>,
+    },
+    Ran {
+        control: usize,
+        run: u64,
+        replies: Option<Vec<wv_split::Reply>>,
+    },
+    HandUp {
+        at: usize,
+        link: u64,
+        life: u64,
+    },
+    HandDown {
+        at: usize,
+        link: u64,
+        life: u64,
+    },
+    Hand {
+        at: usize,
+        link: u64,
+        life: u64,
+        msg: wv_inner::Hand,
+    },
+}
+
+impl World {
+    pub(crate) fn happen(&mut self, event: Ev) {
+        match event {
+            Ev::Care(at) => {
+                self.with_access(at, |core, now| core.housekeep(now));
+                self.put(100 * MS, Ev::Care(at));
+            }
+            Ev::Timer(at) => {
+                self.access[at].armed = u64::MAX;
+                self.with_access(at, |core, now| core.tick(now));
+            }
+            Ev::Session(at) => self.session(at),
+            Ev::ControlTick(at) => {
+                let epoch = self.epoch_us + self.now;
+                self.with_control(at, |core, now| {
+                    core.tick(now);
+                    core.set_epoch(epoch);
+                });
+                self.put(100 * MS, Ev::ControlTick(at));
+            }
+            Ev::DbOpened { access, db, life } if life == self.access[access].life => {
+                self.with_access(access, |core, now| core.db_opened(db, now));
+            }
+            Ev::DbOut { access, db, bytes, life } if life == self.access[access].life => {
+                self.with_access(access, |core, now| core.db_data(db, &bytes, now));
+            }
+            Ev::DbEnd { access, db, lost, life } if life == self.access[access].life => {
+                self.forget_conn((access, db));
+                self.with_access(access, |core, now| core.db_lost(db, lost, now));
+            }
+            Ev::DbOpened { .. } | Ev::DbOut { .. } | Ev::DbEnd { .. } => {}
+            Ev::DbIn { base, conn, bytes } => self.db_in(base, conn, &bytes),
+            Ev::Replicate { from, to, len } => self.replicate(from, to, len),
+            Ev::Apply { base, len } => {
+                self.bases[base].apply(len);
+            }
+            Ev::Beat { base } => {
+                self.beat(base);
+                self.put(1200 * MS, Ev::Beat { base });
+            }
+            Ev::Link { to, msg } => self.link_msg(to, msg),
+            Ev::LinkUp { control, link } => {
+                self.with_control(control, |core, now| core.link_up(link, now));
+            }
+            Ev::LinkDown { end } => self.link_down(end),
+            Ev::Row { control, service, id, word } => {
+                self.with_control(control, |core, now| core.row(&service, &id, word, now));
+            }
+            Ev::Posted { control, service, code } => {
+                self.with_control(control, |core, now| core.posted(&service, code, now));
+            }
+            Ev::Promote { base } => self.promote(base),
+            Ev::Free { base, conn } => {
+                self.bases[base].busy.remove(&conn);
+            }
+            Ev::HandUp { at, link, life } => {
+                self.with_hand(at, life, |core, now| core.hand_up(link, now));
+            }
+            Ev::HandDown { at, link, life } => {
+                self.hands.remove(&(at, link));
+                self.with_hand(at, life, |core, now| core.hand_down(link, now));
+            }
+            Ev::Hand { at, link, life, msg } => {
+                self.with_hand(at, life, |core, now| core.hand(link, msg, now));
+            }
+            Ev::Step { client, life } => self.step(client, life),
+            Ev::Enter { session } => self.enter(session),
+            Ev::Leave { session } => self.leave_hour(session),
+            Ev::Arrive { op } => self.arrive(op),
+            Ev::Overdue { op } => self.overdue(op),
+            Ev::Retry { session, turn } => self.retry_op(session, turn),
+            Ev::Say { client, line } => self.say(client, &line),
+            Ev::Run { control, run, base, conn, texts } => self.run_now(control, run, base, conn, &texts),
+            Ev::Ran { control, run, replies } => {
+                self.with_control(control, |core, now| core.ran(run, replies, now));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wv-fleet/src/freeze.rs
@@ -0,0 +1,30 @@
+//! Access nodes that stand still for a while: nothing reaches them, nothing leaves them, and then all of it does.
+use crate::world::{Ev, World};
+
+impl World {
+    /// From here on the node does nothing; what it was about to send is not sent.
+    pub fn freeze_access(&mut self, at: usize) {
+        self.frozen.insert(at);
+    }
+
+    /// It goes on as if no time had passed: what was on its way is sent, what came is read.
+    pub fn thaw_access(&mut self, at: usize) {
+        self.frozen.remove(&at);
+        let held = std::mem::take(&mut self.held_back);
+        held.into_iter().for_each(|event| self.put(0, event));
+    }
+
+    /// Whether the event is a frozen node's to handle, or still its own to send.
+    pub(crate) fn is_held_back(&self, event: &Ev) -> bool {
+        let at = match event {
+            Ev::Care(at) | Ev::Timer(at) | Ev::Session(at) => Some(*at),
+            Ev::DbOpened { access, .. } | Ev::DbOut { access, .. } | Ev::DbEnd { access, .. } => Some(*access),
+            Ev::DbIn { base, conn, .. } => self.owner(*base, *conn).map(|(access, _)| access),
+            Ev::Link { to: crate::nodes::End::Access { at, .. }, .. } => Some(*at),
+            Ev::HandUp { at, .. } | Ev::HandDown { at, .. } | Ev::Hand { at, .. } => Some(*at),
+            Ev::Say { client, .. } => Some(self.clients[*client].node),
+            _ => None,
+        };
+        at.is_some_and(|at| self.frozen.contains(&at))
+    }
+}
--- a/crates/wv-fleet/src/hands.rs
+++ b/crates/wv-fleet/src/hands.rs
@@ -12,6 +12,24 @@
 
     /// A shard changed hands: a line in the course, once for each number.
     pub(crate) fn note_owner(&mut self, msg: &wv_inner::Msg) {
+        if let wv_inner::Msg::Change { news: wv_inner::News::Slots(map), .. } = msg {
+            let held = self.owners.entry(format!("slots/{}", map.shard)).or_default();
+            if std::mem::replace(held, map.number.max(*held)) < map.number {
+                let moving =
+                    map.moving.as_ref().map(|range| format!("{}-{} to {}", range.from, range.until, range.target));
+                self.note(format!(
+                    "slots of {}: {:?} under term {}, moving {}, left behind {} and {}, moved {}",
+                    map.shard,
+                    map.phase,
+                    map.term,
+                    moving.unwrap_or_else(|| "none".to_owned()),
+                    map.raise,
+                    map.raise_target,
+                    map.moved.len()
+                ));
+            }
+            return;
+        }
         let wv_inner::Msg::Change { news: wv_inner::News::Owner(owner), .. } = msg else { return };
         let held = self.owners.entry(owner.service.clone()).or_default();
         if std::mem::replace(held, owner.number.max(*held)) < owner.number {
--- a/crates/wv-fleet/src/lib.rs
+++ b/crates/wv-fleet/src/lib.rs
@@ -2,19 +2,25 @@
 //! operator and clients. The same story gives the same course every time.
 mod base;
 mod clients;
+mod events;
 mod falls;
+mod freeze;
 mod hands;
+mod hour;
 mod links;
 mod load;
 mod log;
 mod nodes;
 mod oracle;
 mod service;
+mod splits;
 mod states;
+mod tries;
 mod world;
 
-pub use base::{Base, Conn};
+pub use base::{Base, Conn, Entry, Write};
 pub use clients::REST;
+pub use hour::{End, Hour, Kind, Op, Session};
 pub use load::Load;
 pub use log::Answer;
 pub use oracle::Oracle;
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -21,6 +21,7 @@
             if !sights.is_empty() {
                 self.put(HOP, Ev::Link { to: end, msg: Msg::Sights(sights) });
             }
+            self.send_reports(at, end, false);
             return;
         }
         node.session.take().into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
@@ -50,6 +51,12 @@
         self.put(HOP, Ev::Link { to: end, msg: Msg::Follow { life: place.0, place: place.1 } });
         let sights = self.access[at].core.as_mut().map(|core| core.take_sights(Telling::Whole)).unwrap_or_default();
         self.put(HOP, Ev::Link { to: end, msg: Msg::Sights(sights) });
+        self.send_reports(at, end, true);
+    }
+
+    fn send_reports(&mut self, at: usize, to: End, is_start: bool) {
+        let reports = self.access[at].core.as_mut().map(|core| core.take_reports(is_start)).unwrap_or_default();
+        reports.into_iter().for_each(|msg| self.put(HOP, Ev::Link { to, msg }));
     }
 
     pub(crate) fn dial(&mut self, at: usize, link: u64, addr: &str) {
@@ -84,6 +91,12 @@
                 match msg {
                     Msg::Beat { fresh: false } => self.access[at].heard = 0,
                     Msg::Beat { .. } | Msg::Peers { .. } => {}
+                    Msg::Marked { shard, attempt, serial, .. } => {
+                        self.with_access(at, |core, now| core.marked(&shard, attempt, serial, now));
+                    }
+                    Msg::Filled { shard, serial, .. } => {
+                        self.with_access(at, |core, now| core.filled(&shard, serial, now));
+                    }
                     msg => {
                         let is_fed = self.with_access(at, |core, now| core.feed(msg, now).is_ok());
                         if let Some(to) = self.access[at].session.filter(|_| is_fed == Some(false)) {
--- a/crates/wv-fleet/src/load.rs
+++ b/crates/wv-fleet/src/load.rs
@@ -132,7 +132,7 @@
     }
 
     fn plan(&mut self, at: usize) {
-        let now = self.now;
+        let (now, things) = (self.now, self.things);
         let load = &mut self.loads[at];
         let kind = load.luck.below(100);
         let texts: Vec<&str> = match (load.route.starts_with('b'), kind) {
@@ -144,12 +144,15 @@
             (_, 60..=69) => vec!["BEGIN", "READ k", "ABORT"],
             (_, _) => vec!["BEGIN", "EXECUTE s k", "WRITE k d", "WRITE k d", "COMMIT"],
         };
-        load.texts = texts.into_iter().map(str::to_owned).collect();
+        // The things of one transaction share a tag, and so a slot.
+        let thing = |load: &mut Load| format!("{{{}}}x", load.luck.below(things));
+        let thing = if things > 0 { thing(load) } else { "k".to_owned() };
+        load.texts = texts.into_iter().map(|text| text.replace(" k", &format!(" {thing}"))).collect();
         (load.at, load.begun) = (0, now);
     }
 
     fn request(&mut self, at: usize) {
-        let now = self.now;
+        let (now, things) = (self.now, self.things);
         let load = &mut self.loads[at];
         let Some(text) = load.texts.get(load.at).cloned() else { return };
         load.said += 1;
@@ -160,8 +163,13 @@
         }
         let first_byte = if is_txn { load.begun } else { now };
         let since = if load.route.starts_with('b') { first_byte.saturating_sub(1500 * MS) } else { first_byte };
+        let mut text = text;
         if text.starts_with("WRITE") {
             load.tags.push(tag.clone());
+            // Each write leaves a row of its own.
+            if let Some(start) = text.strip_suffix(" d").filter(|_| things > 0) {
+                text = format!("{start} {tag}");
+            }
         }
         let shape = text.starts_with("EXECUTE").then(|| format!("q{}", at % 3));
         let said = Said { since, values: load.values.clone(), shape };
--- a/crates/wv-fleet/src/log.rs
+++ b/crates/wv-fleet/src/log.rs
@@ -1,5 +1,5 @@
 //! A stand-in database's log and what the control side asks of it.
-use crate::base::{Base, Entry, Outcome};
+use crate::base::{Base, Entry, Outcome, Write};
 use wv_wire::Pos;
 
 impl Base {
@@ -17,6 +17,37 @@
         wv_wire::parse_status(row.strip_prefix("ROW ").unwrap_or_default().as_bytes())
     }
 
+    /// Writes go to the end of the log, and what is applied grows with them.
+    pub fn append(&mut self, writes: Vec<Write>) {
+        for write in writes {
+            let pos = Pos { term: self.term, number: self.received().number + 1 };
+            self.log.push(Entry { pos, write });
+        }
+        self.apply(self.log.len());
+    }
+
+    pub fn apply(&mut self, len: usize) {
+        let len = len.min(self.log.len());
+        for at in self.applied..len {
+            let write = &self.log[at].write;
+            self.rows.insert(write.thing.clone(), write.data.clone());
+        }
+        self.applied = self.applied.max(len);
+    }
+
+    /// The log is cut back to what another one begins with.
+    pub fn cut_back(&mut self, log: &[Entry]) {
+        self.log.truncate(log.len());
+        let same = self.log.iter().zip(log).take_while(|(one, other)| one == other).count();
+        if same < self.log.len() {
+            self.log.truncate(same);
+        }
+        if self.applied > self.log.len() {
+            (self.applied, self.rows) = (0, crate::base::first_rows());
+            self.apply(self.log.len());
+        }
+    }
+
     pub fn received(&self) -> Pos {
         self.log.last().map_or(Pos { term: 1, number: 0 }, |entry| entry.pos)
     }
@@ -64,20 +95,18 @@
         let outcome = self.run(conn, text);
         let state = self.conns.get(&conn).map_or(b'I', |held| held.state);
         Answer::Text(match outcome {
-            Outcome::Say(said) if said.is_empty() => {
-                self.conns.get_mut(&conn).into_iter().for_each(|held| held.writes.push(id.to_owned()));
+            Outcome::Keep(write) => {
+                let write = Write { tag: id.to_owned(), ..write };
+                self.conns.get_mut(&conn).into_iter().for_each(|held| held.writes.push(write.clone()));
                 self.complete("", &stamp, state)
             }
             Outcome::Say(said) => said,
             Outcome::Row => self.row(),
             Outcome::Read(rows) => self.complete(&rows, &stamp, state),
-            Outcome::Commit(tags) => {
-                let tags = if text == "COMMIT" { tags } else { vec![id.to_owned()] };
-                for tag in tags {
-                    let pos = Pos { term: self.term, number: self.received().number + 1 };
-                    self.log.push(Entry { pos, tag });
-                }
-                self.applied = self.log.len();
+            Outcome::Commit(writes) => {
+                let is_single = text != "COMMIT";
+                let named = |write: Write| if is_single { Write { tag: id.to_owned(), ..write } } else { write };
+                self.append(writes.into_iter().map(named).collect());
                 self.complete("", &stamp, b'I')
             }
         })
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -76,6 +76,7 @@
         (node.life, node.armed, node.session) = (self.life, u64::MAX, None);
         let mut core = wv_access::Core::new(&format!("z{}", at % 3), 6 * S);
         core.set_name(&node.name);
+        core.set_life(self.life);
         node.core = Some(core);
         if is_first {
             self.put(100 * MS, Ev::Care(at));
@@ -93,9 +94,13 @@
         self.cut_hands(at);
         let session = self.access[at].session.take();
         session.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
+        // Sessions of a recorded hour notice, and go elsewhere.
+        let cut = self.clients.iter().filter(|client| client.node == at && client.session.is_some());
+        let cut: Vec<u64> = cut.filter_map(|client| client.id).collect();
+        cut.into_iter().for_each(|id| self.client_closed(at, id));
         let keys: Vec<(usize, u64)> = self.db_conns.keys().filter(|key| key.0 == at).copied().collect();
         for key in keys {
-            if let Some((base, conn)) = self.db_conns.remove(&key) {
+            if let Some((base, conn)) = self.forget_conn(key) {
                 self.bases[base].conns.remove(&conn);
             }
         }
@@ -143,6 +148,7 @@
         let acts = core.take_acts();
         let next = core.next_limit();
         let sights = if core.has_sights() { core.take_sights(wv_access::Telling::Changes) } else { Vec::new() };
+        let reports = if core.has_sights() { core.take_reports(false) } else { Vec::new() };
         acts.into_iter().for_each(|act| self.access_act(at, act));
         if let Some(next) = next.filter(|next| *next < self.access[at].armed) {
             self.access[at].armed = next;
@@ -151,6 +157,9 @@
         if let Some(to) = self.access[at].session.filter(|_| !sights.is_empty()) {
             self.put(HOP, Ev::Link { to, msg: Msg::Sights(sights) });
         }
+        if let Some(to) = self.access[at].session {
+            reports.into_iter().for_each(|msg| self.put(HOP, Ev::Link { to, msg }));
+        }
         Some(ret)
     }
 
@@ -181,7 +190,7 @@
                 }
             }
             AccessAct::CloseDb(db) => {
-                if let Some((base, conn)) = self.db_conns.remove(&(at, db)) {
+                if let Some((base, conn)) = self.forget_conn((at, db)) {
                     self.bases[base].conns.remove(&conn);
                     self.bases[base].busy.remove(&conn);
                 }
@@ -233,18 +242,8 @@
                 let wait = if word.is_ok() { 15 * MS } else { 100 * MS };
                 self.put(wait, Ev::Row { control: at, service, id, word });
             }
+            ControlAct::Run { run, id, texts, .. } => self.run_texts(at, run, &id, &texts),
             ControlAct::Post { service, id, fence } => self.post(at, service, id, fence),
         }
     }
-
-    /// A call of the operator or of a database to one control node.
-    pub fn call(&mut self, control: usize, method: &str, path: &str, body: &[u8]) -> u64 {
-        let (method, path, body) = (method.to_owned(), path.to_owned(), body.to_vec());
-        self.with_control(control, |core, now| {
-            let token = core.fresh_id() | ((control as u64) << 48);
-            core.call(token, &method, &path, Some(&body), now);
-            token
-        })
-        .unwrap_or(0)
-    }
 }
--- a/crates/wv-fleet/src/oracle.rs
+++ b/crates/wv-fleet/src/oracle.rs
@@ -44,7 +44,8 @@
     /// Nothing acknowledged may be missing, doubled, or kept against a promise.
     pub fn judge(&mut self, log: &[crate::base::Entry]) {
         let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
-        log.iter().for_each(|entry| *counts.entry(entry.tag.as_str()).or_default() += 1);
+        let own = |entry: &&crate::base::Entry| entry.write.tag != "-";
+        log.iter().filter(own).for_each(|entry| *counts.entry(entry.write.tag.as_str()).or_default() += 1);
         for tag in self.acked.keys().filter(|tag| !counts.contains_key(tag.as_str())) {
             self.broken.push(format!("LOST: {tag}"));
         }
--- a/crates/wv-fleet/src/service.rs
+++ b/crates/wv-fleet/src/service.rs
@@ -1,5 +1,5 @@
 //! What databases and the platform do in the world: statements, commits, replication, beats, promotions.
-use crate::base::{Conn, Entry, Outcome};
+use crate::base::{Conn, Outcome, Write};
 use crate::world::{Ev, World, HOP};
 use crate::MS;
 use wv_access::Lost;
@@ -26,6 +26,7 @@
                 self.bases[base].conns.insert(conn, Conn { state: b'I', ..Conn::default() });
                 self.bases[base].setups += 1;
                 self.db_conns.insert((access, db), (base, conn));
+                self.conn_of.insert((base, conn), (access, db));
                 self.put(HOP * 2, Ev::DbOpened { access, db, life });
                 self.strain(base);
             }
@@ -45,8 +46,15 @@
         }
     }
 
-    fn owner(&self, base: usize, conn: u64) -> Option<(usize, u64)> {
-        self.db_conns.iter().find(|(_, at)| **at == (base, conn)).map(|(key, _)| *key)
+    /// A connection of an access node is no more.
+    pub(crate) fn forget_conn(&mut self, key: (usize, u64)) -> Option<(usize, u64)> {
+        let held = self.db_conns.remove(&key)?;
+        self.conn_of.remove(&held);
+        Some(held)
+    }
+
+    pub(crate) fn owner(&self, base: usize, conn: u64) -> Option<(usize, u64)> {
+        self.conn_of.get(&(base, conn)).copied()
     }
 
     fn utter(&mut self, base: usize, conn: u64, text: String, after: u64) {
@@ -99,9 +107,9 @@
         let state = self.bases[base].conns.get(&conn).map_or(b'I', |held| held.state);
         let stamp = format!("stamp.{}.{id}", self.bases[base].id);
         match outcome {
-            Outcome::Say(text) if text.is_empty() => {
-                // A write inside a transaction waits for its commit.
-                self.bases[base].conns.get_mut(&conn).into_iter().for_each(|held| held.writes.push(id.to_owned()));
+            Outcome::Keep(write) => {
+                let write = Write { tag: id.to_owned(), ..write };
+                self.bases[base].conns.get_mut(&conn).into_iter().for_each(|held| held.writes.push(write.clone()));
                 let text = self.bases[base].complete("", &stamp, state);
                 self.finish(base, conn, text, is_lost);
             }
@@ -115,10 +123,11 @@
                 let text = self.bases[base].complete(&rows, &stamp, state);
                 self.finish(base, conn, text, is_lost);
             }
-            Outcome::Commit(tags) => {
+            Outcome::Commit(writes) => {
                 let is_single = text != "COMMIT";
-                let tags = if is_single { vec![id.to_owned()] } else { tags };
-                self.commit(base, conn, tags, &stamp, is_lost);
+                let named = |write: Write| if is_single { Write { tag: id.to_owned(), ..write } } else { write };
+                let writes = writes.into_iter().map(named).collect();
+                self.commit(base, conn, writes, &stamp, is_lost);
             }
         }
     }
@@ -131,21 +140,17 @@
         }
     }
 
-    fn commit(&mut self, base: usize, conn: u64, tags: Vec<String>, stamp: &str, is_lost: bool) {
-        if tags.is_empty() {
+    fn commit(&mut self, base: usize, conn: u64, writes: Vec<Write>, stamp: &str, is_lost: bool) {
+        if writes.is_empty() {
             let text = self.bases[base].complete("", stamp, b'I');
             return self.finish(base, conn, text, is_lost);
         }
-        let term = self.bases[base].term;
-        for tag in tags {
-            let number = self.bases[base].received().number + 1;
-            let at = self.bases[base].log.len();
-            let service = self.bases[base].service.clone();
-            self.oracle.places.insert(tag.clone(), (service, at));
-            self.bases[base].log.push(Entry { pos: Pos { term, number }, tag });
+        let service = self.bases[base].service.clone();
+        for (at, write) in (self.bases[base].log.len()..).zip(&writes) {
+            self.oracle.places.insert(write.tag.clone(), (service.clone(), at));
         }
+        self.bases[base].append(writes);
         let (len, pos) = (self.bases[base].log.len(), self.bases[base].received());
-        self.bases[base].applied = len;
         let stamp = if is_lost { String::new() } else { stamp.to_owned() };
         self.waiting.push((base, pos, conn, stamp));
         let replicas: Vec<usize> = (0..self.bases.len()).filter(|at| self.is_replica_of(base, *at)).collect();
@@ -216,15 +221,16 @@
         let log = self.bases[base].log.clone();
         self.note(format!("{} leads term {term}", self.bases[base].id));
         for (at, held) in self.bases.iter_mut().enumerate().filter(|(_, held)| held.service == service) {
+            // Connections of the lead that is over take no writes any more, whoever leads later.
+            if held.is_primary && at != base {
+                held.conns.values_mut().for_each(|conn| conn.is_deposed = true);
+            }
             held.is_primary = at == base;
             held.term = term;
-            held.log.truncate(log.len());
-            let same = held.log.iter().zip(&log).take_while(|(one, other)| one == other).count();
-            held.log.truncate(same);
-            held.applied = held.applied.min(same);
+            held.cut_back(&log);
         }
         self.bases[base].held = 0;
-        self.bases[base].applied = log.len();
+        self.bases[base].apply(log.len());
         let services: Vec<bool> = self.bases.iter().map(|held| held.service == service).collect();
         self.waiting.retain(|(at, _, _, _)| *at == base || !services[*at]);
         (0..self.bases.len()).for_each(|at| self.beat(at));
--- a/crates/wv-fleet/src/states.rs
+++ b/crates/wv-fleet/src/states.rs
@@ -98,4 +98,15 @@
         }
         self.put(if code.is_some() { 3 * MS } else { 1200 * MS }, Ev::Posted { control, service, code });
     }
+
+    /// A call of the operator or of a database to one control node.
+    pub fn call(&mut self, control: usize, method: &str, path: &str, body: &[u8]) -> u64 {
+        let (method, path, body) = (method.to_owned(), path.to_owned(), body.to_vec());
+        self.with_control(control, |core, now| {
+            let token = core.fresh_id() | ((control as u64) << 48);
+            core.call(token, &method, &path, Some(&body), now);
+            token
+        })
+        .unwrap_or(0)
+    }
 }
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -1,35 +1,9 @@
 //! The world: events in order of virtual time.
 use crate::base::Base;
-use crate::nodes::{Access, Control, End};
+pub(crate) use crate::events::Ev;
+use crate::nodes::{Access, Control};
 use crate::{Luck, Oracle, MS, S};
 use std::collections::{BTreeMap, BTreeSet};
-use wv_access::Lost;
-use wv_inner::Msg;
-
-pub(crate) enum Ev {
-    Care(usize),
-    Timer(usize),
-    Session(usize),
-    ControlTick(usize),
-    DbOpened { access: usize, db: u64, life: u64 },
-    DbIn { base: usize, conn: u64, bytes: Vec<u8> },
-    DbOut { access: usize, db: u64, bytes: Vec<u8>, life: u64 },
-    DbEnd { access: usize, db: u64, lost: Lost, life: u64 },
-    Replicate { from: usize, to: usize, len: usize },
-    Apply { base: usize, len: usize },
-    Beat { base: usize },
-    Link { to: End, msg: Msg },
-    LinkUp { control: usize, link: u64 },
-    LinkDown { end: End },
-    Row { control: usize, service: String, id: String, word: wv_promo::Word },
-    Posted { control: usize, service: String, code: Option<u16> },
-    Promote { base: usize },
-    Free { base: usize, conn: u64 },
-    Step { client: usize, life: u64 },
-    HandUp { at: usize, link: u64, life: u64 },
-    HandDown { at: usize, link: u64, life: u64 },
-    Hand { at: usize, link: u64, life: u64, msg: wv_inner::Hand },
-}
 
 /// One way between any two processes.
 pub(crate) const HOP: u64 = MS / 2;
@@ -45,6 +19,10 @@
     pub(crate) waiting: Vec<(usize, wv_wire::Pos, u64, String)>,
     pub(crate) next_conn: u64,
     pub(crate) clients: Vec<crate::clients::Client>,
+    /// Clients by the node they are at and their number there, and connections by the database's end of them.
+    pub(crate) client_of: BTreeMap<(usize, u64), usize>,
+    pub(crate) conn_of: BTreeMap<(usize, u64), (usize, u64)>,
+    pub hour: crate::Hour,
     pub(crate) loads: Vec<crate::Load>,
     pub(crate) saids: BTreeMap<String, crate::clients::Said>,
     pub oracle: Oracle,
@@ -61,6 +39,15 @@
     pub(crate) hands: BTreeMap<(usize, u64), (usize, u64)>,
     /// The newest number of ownership that the course tells of, by shard.
     pub(crate) owners: BTreeMap<String, u64>,
+    /// Access nodes that stand still, and what happens once they go on.
+    pub(crate) frozen: BTreeSet<usize>,
+    pub(crate) held_back: Vec<Ev>,
+    /// How long own texts are on their way.
+    pub run_us: u64,
+    /// The time of day at which the world began.
+    pub epoch_us: u64,
+    /// How many things loads write to; 0 for a single one.
+    pub things: u64,
     /// What happened, a line each, where a story or the replay wants it.
     pub course: Vec<(u64, String)>,
 }
@@ -84,6 +71,9 @@
             waiting: Vec::new(),
             next_conn: 0,
             clients: Vec::new(),
+            client_of: BTreeMap::new(),
+            conn_of: BTreeMap::new(),
+            hour: Default::default(),
             loads: Vec::new(),
             saids: BTreeMap::new(),
             oracle: Oracle::default(),
@@ -98,6 +88,11 @@
             hands: BTreeMap::new(),
             owners: BTreeMap::new(),
             course: Vec::new(),
+            frozen: BTreeSet::new(),
+            held_back: Vec::new(),
+            run_us: 2 * MS,
+            epoch_us: 0,
+            things: 0,
         };
         let addrs: Vec<String> = (0..controls).map(|at| format!("10.1.0.{}:80", at + 1)).collect();
         let seeds: Vec<String> = addrs.iter().take(3).cloned().collect();
@@ -128,76 +123,15 @@
         while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= end) {
             let ((at, _), event) = entry.remove_entry();
             self.now = at;
+            if !self.frozen.is_empty() && self.is_held_back(&event) {
+                self.held_back.push(event);
+                continue;
+            }
             self.happen(event);
         }
         self.now = end;
     }
 
-    fn happen(&mut self, event: Ev) {
-        match event {
-            Ev::Care(at) => {
-                self.with_access(at, |core, now| core.housekeep(now));
-                self.put(100 * MS, Ev::Care(at));
-            }
-            Ev::Timer(at) => {
-                self.access[at].armed = u64::MAX;
-                self.with_access(at, |core, now| core.tick(now));
-            }
-            Ev::Session(at) => self.session(at),
-            Ev::ControlTick(at) => {
-                self.with_control(at, |core, now| core.tick(now));
-                self.put(100 * MS, Ev::ControlTick(at));
-            }
-            Ev::DbOpened { access, db, life } if life == self.access[access].life => {
-                self.with_access(access, |core, now| core.db_opened(db, now));
-            }
-            Ev::DbOut { access, db, bytes, life } if life == self.access[access].life => {
-                self.with_access(access, |core, now| core.db_data(db, &bytes, now));
-            }
-            Ev::DbEnd { access, db, lost, life } if life == self.access[access].life => {
-                self.db_conns.remove(&(access, db));
-                self.with_access(access, |core, now| core.db_lost(db, lost, now));
-            }
-            Ev::DbOpened { .. } | Ev::DbOut { .. } | Ev::DbEnd { .. } => {}
-            Ev::DbIn { base, conn, bytes } => self.db_in(base, conn, &bytes),
-            Ev::Replicate { from, to, len } => self.replicate(from, to, len),
-            Ev::Apply { base, len } => {
-                let held = &mut self.bases[base];
-                held.applied = held.applied.max(len.min(held.log.len()));
-            }
-            Ev::Beat { base } => {
-                self.beat(base);
-                self.put(1200 * MS, Ev::Beat { base });
-            }
-            Ev::Link { to, msg } => self.link_msg(to, msg),
-            Ev::LinkUp { control, link } => {
-                self.with_control(control, |core, now| core.link_up(link, now));
-            }
-            Ev::LinkDown { end } => self.link_down(end),
-            Ev::Row { control, service, id, word } => {
-                self.with_control(control, |core, now| core.row(&service, &id, word, now));
-            }
-            Ev::Posted { control, service, code } => {
-                self.with_control(control, |core, now| core.posted(&service, code, now));
-            }
-            Ev::Promote { base } => self.promote(base),
-            Ev::Free { base, conn } => {
-                self.bases[base].busy.remove(&conn);
-            }
-            Ev::HandUp { at, link, life } => {
-                self.with_hand(at, life, |core, now| core.hand_up(link, now));
-            }
-            Ev::HandDown { at, link, life } => {
-                self.hands.remove(&(at, link));
-                self.with_hand(at, life, |core, now| core.hand_down(link, now));
-            }
-            Ev::Hand { at, link, life, msg } => {
-                self.with_hand(at, life, |core, now| core.hand(link, msg, now));
-            }
-            Ev::Step { client, life } => self.step(client, life),
-        }
-    }
-
     /// A fleet that has its configuration and serves.
     pub fn serving(access: usize, controls: usize) -> World {
         let mut world = World::new(access, controls);
--- a/crates/wv-fleet/tests/hands.rs
+++ b/crates/wv-fleet/tests/hands.rs
@@ -29,7 +29,7 @@
     world.kill_access(owner);
     world.run(S);
     expect_that!(world.take(client)[0], starts_with("ERROR INDETERM"));
-    expect_that!(world.bases[0].log.iter().filter(|entry| entry.tag == "w2").count(), eq(1));
+    expect_that!(world.bases[0].log.iter().filter(|entry| entry.write.tag == "w2").count(), eq(1));
 }
 
 #[gtest]
--- a/crates/wv-fleet/tests/scale.rs
+++ b/crates/wv-fleet/tests/scale.rs
@@ -138,7 +138,8 @@
     world.run(4 * S);
     let led = world.bases.iter().position(|base| base.service == "m7" && base.is_primary && base.is_up);
     expect_that!(led, some(eq(world.base("i-m71").unwrap_or(0))));
-    (world.revive(lead), world.revive(gone));
+    world.revive(lead);
+    world.revive(gone);
     world.run(2 * S);
     world.stop_load();
     world.run(wv_fleet::REST);
--- /dev/null
+++ b/crates/wv-fleet/tests/split.rs
@@ -0,0 +1,139 @@
+//! Stories of shards that are split while they serve: every record arrives once, whatever happens meanwhile.
+mod common;
+
+use common::Story;
+use googletest::prelude::*;
+use wv_fleet::{MS, S};
+use wv_inner::Phase;
+
+#[gtest]
+fn given_live_writes_when_a_split_is_requested_then_the_upper_slots_move_and_every_record_arrives_once() {
+    let mut story = Story::begin();
+    let before = story.world.load_done().0;
+    story.request();
+    expect_that!(story.moves_within(40 * S), eq(true));
+    let map = story.world.slot_map("s");
+    expect_that!(map.moved.len(), eq(1));
+    expect_that!((map.moved[0].from, map.moved[0].until), eq((512, 1024)));
+    story.world.run(3 * S);
+    // Work goes on at both, and lookups were answered all along.
+    let target = story.world.bases.iter().find(|base| base.service == "t" && base.is_primary);
+    expect_that!(target.map_or(0, |base| base.log.iter().filter(|entry| entry.write.tag != "-").count()), gt(10));
+    expect_that!(story.world.load_done().0, gt(before + 400));
+    expect_that!(story.world.slowest("b"), lt(800 * MS));
+    expect_that!(story.end(), is_empty());
+}
+
+#[gtest]
+fn given_a_change_of_the_configuration_in_mid_copy_then_the_split_goes_on() {
+    let mut story = Story::begin();
+    story.request();
+    expect_that!(story.comes_to(Phase::Copying, 20 * S), eq(true));
+    let ret = story.call("PUT", "/configuration", &common::conf(2, |_| {}));
+    expect_that!(ret.0, eq(200));
+    expect_that!(story.moves_within(60 * S), eq(true));
+    // Its plan has to stay from here on: what moved is found through it.
+    let ret = story.call("PUT", "/configuration", &wv_fleet::World::conf(3));
+    expect_that!(ret.0, eq(400));
+    expect_that!(ret.1, contains_substring("slots of s have moved"));
+    expect_that!(story.end(), is_empty());
+}
+
+#[gtest]
+fn given_a_source_full_of_other_work_then_copying_pauses_and_a_request_called_off_changes_nothing() {
+    let mut story = Story::begin();
+    story.world.bases.iter_mut().for_each(|base| base.work_us = 40 * MS);
+    story.world.load(60, "p");
+    story.world.run(S);
+    story.request();
+    story.world.run(8 * S);
+    let ret = story.call("DELETE", "/splits/s", b"");
+    expect_that!(ret.0, eq(200));
+    story.world.run(6 * S);
+    expect_that!(story.moved(), eq(false));
+    let map = story.world.slot_map("s");
+    expect_that!((map.phase, map.moving.is_none()), eq((Phase::Resting, true)));
+    expect_that!(story.end(), is_empty());
+}
+
+#[gtest]
+fn given_a_transaction_that_names_things_of_both_shards_then_it_is_rolled_back_whole_with_its_reason() {
+    let mut story = Story::begin();
+    story.request();
+    expect_that!(story.moves_within(60 * S), eq(true));
+    let client = story.world.client(0, "p");
+    story.world.run(S);
+    let (stays, moves) = (story.thing(|slot| slot < 512), story.moving_thing());
+    for text in ["x1 BEGIN".to_owned(), format!("x2 WRITE {stays} one"), format!("x3 WRITE {moves} two")] {
+        story.world.take(client);
+        story.world.say(client, &format!("QUERY {text}"));
+        story.world.run(100 * MS);
+    }
+    let heard = story.world.take(client);
+    expect_that!(heard[0], starts_with("ERROR ABORTED rolled back: a transaction stays within one shard"));
+    expect_that!(heard[1], starts_with("IDLE E"));
+    let is_kept = |base: &wv_fleet::Base| base.log.iter().any(|entry| ["x2", "x3"].contains(&entry.write.tag.as_str()));
+    expect_that!(story.world.bases.iter().any(is_kept), eq(false));
+    expect_that!(story.end(), is_empty());
+}
+
+#[gtest]
+fn given_things_that_nobody_has_named_then_the_shard_is_not_split_until_they_are_listed() {
+    let mut story = Story::with(|plan| plan["baseRows"] = 400.into());
+    story.request();
+    story.world.run(8 * S);
+    expect_that!(story.moved(), eq(false));
+    let ret = story.call("GET", "/splits", b"");
+    expect_that!(ret.1, contains_substring("known by name"));
+    let list: String = (0..400).map(|at| format!("{{old{at}}}x\n")).collect();
+    expect_that!(story.call("PUT", "/things/s", list.as_bytes()).0, eq(200));
+    expect_that!(story.call("PUT", "/things/s", b"two words").0, eq(400));
+    expect_that!(story.moves_within(60 * S), eq(true));
+    expect_that!(story.end(), is_empty());
+}
+
+#[gtest]
+fn given_a_history_that_fills_a_shard_then_it_is_split_by_itself_in_the_quiet_window_that_the_forecast_names() {
+    // Half past midnight and some: the quiet hours begin at one.
+    let (night, hour) = (100 * wv_fill::DAY_US + wv_fill::HOUR_US, wv_fill::HOUR_US);
+    let mut story = Story::at(night - 60 * S, |plan| plan["rowsMax"] = 270.into());
+    // Twenty rows a day for nine days, as another instrument saw them.
+    let rows = |back: u64| 200 - back * 20 / 24;
+    let points = (0..9 * 24).rev().map(|back| ((night - hour - back * hour) / S, rows(back), rows(back) * 8));
+    let points: Vec<(u64, u64, u64)> = points.collect();
+    let body = serde_json::to_vec(&points).expect("numbers");
+    expect_that!(story.call("PUT", "/forecast/s", &body).0, eq(200));
+    expect_that!(story.call("PUT", "/forecast/s", b"[[2,1,1],[1,1,1]]").0, eq(400));
+    story.world.run(2 * S);
+    let told = story.call("GET", "/forecast", b"").1;
+    expect_that!(told, contains_substring("\"splitFrom\":\"1970-04-11T01:00:00Z\""));
+    expect_that!(told, contains_substring("\"state\":\"known\""));
+    let wait = (night / S).saturating_sub((story.world.epoch_us + story.world.now) / S).saturating_sub(3);
+    story.world.run(wait * S);
+    expect_that!(story.moved(), eq(false), "before the window");
+    expect_that!(story.moves_within(60 * S), eq(true));
+    story.world.run(2 * S);
+    // With half of it gone there is time again, and nothing is warned of twice.
+    expect_that!(story.call("GET", "/forecast", b"").1, contains_substring("\"warning\":null"));
+    expect_that!(story.end(), is_empty());
+}
+
+#[gtest]
+fn given_a_window_that_ends_in_mid_copy_then_nothing_has_changed_and_the_next_window_goes_on() {
+    let night = 100 * wv_fill::DAY_US + 5 * wv_fill::HOUR_US;
+    // Under three rows a second: the window is over long before.
+    let mut story = Story::at(night - 60 * S, |plan| plan["rowsPerS"] = 3.into());
+    let asked = story.world.now;
+    story.request();
+    expect_that!(story.comes_to(Phase::Copying, 20 * S), eq(true));
+    expect_that!(story.call("DELETE", "/splits/s", b"").0, eq(200));
+    story.world.run(3 * S);
+    let map = story.world.slot_map("s");
+    expect_that!((map.phase, map.moving.is_none(), map.moved.is_empty()), eq((Phase::Resting, true, true)));
+    expect_that!(story.world.now, gt(asked));
+    let ret = story.call("PUT", "/configuration", &common::conf(2, |_| {}));
+    expect_that!(ret.0, eq(200));
+    story.request();
+    expect_that!(story.moves_within(60 * S), eq(true));
+    expect_that!(story.end(), is_empty());
+}
--- a/crates/wv-fleet/tests/traffic.rs
+++ b/crates/wv-fleet/tests/traffic.rs
@@ -87,7 +87,7 @@
     world.run(2 * S);
     expect_that!(world.take(client)[0], starts_with("ERROR INDETERM"));
     expect_that!(world.oracle.runs.get("a1"), some(eq(&1)));
-    expect_that!(world.bases[0].log.iter().filter(|entry| entry.tag == "a1").count(), eq(1));
+    expect_that!(world.bases[0].log.iter().filter(|entry| entry.write.tag == "a1").count(), eq(1));
 }
 
 #[gtest]
@@ -237,7 +237,7 @@
     world.run(100 * MS);
     expect_that!(world.take(client)[0], starts_with("COMPLETE stamp"));
     expect_that!(asked(&mut world, client, "QUERY a3 COMMIT")[0], starts_with("COMPLETE stamp"));
-    expect_that!(world.bases[0].log.iter().filter(|entry| entry.tag == "a2").count(), eq(1));
+    expect_that!(world.bases[0].log.iter().filter(|entry| entry.write.tag == "a2").count(), eq(1));
     asked(&mut world, client, "QUERY b1 BEGIN");
     asked(&mut world, client, "QUERY b2 WRITE k d");
     world.say(client, "QUERY b3 READ k");
@@ -245,5 +245,5 @@
     world.reset_conns(0);
     world.run(100 * MS);
     expect_that!(world.take(client)[0], starts_with("ERROR ABORTED"));
-    expect_that!(world.bases[0].log.iter().any(|entry| entry.tag == "b2"), eq(false));
+    expect_that!(world.bases[0].log.iter().any(|entry| entry.write.tag == "b2"), eq(false));
 }
--- a/crates/wv-http/src/lib.rs
+++ b/crates/wv-http/src/lib.rs
@@ -43,6 +43,11 @@
 }
 
 fn respond(ret: Return) -> Response<Full<Bytes>> {
+    // A caller that is sent elsewhere is told where in the body.
+    if ret.status == 307 {
+        let place = String::from_utf8(ret.body).unwrap_or_default();
+        return Response::builder().status(307).header("Location", place).body(Full::default()).unwrap_or_default();
+    }
     Response::builder()
         .status(ret.status)
         .header("Content-Type", "application/json")
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -1,31 +1,21 @@
 //! What windvalve's own processes say to each other: nanoserde binary in length-prefixed frames.
 mod frame;
 mod hand;
+mod inst;
+mod news;
 mod nodes;
+mod slots;
 mod voters;
 
 pub use frame::{cut_frame, put_frame, InnerError, FRAME_MAX};
 pub use hand::Hand;
+pub use inst::Inst;
 use nanoserde::{DeBin, SerBin};
+pub use news::News;
 pub use nodes::{Owner, Session};
+pub use slots::{slot, Entry, Fill, Marks, Phase, Range, SlotMap, SLOTS};
 pub use voters::{Member, Voters};
 
-/// A database as its beats describe it.
-#[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
-pub struct Inst {
-    pub id: String,
-    pub service: String,
-    pub addr: String,
-    pub zone: String,
-    pub capacity: u32,
-    pub draining: bool,
-    pub cold_us: u64,
-    pub primary: bool,
-    /// Rises with each beat.
-    pub sequence: u64,
-    pub gone: bool,
-}
-
 /// Who leads a service, as far as the control side knows; `term` 0 where only beats told it.
 #[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
 pub struct Lead {
@@ -61,39 +51,6 @@
     pub fenced_ago_us: u64,
 }
 
-/// One change that the feed carries.
-#[derive(SerBin, DeBin, Clone, PartialEq, Debug)]
-pub enum News {
-    /// A whole configuration, packed.
-    Conf {
-        version: u64,
-        body: Vec<u8>,
-    },
-    /// What makes it of the one before, for whoever holds that.
-    ConfChange {
-        base: u64,
-        version: u64,
-        change: Vec<u8>,
-    },
-    Inst(Inst),
-    Lead(Lead),
-    /// How many access nodes are live; pools share the connection bounds by it.
-    Nodes(u32),
-    /// The platform was called to promote: a writer is near, for at most this long.
-    Promoting {
-        service: String,
-        id: String,
-        us: u64,
-    },
-    /// Through which access node a shard's primary work goes.
-    Owner(Owner),
-    /// A database has come back from a fall, its `falls`th lately: all ease it in.
-    Ease {
-        id: String,
-        falls: u32,
-    },
-}
-
 /// A register's value: the highest version wins, the tie word settles equal ones.
 #[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
 pub struct Cell {
@@ -249,4 +206,32 @@
         id: String,
         falls: u32,
     },
+    Slots(SlotMap),
+    /// A node's marks and reports, to the holder of the shard's split, and what was taken.
+    Marks(Marks),
+    PeerMarks {
+        node: String,
+        marks: Marks,
+    },
+    Marked {
+        node: String,
+        shard: String,
+        attempt: u64,
+        serial: u64,
+    },
+    Fill(Fill),
+    PeerFill {
+        node: String,
+        fill: Fill,
+    },
+    Filled {
+        node: String,
+        shard: String,
+        serial: u64,
+    },
+    /// What the holder of a planned shard shows of it to operators.
+    Outlook {
+        shard: String,
+        text: String,
+    },
 }
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -163,7 +163,7 @@
             return;
         }
         // A planned end needs no second look; a lead that anyone calls down gets one from here.
-        if seat.is_none_or(|seat| seat.is_draining) {
+        if view.is_raise_wanted || seat.is_none_or(|seat| seat.is_draining) {
             self.claim(view.now);
         } else if !view.is_lead_doubted {
             self.pause = PAUSE_FIRST_US;
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -33,6 +33,8 @@
     pub lead: Option<&'a str>,
     pub sync_replicas: u32,
     pub seats: &'a [Seat],
+    /// The lead is to be left behind by a newer term, though nothing is wrong with it.
+    pub is_raise_wanted: bool,
     /// Some node says the lead is down: reason enough to look, not to act.
     pub is_lead_doubted: bool,
     /// Agreeing sightings of several nodes say the lead is down.
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -61,7 +61,8 @@
     /// A lead that is down gets nothing acknowledged by being left a replica: all are suspended in one round, where
     /// the term is known. A planned end looks first, so that the nominee can go on receiving.
     fn look_or_suspend(&mut self, view: &View<'_>) {
-        let is_planned = view.seats.iter().any(|seat| Some(seat.id.as_str()) == view.lead && seat.is_draining);
+        let is_planned = view.is_raise_wanted
+            || view.seats.iter().any(|seat| Some(seat.id.as_str()) == view.lead && seat.is_draining);
         if is_planned || self.is_cautious || view.term == 0 || !view.is_lead_down {
             return self.look_all(view);
         }
--- a/crates/wv-replay/src/lib.rs
+++ b/crates/wv-replay/src/lib.rs
@@ -1,11 +1,19 @@
 //! Replay of recorded days: a documented line format played through the in-memory fleet with the real logic.
 mod day;
+mod hour;
+mod make;
 mod play;
+mod rerun;
 mod ring;
+mod tally;
 
 pub use day::{Day, Event, What};
+pub use hour::{kind_text, Entry, Hour, HourError, Noted, VERSION};
+pub use make::{make, Recipe};
 pub use play::{play, Line, Report};
+pub use rerun::{rerun, Course, Drop};
 pub use ring::from_ring;
+pub use tally::{Tally, Told};
 
 #[derive(thiserror::Error, Debug, PartialEq, Eq)]
 pub enum ReplayError {
--- a/crates/wv-when/src/lib.rs
+++ b/crates/wv-when/src/lib.rs
@@ -7,6 +7,16 @@
     Expression(String, cron::error::Error),
 }
 
+const MINUTE_US: u64 = 60_000_000;
+/// A window is never taken for longer than a week.
+const WINDOW_MAX_US: u64 = 7 * 24 * 60 * MINUTE_US;
+
+/// A moment as operators read it.
+pub fn text(epoch_us: u64) -> String {
+    let time = chrono::DateTime::from_timestamp((epoch_us / 1_000_000) as i64, 0);
+    time.map_or_else(|| "-".to_owned(), |time| time.format("%Y-%m-%dT%H:%M:%SZ").to_string())
+}
+
 /// A window is every moment that its expression matches; no calendar means always.
 #[derive(Clone, Debug, Default)]
 pub struct Calendar {
@@ -27,6 +37,27 @@
         chrono::DateTime::from_timestamp((epoch_us / 1_000_000) as i64, 0).is_none_or(|time| schedule.includes(time))
     }
 
+    /// The next windows from this moment on, to the minute: where each begins and ends. One that is open now begins now;
+    /// without a calendar there is one that never ends.
+    pub fn windows(&self, from_us: u64, count: usize) -> Vec<(u64, u64)> {
+        let Some(schedule) = &self.schedule else { return vec![(from_us, u64::MAX)] };
+        let time = |us: u64| chrono::DateTime::from_timestamp((us / 1_000_000) as i64, 0);
+        let (mut windows, mut at) = (Vec::new(), from_us);
+        while windows.len() < count {
+            let next = || {
+                time(at).and_then(|time| schedule.after(&time).next()).map(|next| next.timestamp() as u64 * 1_000_000)
+            };
+            let Some(start) = (if self.is_open(at) { Some(at) } else { next() }) else { break };
+            let mut end = start / MINUTE_US * MINUTE_US + MINUTE_US;
+            while self.is_open(end) && end < start + WINDOW_MAX_US {
+                end += MINUTE_US;
+            }
+            windows.push((start, end));
+            at = end;
+        }
+        windows
+    }
+
     /// The same for the clock of this machine.
     pub fn is_open_now(&self) -> bool {
         let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
@@ -58,6 +89,18 @@
         expect_that!(open, eq(&vec![3]));
     }
 
+    #[gtest]
+    fn given_a_window_at_night_then_the_next_ones_are_named_with_their_ends() {
+        let calendar = Calendar::parse("* * 1-4 * * *").unwrap_or_default();
+        let hours = |from: u64| -> Vec<(u64, u64)> {
+            calendar.windows(from * HOUR, 2).into_iter().map(|(from, until)| (from / HOUR, until / HOUR)).collect()
+        };
+        expect_that!(hours(10), eq(&vec![(25, 29), (49, 53)]));
+        // One that is open now begins now.
+        expect_that!(hours(26), eq(&vec![(26, 29), (49, 53)]));
+        expect_that!(Calendar::default().windows(7, 3), eq(&vec![(7, u64::MAX)]));
+    }
+
     #[gtest]
     fn given_an_expression_that_is_none_then_it_is_named() {
         let error = Calendar::parse("at night").map(|_| ()).map_err(|error| error.to_string());
