--- a/crates/wv-fleet/src/base.rs
+++ b/crates/wv-fleet/src/base.rs
@@ -75,6 +75,13 @@
     pub busy: BTreeSet<u64>,
 }
 
+/// An address of its own, also among hundreds of services.
+fn addr(service: &str, at: usize) -> String {
+    let hash = service.bytes().fold(0x811c_9dc5u32, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193));
+    let [one, two, three, _] = hash.to_le_bytes();
+    format!("10.{one}.{two}.{three}:{}", 5001 + at)
+}
+
 /// One thing stands there from the start.
 pub(crate) fn first_rows() -> BTreeMap<String, String> {
     BTreeMap::from([("k".to_owned(), "0".to_owned())])
@@ -85,7 +92,7 @@
         Base {
             id: format!("i-{service}{at}"),
             service: service.to_owned(),
-            addr: format!("10.9.{}.{}:5000", service.bytes().map(u32::from).sum::<u32>() % 250, at + 1),
+            addr: addr(service, at),
             zone: format!("z{at}"),
             is_primary: at == 0,
             is_up: true,
