A control node without a disk sends whoever reads the configuration to a voter

All disks and the set of voters stood; the body of several hundred KB was on a link of 2 Mbit/s for seconds and old on arrival.

--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -11,6 +11,11 @@
         let steps: Vec<&str> = path.split('?').next().unwrap_or(path).trim_matches('/').split('/').collect();
         match (method, &steps[..]) {
             ("PUT", ["configuration"]) => self.put_conf(token, body),
+            // A machine without a disk is a small one: a long body would be on its link for seconds, and old on arrival.
+            ("GET", ["configuration"]) if self.larger_place().is_some() => {
+                let place = self.larger_place().unwrap_or_default();
+                self.ret(token, 307, format!("http://{place}/configuration"));
+            }
             ("GET", ["configuration"]) => {
                 self.waiting.insert(token, Waiting::Get);
                 self.quorum.start(token, CONF, None, self.now);
@@ -33,6 +38,13 @@
         }
     }
 
+    /// Where there is no disk here: a voter that is up.
+    fn larger_place(&self) -> Option<String> {
+        let is_up = |addr: &&str| self.peers.get(*addr).is_some_and(|peer| peer.is_up && peer.disk.is_some());
+        let mut voters = self.quorum.voters().addrs().filter(is_up);
+        (!self.is_core).then(|| voters.next().map(str::to_owned)).flatten()
+    }
+
     fn put_conf(&mut self, token: u64, body: Option<&[u8]>) {
         let Some(body) = body.filter(|body| body.len() <= crate::core::BODY_MAX) else {
             return self.ret(token, 413, "{\"cause\":\"the configuration is over the bound\"}");
