--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -11,7 +11,7 @@
         let steps: Vec<&str> = path.split('?').next().unwrap_or(path).trim_matches('/').split('/').collect();
         match (method, &steps[..]) {
             ("PUT", ["configuration"]) => self.put_conf(token, body),
-            // A machine without a disk is a small one: a long body would be on its link for seconds, and old on arrival.
+            // A machine without a disk is a small one: a voter is the better place for a long body.
             ("GET", ["configuration"]) if self.larger_place().is_some() => {
                 let place = self.larger_place().unwrap_or_default();
                 self.ret(token, 307, format!("http://{place}/configuration"));
