Connections made to a replica fit no slot map once it leads

Cause: a connection of a planned shard was held fit by the term that its database had said when it stood, also where that database had called itself a replica. Nodes connect to the next lead ahead of its promotion; when it led the next term, its connections passed for ones of the map's term until the following map came. A transaction that began in between wrote past the cutover: its row stayed at the source. Change: only what a database says as a primary counts as the term of a connection. Measured: the story of a node that is cut off and dies (split_faults) lost a row in one of 24 moments before; none now. A story without the fleet, crates/wv-access/tests/terms.rs, fails without the change.

--- a/crates/wv-access/src/slots.rs
+++ b/crates/wv-access/src/slots.rs
@@ -177,7 +177,9 @@
 
     /// A database said under which term it is.
     pub(crate) fn probed(&mut self, db: u64, row: &[u8]) {
-        let term = wv_wire::parse_status(row).map_or(0, |status| status.term);
+        // What it said as a replica is not what it leads under: such a connection fits no map.
+        let lead = wv_wire::parse_status(row).filter(|status| status.is_primary);
+        let term = lead.map_or(0, |status| status.term);
         self.dbs.get_mut(&db).into_iter().for_each(|held| held.term = term);
     }
 
