Copies of one thing go one after the other, and one whose end is unknown ends the try

Cause: two batches of a split could hold the same thing; the older read could be written last, over the newer one. A batch that was sent to be committed and of which nothing came back was copied again, though it might still land later. Change: a thing is in one batch at a time. Texts run at a database say how far they came; only where the last one was sent and not answered the end is unknown, and then the try ends: the next one leaves the target's term behind, which keeps late copies out.

--- a/crates/wv-control/src/run_texts.rs
+++ b/crates/wv-control/src/run_texts.rs
@@ -5,8 +5,8 @@
 use wv_wire::{cut_line, DbLine};
 
 const CONNECT: std::time::Duration = std::time::Duration::from_millis(300);
-/// Until all replies are in.
-const RUN: std::time::Duration = std::time::Duration::from_secs(5);
+/// Until all replies but the last are in, and until that one is.
+const RUN: std::time::Duration = std::time::Duration::from_millis(2_500);
 const REPLY_MAX: usize = 2 << 20;
 
 /// One whole reply. `None` for anything that is none, and for rows that are no text: they could not be written again.
@@ -42,29 +42,50 @@
     }
 }
 
-/// What follows a `BEGIN` is sent only once that has come back; all the rest goes out together.
-async fn run(addr: &str, service: &str, id: &str, texts: &[String]) -> Option<Vec<Reply>> {
+async fn set_up(addr: &str, service: &str, id: &str, buf: &mut Vec<u8>) -> Option<tokio::net::TcpStream> {
     let mut stream = wv_http::connect(addr.parse().ok()?, CONNECT).await.ok()?;
-    let mut buf = Vec::new();
     let mut out = Vec::new();
     wv_wire::put_line(&mut out, &[b"SETUP", service.as_bytes(), b"windvalve", id.as_bytes()]);
     stream.write_all(&out).await.ok()?;
-    read(&mut stream, &mut buf).await.filter(|reply| reply.code.is_none())?;
+    read(&mut stream, buf).await.filter(|reply| reply.code.is_none()).map(|_| stream)
+}
+
+/// Sends some texts together and reads what comes back of them. `None` where not all of it came.
+async fn say(
+    stream: &mut tokio::net::TcpStream,
+    buf: &mut Vec<u8>,
+    texts: &[String],
+    replies: &mut Vec<Reply>,
+) -> Option<()> {
+    let mut out = Vec::new();
+    texts.iter().for_each(|text| wv_wire::put_query(&mut out, b"-", &[text.as_bytes()]));
+    stream.write_all(&out).await.ok()?;
+    for _ in texts {
+        replies.push(read(stream, buf).await?);
+    }
+    Some(())
+}
+
+/// What follows a `BEGIN` is sent only once that has come back; all the rest goes out together, but for the last text.
+/// What was gone through comes back; `None` only where the last text, which ends the transaction, was sent and its end
+/// isn't known.
+async fn run(addr: &str, service: &str, id: &str, texts: &[String]) -> Option<Vec<Reply>> {
+    let (mut buf, mut replies) = (Vec::new(), Vec::new());
     let begin = texts.iter().position(|text| text == "BEGIN").map_or(0, |at| at + 1);
-    let mut replies = Vec::new();
-    // The last one ends the transaction: a commit is sent only when all before it came back well.
     let last = texts.len().saturating_sub(1).max(begin);
-    for part in [&texts[..begin], &texts[begin..last], &texts[last..]] {
-        out.clear();
-        part.iter().for_each(|text| wv_wire::put_query(&mut out, b"-", &[text.as_bytes()]));
-        stream.write_all(&out).await.ok()?;
-        for _ in part {
-            replies.push(read(&mut stream, &mut buf).await?);
+    let early = async {
+        let mut stream = set_up(addr, service, id, &mut buf).await?;
+        for part in [&texts[..begin], &texts[begin..last]] {
+            say(&mut stream, &mut buf, part, &mut replies).await?;
+            replies.iter().all(|reply| reply.code.is_none()).then_some(())?;
         }
-        if replies.iter().any(|reply| reply.code.is_some()) {
-            return Some(replies);
-        }
-    }
+        Some(stream)
+    };
+    // The connection ends with what is open on it; nothing was asked to be kept.
+    let Some(mut stream) = tokio::time::timeout(RUN, early).await.ok().flatten() else { return Some(replies) };
+    // A commit is sent only when all before it came back well.
+    let end = say(&mut stream, &mut buf, &texts[last..], &mut replies);
+    tokio::time::timeout(RUN, end).await.ok().flatten()?;
     let _ = stream.write_all(b"RELEASE\r\n").await;
     Some(replies)
 }
@@ -77,7 +98,7 @@
         (id, addr): (String, String),
         texts: Vec<String>,
     ) {
-        let replies = tokio::time::timeout(RUN, run(&addr, &service, &id, &texts)).await.ok().flatten();
+        let replies = run(&addr, &service, &id, &texts).await;
         self.with(|core, now| core.ran(number, replies, now));
     }
 }
--- a/crates/wv-fleet/src/splits.rs
+++ b/crates/wv-fleet/src/splits.rs
@@ -19,7 +19,8 @@
             base.is_up && !base.is_dark && !self.is_cut(&name, &base.id)
         };
         let Some(base) = self.base(id).filter(is_open) else {
-            return self.put(100 * MS, Ev::Ran { control, run, replies: None });
+            // Nothing was sent.
+            return self.put(100 * MS, Ev::Ran { control, run, replies: Some(Vec::new()) });
         };
         self.next_conn += 1;
         let conn = self.next_conn;
--- a/crates/wv-split/src/copy.rs
+++ b/crates/wv-split/src/copy.rs
@@ -82,10 +82,11 @@
         let runs = if bounds.is_sealed { RUNS_SEALED } else { RUNS };
         let mut orders = Vec::new();
         while self.batches.len() < runs && !self.queue.is_empty() && (self.next <= bounds.now || bounds.is_sealed) {
-            let names: Vec<String> = self.queue.drain(..BATCH.min(self.queue.len())).collect();
-            names.iter().for_each(|name| {
-                self.queued.remove(name);
-            });
+            let names = self.next_names();
+            // All that is left is under way already: of two batches with one thing the older read may be written last.
+            if names.is_empty() {
+                break;
+            }
             *next_token += 1;
             // Inside a plain transaction only a database that leads reads; its end rolls back.
             let reads = names.iter().map(|name| format!("READ {name}"));
@@ -103,6 +104,18 @@
         orders
     }
 
+    /// Those wanted first of which no copy is under way.
+    fn next_names(&mut self) -> Vec<String> {
+        let busy: BTreeSet<&String> = self.batches.values().flat_map(|batch| &batch.names).collect();
+        let free: Vec<String> = self.queue.iter().filter(|name| !busy.contains(name)).take(BATCH).cloned().collect();
+        free.iter().for_each(|name| {
+            self.queued.remove(name);
+        });
+        let queued = &self.queued;
+        self.queue.retain(|name| queued.contains(name));
+        free
+    }
+
     /// A batch's replies came, or none did.
     pub fn ran(&mut self, token: u64, replies: Option<Vec<Reply>>, bounds: &Bounds<'_>) -> (Outcome, Vec<Order>) {
         let Some(batch) = self.batches.remove(&token) else { return (Outcome::Going, Vec::new()) };
@@ -114,6 +127,11 @@
         if status.is_some_and(|status| !status.is_primary || status.term != wanted) {
             return (Outcome::Disturbed, Vec::new());
         }
+        // Nothing came back of a batch that may have been sent to be committed: it may still be, over newer copies. Only
+        // a newer term of the target keeps it out.
+        if batch.is_writing && replies.is_none() {
+            return (Outcome::Disturbed, Vec::new());
+        }
         let whole =
             replies.filter(|replies| replies.len() == texts && replies.iter().all(|reply| reply.code.is_none()));
         let Some(replies) = whole else { return (self.failed(batch, bounds.now), Vec::new()) };
--- a/crates/wv-split/src/lib.rs
+++ b/crates/wv-split/src/lib.rs
@@ -11,7 +11,7 @@
 mod slots;
 mod steps;
 
-pub use copy::Copy;
+pub use copy::{Bounds, Copy, Outcome};
 pub use machine::Split;
 pub use names::{Names, CHUNKS, NAMES_MAX};
 pub use slots::{held, moving};
