Registers of services and plans that are gone are emptied

Cause: cells of services and plans that no configuration names stayed on all disks for ever, slot maps, counts and names of things with them. Change: one control node holds the duty of sweeping and empties, by a change like any other, what nothing has named for two minutes. The version stays and rises, so that a fence never goes back when the name returns; a map of slots that have moved is never touched. Measured: a story of a service that goes and returns; its promotion's fence is above all earlier ones. What stays is a key and some 130 bytes for each name ever used: 60,000 names fill the 8 MiB of a store.

--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -83,6 +83,7 @@
         let waiting = match waiting {
             Waiting::Claim(service) => return self.duty_claimed(service, done.outcome, &done.before),
             Waiting::Confirm(service) => return self.duty_confirmed(service, done.outcome),
+            Waiting::Swept => return,
             Waiting::Own(service) => return self.own_kept(&service, done.outcome),
             Waiting::Keep(shard, keep) => return self.kept(shard, keep, done.outcome),
             waiting => waiting,
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -83,6 +83,9 @@
     pub(crate) pinged: u64,
     pub(crate) repaired: u64,
     pub(crate) forgot: u64,
+    /// When registers were last swept, and since when which of them belong to nothing.
+    pub(crate) swept: u64,
+    pub(crate) unnamed: BTreeMap<String, u64>,
     pub(crate) is_leaving: bool,
     pub(crate) sessions_told: Vec<wv_inner::Session>,
     pub(crate) sessions_age: u32,
@@ -154,6 +157,8 @@
             pinged: 0,
             repaired: 0,
             forgot: 0,
+            swept: 0,
+            unnamed: BTreeMap::new(),
             is_leaving: false,
             sessions_told: Vec::new(),
             sessions_age: 0,
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -17,6 +17,7 @@
 mod run;
 mod run_texts;
 mod shards;
+mod sweep;
 mod tick;
 mod types;
 mod voter;
--- a/crates/wv-control/src/own.rs
+++ b/crates/wv-control/src/own.rs
@@ -92,7 +92,7 @@
 
     /// After a restart what this disk holds is a hint good enough: an owner that is none any more says so.
     pub(crate) fn recall_owners(&mut self) {
-        let is_own = |(key, _): &(&str, &wv_inner::Held)| key.starts_with("own/");
+        let is_own = |(key, held): &(&str, &wv_inner::Held)| key.starts_with("own/") && !held.cell.value.is_empty();
         let read = |(_, held): (&str, &wv_inner::Held)| <Owner as nanoserde::DeBin>::deserialize_bin(&held.cell.value);
         let owners: Vec<Result<Owner, _>> = self.store.iter().filter(is_own).map(read).collect();
         for owner in owners {
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -57,6 +57,7 @@
         self.run_duties();
         self.run_owners();
         self.run_shards();
+        self.run_sweep();
         self.tell_nodes();
         self.quorum.tick(self.now);
         self.run_quorum();
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -95,6 +95,8 @@
     Claim(String),
     Confirm(String),
     Own(String),
+    /// A register of what is gone was emptied.
+    Swept,
     /// A step of what a planned shard's holder keeps.
     Keep(String, crate::keep::Keep),
 }
--- a/crates/wv-reg/src/files.rs
+++ b/crates/wv-reg/src/files.rs
@@ -76,6 +76,14 @@
     pub files: std::rc::Rc<std::cell::RefCell<std::collections::BTreeMap<String, Vec<u8>>>>,
 }
 
+impl MemFiles {
+    /// The same files, on their own from now on.
+    pub fn copy(&self) -> MemFiles {
+        let files = self.files.borrow().clone();
+        MemFiles { files: std::rc::Rc::new(std::cell::RefCell::new(files)), ..MemFiles::default() }
+    }
+}
+
 impl Files for MemFiles {
     fn read(&self, name: &str) -> std::io::Result<Option<Vec<u8>>> {
         Ok(self.files.borrow().get(name).cloned())
