Writers at control nodes without a disk are sent on by the head; those nodes follow in changes

Worse, with each change they read the register: every voter answered with its whole copy (41 KB packed, six or seven of them a second of that link), again every 150 ms, and all of it was given up after 900 ms and begun anew.

Change: a call is asked by its head alone whether it is sent on. A node without a disk answers PUT and GET of the configuration with 307 to a voter heard of late, another one each time, and 503 where there is none; the body is taken in for 5 s more, so that no reset takes the answer away. Such a node reads no register for news: voters hear of a decided change by its ballot, the others by what differs (InForce); who lacks the base asks one node (Lack).

Stories in crates/wv-fleet/tests/change.rs and crates/wv-http/tests/early.rs. Taken out by hand: reading the register for news, or sending the whole to all: a story of bytes over the thin link fails; voters not heard of named, or the same one each time: the story of places fails; the rest of the body not taken in, or the answer after it: early.rs fails.

The story of a seed without a disk (voters.rs) had a PUT taken there; it now goes where the 307 says, and is taken.

--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -111,16 +111,21 @@
         let place: Shared = std::rc::Rc::new(std::cell::RefCell::new(place));
         let clients_max = settings.clients_max();
         let probed = node.clone();
-        tokio::task::spawn_local(wv_http::serve(ready_listener, BODY_MAX, move |call| {
-            let is_ready = probed.core.borrow().is_ready();
-            std::future::ready(match (call.path.as_str(), is_ready) {
-                ("/recording", _) => recording(probed.core.borrow().recording()),
-                ("/tenants", _) => wv_http::Return::new(200, probed.core.borrow().tenants_json()),
-                ("/readiness", true) => wv_http::Return::new(200, "{\"ready\":true}"),
-                ("/readiness", false) => wv_http::Return::new(503, "{\"ready\":false}"),
-                _ => wv_http::Return::new(404, "{\"cause\":\"no such path\"}"),
-            })
-        }));
+        tokio::task::spawn_local(wv_http::serve(
+            ready_listener,
+            BODY_MAX,
+            |_: &str, _: &str| None,
+            move |call| {
+                let is_ready = probed.core.borrow().is_ready();
+                std::future::ready(match (call.path.as_str(), is_ready) {
+                    ("/recording", _) => recording(probed.core.borrow().recording()),
+                    ("/tenants", _) => wv_http::Return::new(200, probed.core.borrow().tenants_json()),
+                    ("/readiness", true) => wv_http::Return::new(200, "{\"ready\":true}"),
+                    ("/readiness", false) => wv_http::Return::new(503, "{\"ready\":false}"),
+                    _ => wv_http::Return::new(404, "{\"cause\":\"no such path\"}"),
+                })
+            },
+        ));
         tokio::task::spawn_local(node.clone().accept(front_listener, clients_max));
         if let Some(addr) = hands {
             let listener = wv_http::listen(addr).map_err(|error| AccessError::Listen(addr, error))?;
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -2,21 +2,17 @@
 use crate::core::{Core, CONF};
 use crate::order::{digest, take, Decided, Order, Verdict};
 use crate::types::Waiting;
-use wv_inner::Msg;
 use wv_reg::{Done, Outcome};
 
 impl Core {
     /// A call of the operator or of a database; the return comes as an act under `token`.
     pub fn call(&mut self, token: u64, method: &str, path: &str, body: Option<&[u8]>, now: u64) {
-        self.now = self.now.max(now);
+        if let Some((status, body)) = self.head(method, path, now) {
+            return self.ret(token, status, body);
+        }
         let steps: Vec<&str> = path.split('?').next().unwrap_or(path).trim_matches('/').split('/').collect();
         match (method, &steps[..]) {
             ("PUT", ["configuration"]) => self.put_conf(token, body),
-            // A machine without a disk is a small one: a voter is the better place for a long body.
-            ("GET", ["configuration"]) if self.larger_place().is_some() => {
-                let place = self.larger_place().unwrap_or_default();
-                self.ret(token, 307, format!("http://{place}/configuration"));
-            }
             ("GET", ["configuration"]) => {
                 self.waiting.insert(token, Waiting::Get);
                 self.quorum.start(token, CONF, None, self.now);
@@ -39,13 +35,6 @@
         }
     }
 
-    /// Where there is no disk here: a voter that is up.
-    fn larger_place(&self) -> Option<String> {
-        let is_up = |addr: &&str| self.peers.get(*addr).is_some_and(|peer| peer.is_up && peer.disk.is_some());
-        let mut voters = self.quorum.voters().addrs().filter(is_up);
-        (!self.is_core).then(|| voters.next().map(str::to_owned)).flatten()
-    }
-
     fn put_conf(&mut self, token: u64, body: Option<&[u8]>) {
         let Some(body) = body.filter(|body| body.len() <= crate::core::BODY_MAX) else {
             return self.ret(token, 413, "{\"cause\":\"the configuration is over the bound\"}");
@@ -90,10 +79,10 @@
         };
         if done.key == CONF {
             if let Outcome::Read(cell) | Outcome::Written(cell) | Outcome::Held(cell) = &done.outcome {
-                let is_news = cell.version > self.published;
+                let base = self.published;
                 self.in_force(cell);
-                if is_news && matches!(waiting, Waiting::Put(_)) {
-                    self.tell_committed(done.accepted, cell);
+                if cell.version > base && matches!(waiting, Waiting::Put(_)) {
+                    self.tell_committed(base, CONF, done.accepted);
                 }
             }
         }
@@ -133,23 +122,10 @@
         }
     }
 
-    /// All control nodes hear what stands now; voters hold it already, or ask for it.
-    fn tell_committed(&mut self, accepted: wv_inner::Ballot, cell: &wv_inner::Cell) {
-        let key = CONF.to_owned();
-        let (voters, others): (Vec<String>, Vec<String>) =
-            self.peers.keys().cloned().partition(|addr| self.quorum.voters().has(addr));
-        for addr in voters {
-            self.send_peer(&addr, Msg::Committed { key: key.clone(), accepted, cell: None });
-        }
-        for addr in others {
-            self.send_peer(&addr, Msg::Committed { key: key.clone(), accepted, cell: Some(cell.clone()) });
-        }
-    }
-
-    /// Another node says what stands under `accepted`.
-    pub(crate) fn committed(&mut self, accepted: wv_inner::Ballot, cell: Option<wv_inner::Cell>) {
-        let held = || self.store.get(CONF).filter(|held| held.accepted == accepted).map(|held| held.cell.clone());
-        match cell.or_else(held) {
+    /// Another node says under which ballot what stands was accepted: a voter has it, or reads it.
+    pub(crate) fn committed(&mut self, accepted: wv_inner::Ballot) {
+        let held = self.store.get(CONF).filter(|held| held.accepted == accepted).map(|held| held.cell.clone());
+        match held {
             Some(cell) => self.in_force(&cell),
             None => self.sync_conf(),
         }
@@ -164,19 +140,25 @@
             log::error!("number {} stands with two contents: {digest:x}, {:x}", cell.version, self.published_digest);
         }
         if cell.version > self.published && !cell.value.is_empty() {
-            (self.published, self.published_digest) = (cell.version, digest);
-            log::info!("in force {}", cell.version);
             match wv_pack::unpack(&decided.body, crate::core::BODY_MAX) {
-                Ok(body) => {
-                    self.conf = wv_conf::Conf::parse(&body).ok();
-                    self.sync_slots();
-                    let msg = self.feed.publish_conf(cell.version, &body);
-                    self.tell_followers(&msg);
+                Ok(body) => self.enter_conf(cell.version, &body),
+                Err(error) => {
+                    (self.published, self.published_digest) = (cell.version, digest);
+                    log::error!("the configuration in force: {error}");
                 }
-                Err(error) => log::error!("the configuration in force: {error}"),
             }
         }
     }
+
+    /// Takes over the configuration in force and tells all followers.
+    pub(crate) fn enter_conf(&mut self, version: u64, body: &[u8]) {
+        (self.published, self.published_digest) = (version, digest(body));
+        log::info!("in force {version}");
+        self.conf = wv_conf::Conf::parse(body).ok();
+        self.sync_slots();
+        let msg = self.feed.publish_conf(version, body);
+        self.tell_followers(&msg);
+    }
 }
 
 pub(crate) fn cause(text: &str) -> Vec<u8> {
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -55,6 +55,10 @@
     pub(crate) published: u64,
     /// The digest of its bytes: one number never stands for two contents.
     pub(crate) published_digest: u64,
+    /// How many callers this node has sent on.
+    pub(crate) sent_on: usize,
+    /// When this node last asked another one for a newer one.
+    pub(crate) lacked: u64,
     pub(crate) is_caught_up: bool,
     pub(crate) is_syncing: bool,
     pub(crate) nodes_told: u32,
@@ -137,6 +141,8 @@
             published: 0,
             published_digest: 0,
             armed: 0,
+            sent_on: 0,
+            lacked: 0,
             is_caught_up: false,
             is_syncing: false,
             nodes_told: 0,
--- a/crates/wv-control/src/exec.rs
+++ b/crates/wv-control/src/exec.rs
@@ -144,6 +144,12 @@
         self.links.borrow_mut().remove(&link);
     }
 
+    /// What a call is told before its body has come, if that is all it is told.
+    pub fn head(&self, method: &str, path: &str) -> Option<wv_http::Return> {
+        let told = self.with(|core, now| core.head(method, path, now));
+        told.map(|(status, body)| wv_http::Return::new(status, body))
+    }
+
     pub async fn call(self, call: wv_http::Call) -> wv_http::Return {
         let (sender, receiver) = oneshot::channel();
         self.with(|core, now| {
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -153,14 +153,7 @@
                 if let Some(peer) = self.peers.get_mut(addr) {
                     (peer.ponged, peer.disk, peer.set) = (self.now, disk, set);
                 }
-                // Just started: what is in force is read as soon as a majority is there.
-                if !self.is_caught_up && self.is_fresh() {
-                    self.sync_conf();
-                }
-                // A voter holds something newer than what is in force here: settle it and learn it.
-                if conf > self.published && self.is_fresh() {
-                    self.sync_conf();
-                }
+                self.hear_version(addr, conf);
             }
             Msg::Call { asker, request, set, key, step } => {
                 let vote = self.vote(set, &key, &step);
@@ -177,7 +170,9 @@
                 word.into_iter().for_each(|word| self.send(link, word));
             }
             msg @ (Msg::Claimed { .. } | Msg::Settled { .. }) => self.change_heard(addr, msg),
-            Msg::Committed { key, accepted, cell } if key == crate::core::CONF => self.committed(accepted, cell),
+            Msg::Committed { key, accepted } if key == crate::core::CONF => self.committed(accepted),
+            Msg::Lack { version } => self.take_lack(link, version),
+            Msg::InForce(news) => self.take_in_force(addr, news),
             Msg::Inst { request, inst } => {
                 self.inst_from_peer(inst);
                 if request > 0 {
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -112,10 +112,10 @@
         let inner = settings.inner_addr(addr);
         let inner_listener = wv_http::listen(inner).map_err(|error| ControlError::Listen(inner, error))?;
         let node = Node::new(core, &settings);
-        let called = node.clone();
-        tokio::task::spawn_local(wv_http::serve(listener, crate::core::BODY_MAX, move |call| {
-            called.clone().call(call)
-        }));
+        let (asked, called) = (node.clone(), node.clone());
+        let head = move |method: &str, path: &str| asked.head(method, path);
+        let call = move |call| called.clone().call(call);
+        tokio::task::spawn_local(wv_http::serve(listener, crate::core::BODY_MAX, head, call));
         tokio::task::spawn_local(node.clone().accept(inner_listener));
         let control = Control {
             node,
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -46,7 +46,7 @@
             self.left.retain(|id, _| table.get(id).is_some());
             self.forget_peers();
         }
-        if !self.is_caught_up && self.is_fresh() {
+        if !self.is_caught_up && self.is_fresh() && !self.is_thin() {
             self.sync_conf();
         }
         self.serve_follows();
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -85,6 +85,8 @@
     pub disk: Option<u64>,
     pub since: u64,
     pub zone: String,
+    /// The version of the configuration that it last said to hold.
+    pub conf: u64,
 }
 
 pub(crate) enum Waiting {
--- a/crates/wv-feed/src/follow.rs
+++ b/crates/wv-feed/src/follow.rs
@@ -41,6 +41,31 @@
         self.publish(news)
     }
 
+    /// What makes the configuration in force of that of `version`: the changes since where they are still held and
+    /// shorter, else the whole; nothing where it is that one.
+    pub fn conf_since(&self, version: u64) -> Vec<News> {
+        let Some((newest, whole, _)) = self.conf.as_ref().filter(|conf| conf.0 != version) else { return Vec::new() };
+        let (mut at, mut chain) = (version, Vec::new());
+        for (_, news) in &self.changes {
+            if let News::ConfChange { base, version, .. } = news {
+                if *base == at {
+                    at = *version;
+                    chain.push(news.clone());
+                }
+            }
+        }
+        if at == *newest {
+            chain
+        } else {
+            vec![whole.clone()]
+        }
+    }
+
+    /// The body of the configuration in force.
+    pub fn conf_body(&self) -> Option<&[u8]> {
+        self.conf.as_ref().map(|(_, _, body)| &body[..])
+    }
+
     /// Numbers a change; the caller sends the message to its followers.
     pub fn publish(&mut self, news: News) -> Msg {
         match &news {
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -79,6 +79,7 @@
                 let far = self.controls[at].far.get(&link).copied();
                 let is_cut = far.is_some_and(|far| self.is_cut_ends(to, far));
                 if !is_cut {
+                    self.weigh(at, &msg);
                     self.with_control(at, |core, now| core.msg(link, msg, now));
                 }
             }
@@ -109,6 +110,14 @@
         }
     }
 
+    fn weigh(&mut self, at: usize, msg: &Msg) {
+        if let Some(crossed) = self.crossed.as_mut() {
+            let mut frame = Vec::new();
+            wv_inner::put_frame(&mut frame, msg);
+            *crossed.entry(at).or_default() += frame.len() as u64;
+        }
+    }
+
     fn is_cut_ends(&self, one: End, other: End) -> bool {
         let name = |end: End| match end {
             End::Control { at, .. } => &self.controls[at].name,
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -50,6 +50,8 @@
     pub epoch_us: u64,
     /// How many things loads write to; 0 for a single one.
     pub things: u64,
+    /// Bytes that came to each control node over its links, where a story weighs them.
+    pub crossed: Option<BTreeMap<usize, u64>>,
     /// What happened, a line each, where a story or the replay wants it.
     pub course: Vec<(u64, String)>,
 }
@@ -96,6 +98,7 @@
             copy_us: 2 * MS,
             epoch_us: 0,
             things: 0,
+            crossed: None,
         };
         let addrs: Vec<String> = (0..controls).map(|at| format!("10.1.0.{}:80", at + 1)).collect();
         let seeds: Vec<String> = addrs.iter().take(3).cloned().collect();
--- /dev/null
+++ b/crates/wv-fleet/tests/change.rs
@@ -0,0 +1,108 @@
+//! Stories of changed configurations: who is sent what of them.
+use googletest::prelude::*;
+use wv_fleet::{World, MS, S};
+
+/// Seven voters and one machine without a disk behind a thin link, the last one.
+fn fleet() -> World {
+    let mut world = World::serving(2, 7);
+    let thin = world.add_control(&[0, 1, 2]);
+    restart_thin(&mut world, thin);
+    world.run(3 * S);
+    world
+}
+
+fn restart_thin(world: &mut World, at: usize) {
+    world.kill_control(at);
+    world.controls[at].is_core = false;
+    world.controls[at].files = Default::default();
+    world.start_control(at, false);
+}
+
+/// A configuration with so many routes more, all of them different.
+fn long(version: u64, routes: usize) -> Vec<u8> {
+    let mut value: serde_json::Value = serde_json::from_slice(&World::conf(version)).expect("the stand-in's own");
+    let route = value["routing"][0].clone();
+    let list = value["routing"].as_array_mut().expect("a list");
+    list.extend((0..routes).map(|at| {
+        let mut route = route.clone();
+        let name = format!("x{}", (at as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        (route["label"], route["host"]) = (name.clone().into(), name.into());
+        route
+    }));
+    value.to_string().into_bytes()
+}
+
+fn put(world: &mut World, control: usize, body: &[u8]) -> u16 {
+    let token = world.call(control, "PUT", "/configuration", body);
+    world.run(1200 * MS);
+    world.returns.get(&token).map_or(0, |ret| ret.0)
+}
+
+/// What came to one control node meanwhile, in bytes.
+fn crossed(world: &mut World, at: usize, course: impl FnOnce(&mut World)) -> u64 {
+    world.crossed = Some(Default::default());
+    course(world);
+    world.crossed.take().and_then(|crossed| crossed.get(&at).copied()).unwrap_or_default()
+}
+
+fn version(world: &World, at: usize) -> u64 {
+    world.controls[at].core.as_ref().map_or(0, |core| core.conf_version())
+}
+
+#[gtest]
+fn given_a_long_configuration_then_a_change_of_one_route_crosses_the_thin_link_as_what_differs() {
+    let mut world = fleet();
+    let packed = wv_pack::pack(&long(5, 2000)).len() as u64;
+    expect_that!(packed, gt(20_000));
+    let first = crossed(&mut world, 7, |world| expect_that!(put(world, 0, &long(5, 2000)), eq(200)));
+    expect_that!(version(&world, 7), eq(5));
+    expect_that!(first, lt(2 * packed));
+    let quiet = crossed(&mut world, 7, |world| world.run(10 * 1200 * MS));
+    let changes = crossed(&mut world, 7, |world| {
+        (6..16).for_each(|version| {
+            expect_that!(put(world, version as usize % 7, &long(version, 2000 + version as usize)), eq(200))
+        });
+    });
+    expect_that!(version(&world, 7), eq(15));
+    expect_that!(changes, lt(quiet + 10_000), "quiet {quiet}");
+}
+
+#[gtest]
+fn given_a_machine_without_a_disk_that_starts_then_it_catches_up_by_one_copy_of_a_long_configuration() {
+    let mut world = fleet();
+    expect_that!(put(&mut world, 0, &long(5, 2000)), eq(200));
+    let packed = wv_pack::pack(&long(5, 2000)).len() as u64;
+    restart_thin(&mut world, 7);
+    let start = crossed(&mut world, 7, |world| world.run(2 * S));
+    expect_that!(version(&world, 7), eq(5));
+    expect_that!(start, lt(packed + 20_000));
+    // A writer that dies before it tells anyone: what it wrote comes there all the same, and once.
+    let token = world.call(1, "PUT", "/configuration", &long(6, 2001));
+    world.run(1700);
+    world.kill_control(1);
+    expect_that!(world.returns.get(&token), none());
+    let told = crossed(&mut world, 7, |world| world.run(3 * S));
+    expect_that!(version(&world, 7), eq(6));
+    expect_that!(told, lt(20_000));
+}
+
+#[gtest]
+fn given_one_that_writes_at_a_machine_without_a_disk_then_another_voter_is_named_each_time_and_none_that_is_down() {
+    let mut world = fleet();
+    world.kill_control(2);
+    world.run(2 * S);
+    let mut places = std::collections::BTreeSet::new();
+    for _ in 0..12 {
+        let token = world.call(7, "PUT", "/configuration", &World::conf(9));
+        let (status, place) = world.returns.get(&token).cloned().unwrap_or_default();
+        expect_that!(status, eq(307));
+        places.insert(String::from_utf8_lossy(&place).into_owned());
+    }
+    expect_that!(places.len(), eq(6));
+    let down = format!("http://{}/configuration", world.controls[2].addr);
+    expect_that!(places.contains(&down), eq(false));
+    (0..7).for_each(|at| world.kill_control(at));
+    world.run(2 * S);
+    let token = world.call(7, "PUT", "/configuration", &World::conf(9));
+    expect_that!(world.returns.get(&token).map(|ret| ret.0), some(eq(503)));
+}
--- a/crates/wv-fleet/tests/voters.rs
+++ b/crates/wv-fleet/tests/voters.rs
@@ -229,13 +229,18 @@
     let (_, addrs) = voters(&mut world, 0);
     expect_that!(addrs.contains(&world.controls[2].addr), eq(false));
     expect_that!(addrs.contains(&world.controls[3].addr), eq(true));
-    expect_that!(put(&mut world, 2, 20), eq(200));
-    // A long body is not read back over its small link: the caller is sent to a voter.
-    let token = world.call(2, "GET", "/configuration", b"");
-    let (status, place) = world.returns.get(&token).cloned().unwrap_or_default();
-    let place = String::from_utf8_lossy(&place).into_owned();
-    expect_that!(status, eq(307));
-    expect_that!(addrs.iter().any(|addr| place == format!("http://{addr}/configuration")), eq(true), "{place}");
+    // A long body neither comes nor goes over its small link: the caller is sent to a voter.
+    for (method, body, ret) in [("PUT", World::conf(20), b"{}".to_vec()), ("GET", Vec::new(), World::conf(20))] {
+        let token = world.call(2, method, "/configuration", &body);
+        let (status, place) = world.returns.get(&token).cloned().unwrap_or_default();
+        expect_that!(status, eq(307));
+        let places = world.controls.iter().map(|control| format!("http://{}/configuration", control.addr));
+        let to = places.into_iter().position(|named| named.as_bytes() == place).unwrap_or(2);
+        expect_that!(addrs.contains(&world.controls[to].addr), eq(true));
+        let token = world.call(to, method, "/configuration", &body);
+        world.run(1200 * MS);
+        expect_that!(world.returns.get(&token), some(eq(&(200, ret))));
+    }
     [0, 1, 3].into_iter().for_each(|at| world.kill_control(at));
     world.run(2 * S);
     let token = world.call(2, "GET", "/configuration", b"");
--- a/crates/wv-http/src/lib.rs
+++ b/crates/wv-http/src/lib.rs
@@ -9,6 +9,8 @@
 /// Connections served at once per listener.
 const CONNECTIONS_MAX: usize = 512;
 const IDLE: std::time::Duration = std::time::Duration::from_secs(30);
+/// How long the body of a call that has its return already is still taken in: 1 MiB over 2 Mbit/s take 4.2 s.
+const DRAIN: std::time::Duration = std::time::Duration::from_secs(5);
 
 #[derive(thiserror::Error, Debug)]
 pub enum HttpError {
@@ -55,9 +57,26 @@
         .unwrap_or_default()
 }
 
-/// Serves `listener` for ever; each call goes to `handle`.
-pub async fn serve<H, F>(listener: tokio::net::TcpListener, body_max: usize, handle: H)
+/// Takes in and drops what is left of a body. Closed with bytes unread, a connection is reset, and the return that was
+/// sent ahead of them may be lost with it.
+async fn drain(mut body: Incoming, body_max: usize) {
+    let mut len = 0;
+    let passing = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            len += frame.data_ref().map_or(0, Bytes::len);
+            if len > body_max {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DRAIN, passing).await;
+}
+
+/// Serves `listener` for ever. `head` is asked with method and path as soon as the head of a call is there and may
+/// return at once; each other call goes to `handle` with its body, of `body_max` bytes at most.
+pub async fn serve<D, H, F>(listener: tokio::net::TcpListener, body_max: usize, head: D, handle: H)
 where
+    D: Fn(&str, &str) -> Option<Return> + Clone + 'static,
     H: Fn(Call) -> F + Clone + 'static,
     F: std::future::Future<Output = Return> + 'static,
 {
@@ -73,12 +92,16 @@
         }
         tune(&stream, std::time::Duration::from_secs(3));
         open.set(open.get() + 1);
-        let (open, handle) = (open.clone(), handle.clone());
+        let (open, ask, handle) = (open.clone(), head.clone(), handle.clone());
         tokio::task::spawn_local(async move {
             let service = hyper::service::service_fn(move |request: Request<Incoming>| {
-                let handle = handle.clone();
+                let (ask, handle) = (ask.clone(), handle.clone());
                 async move {
                     let (head, body) = request.into_parts();
+                    if let Some(ret) = ask(head.method.as_str(), head.uri.path()) {
+                        tokio::task::spawn_local(drain(body, body_max));
+                        return Ok(respond(ret));
+                    }
                     let body = Limited::new(body, body_max).collect().await.ok().map(|body| body.to_bytes());
                     let call = Call { method: head.method.to_string(), path: head.uri.path().to_owned(), body };
                     Ok::<_, std::convert::Infallible>(respond(handle(call).await))
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -162,11 +162,10 @@
         set: u64,
         cells: Vec<(String, Held)>,
     },
-    /// What stands in a register by agreement; no cell where the other side is known to have that of `accepted`.
+    /// What was accepted under this ballot stands in a register by agreement, for voters, which have it.
     Committed {
         key: String,
         accepted: Ballot,
-        cell: Option<Cell>,
     },
     Inst {
         request: u64,
@@ -223,4 +222,10 @@
         shard: String,
         text: String,
     },
+    /// The speaker holds no newer configuration in force than this version: 0 for none.
+    Lack {
+        version: u64,
+    },
+    /// Configurations that stand on a majority, the newest last: whole, or as what differs from the one before.
+    InForce(Vec<News>),
 }
