A small change of a long configuration is read, packed and told by what differs

Cause: with each change every node parsed the whole text and made all tables anew (the node that takes an order twice), control nodes packed the whole twice and unpacked it, made a table of all pieces for what differs and copied the body three times; access nodes went through all sessions; each of ten changes a second went to every follower.

Change: Conf::renew takes entries whose texts stood in the configuration before from it and shares tables that are alike; whatever does not come out surely is read whole, so refusals are word for word the same. Bodies are packed in chunks that end by content (Packs): chunks that stood there are neither packed nor unpacked. Pieces are looked for where the last one was found (Align). One body is shared by feed, configuration and node. Followers hear of the newest at once, or at most each 150 to 250 ms while changes follow each other. The digest of an order goes eight bytes at a time.

--- /dev/null
+++ b/crates/windvalve/examples/change.rs
@@ -0,0 +1,127 @@
+//! What one small change of a configuration costs a control node and an access node, by the length of the configuration.
+//! `cargo run --release -p windvalve --example change [ROUTES|ROUTES/SERVICES...]` prints a line of JSON for each length;
+//! 120 services where none are named.
+use std::time::Instant;
+
+const CHANGES: u64 = 40;
+
+/// A configuration of so many routes and services, as long as the users' own; `version` changes one time-out.
+fn conf(version: u64, (routes, services): (usize, usize)) -> Vec<u8> {
+    let name = |at: usize| format!("{:07x}", (at as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 36);
+    let route = |at: usize| {
+        let expiry = 800 + u64::from(at as u64 == version % routes as u64) * version;
+        // Ten thousand fit into the bound only with the shortest entries.
+        if routes > 5000 {
+            return serde_json::json!({"label": name(at), "host": name(at), "expiryMs": expiry,
+                "destination": format!("s{}", at % services)});
+        }
+        serde_json::json!({"label": format!("r-{}", name(at)), "host": format!("h{}", name(at)), "pathPrefix": "/",
+            "category": "primary", "expiryMs": expiry, "targetMs": 150, "precedence": 1,
+            "destination": format!("s{}", at % services), "maxAttempts": 2})
+    };
+    let service = |at: usize| serde_json::json!({"label": format!("s{at}"), "probePath": "/health", "syncReplicas": 1});
+    let routes: Vec<serde_json::Value> = (0..routes).map(route).collect();
+    let services: Vec<serde_json::Value> = (0..services).map(service).collect();
+    let limits = serde_json::json!({"headerBytes": 16384, "bodyBytes": 262_144, "txnIdleMs": 3000});
+    serde_json::json!({"issue": version, "routing": routes, "services": services, "limits": limits})
+        .to_string()
+        .into_bytes()
+}
+
+/// Microseconds of one call.
+fn timed(call: impl FnOnce()) -> f64 {
+    let start = Instant::now();
+    call();
+    start.elapsed().as_secs_f64() * 1e6
+}
+
+/// The least, which other work on the machine disturbs least, and the one in the middle.
+fn shown(mut all: Vec<f64>) -> (f64, f64) {
+    all.sort_by(f64::total_cmp);
+    (all[0].round(), all[all.len() / 2].round())
+}
+
+/// A control node that is its own majority.
+fn control() -> wv_control::Core {
+    let me = "10.0.0.1:80".to_owned();
+    let start = wv_control::Start {
+        me: me.clone(),
+        node: "c".to_owned(),
+        zone: "z".to_owned(),
+        life: 1,
+        seeds: vec![me],
+        is_first: true,
+        is_core: true,
+        disk: 1,
+        who: 1,
+    };
+    let store = wv_reg::Store::open(Box::new(wv_reg::MemFiles::default())).expect("an empty store");
+    let mut core = wv_control::Core::new(start, store).expect("a control node");
+    core.tick(1);
+    core
+}
+
+fn run((routes, services): (usize, usize)) -> serde_json::Value {
+    let bodies: Vec<Vec<u8>> = (1..=CHANGES + 1).map(|version| conf(version, (routes, services))).collect();
+    let (mut control, mut access) = (control(), wv_access::Core::new("z", 6_000_000));
+    let link = control.link_in(2);
+    let hello = wv_inner::Msg::Hello {
+        node: "a".to_owned(),
+        control: String::new(),
+        zone: "z".to_owned(),
+        place: String::new(),
+        life: 1,
+    };
+    control.msg(link, hello, 3);
+    control.msg(link, wv_inner::Msg::Follow { life: 0, place: 0 }, 4);
+    control.tick(200_000);
+    let (mut puts, mut takes, mut bytes, mut now) = (Vec::new(), Vec::new(), 0, 300_000);
+    for (at, body) in bodies.iter().enumerate() {
+        now += 1_000_000;
+        let put = timed(|| control.call(at as u64 + (1 << 40), "PUT", "/configuration", Some(body), now));
+        control.tick(now + 1);
+        let sent = control.take_acts().into_iter().filter_map(|act| match act {
+            wv_control::Act::Send {
+                msg: msg @ (wv_inner::Msg::Change { .. } | wv_inner::Msg::Snapshot { .. }),
+                ..
+            } => Some(msg),
+            _ => None,
+        });
+        for msg in sent {
+            let mut frame = Vec::new();
+            wv_inner::put_frame(&mut frame, &msg);
+            let take = timed(|| access.feed(msg, now).expect("no gap"));
+            if at > 0 {
+                bytes += frame.len();
+                takes.push(take);
+            }
+        }
+        if at > 0 {
+            puts.push(put);
+        }
+    }
+    let told = takes.len();
+    let ((control, control_middle), (access, access_middle)) = (shown(puts), shown(takes));
+    serde_json::json!({"routes": routes, "services": services, "body_bytes": bodies[1].len(), "changes": CHANGES, "told": told,
+        "control_us": control, "control_us_middle": control_middle, "access_us": access,
+        "access_us_middle": access_middle, "bytes_a_change": bytes as u64 / CHANGES})
+}
+
+/// `ROUTES` or `ROUTES/SERVICES`.
+fn length(arg: &str) -> Option<(usize, usize)> {
+    let (routes, services) = arg.split_once('/').unwrap_or((arg, "120"));
+    let number = |text: &str| text.parse().ok().filter(|number| (1..=10_000).contains(number));
+    number(routes).zip(number(services))
+}
+
+fn main() {
+    let given: Option<Vec<(usize, usize)>> = std::env::args().skip(1).map(|arg| length(&arg)).collect();
+    let Some(mut lengths) = given else {
+        eprintln!("change: lengths are ROUTES or ROUTES/SERVICES, whole numbers of 1 to 10000");
+        std::process::exit(2);
+    };
+    if lengths.is_empty() {
+        lengths = vec![(20, 120), (2000, 120), (10_000, 120)];
+    }
+    lengths.into_iter().for_each(|length| println!("{}", run(length)));
+}
--- a/crates/wv-access/src/care.rs
+++ b/crates/wv-access/src/care.rs
@@ -17,22 +17,32 @@
 const SILENT_US: u64 = 250_000;
 impl Core {
     pub(crate) fn take_conf(&mut self, version: u64, body: Result<Vec<u8>, wv_pack::PackError>) {
+        let held = self.conf.clone();
         // A node never steps back within its life.
-        if self.conf.as_ref().is_some_and(|held| held.version > version) {
+        if held.as_ref().is_some_and(|held| held.version > version) {
             return;
         }
         let Ok(body) = body else { return };
+        // Told again after a session came to its end, what is held changes nothing.
+        if self.body.0 == version && self.body.1[..] == body[..] {
+            return;
+        }
+        let read = held.as_ref().map_or_else(|| wv_conf::Conf::parse(&body), |held| held.renew(&body));
         // Only checked configurations enter the feed; one that cannot be read here changes nothing.
-        if let Ok(conf) = wv_conf::Conf::parse(&body) {
+        let Ok(conf) = read else {
+            self.body = (version, body.into());
+            return;
+        };
+        self.body = (version, conf.body().clone());
+        if held.as_ref().is_none_or(|held| !Rc::ptr_eq(&held.services, &conf.services)) {
             conf.services.keys().for_each(|name| {
                 self.checks.service(name);
             });
-            self.set_tenants(&conf);
-            self.set_plans(&conf);
-            self.conf = Some(Rc::new(conf));
-            self.set_up_awaited();
         }
-        self.body = (version, body);
+        self.set_tenants(&conf, held.as_deref());
+        self.set_plans(&conf);
+        self.conf = Some(Rc::new(conf));
+        self.set_up_awaited();
     }
 
     /// Regular care: warm connections, looks at isolated databases, sessions that are to end.
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -22,7 +22,7 @@
     pub(crate) zone: String,
     pub(crate) conf: Option<Rc<wv_conf::Conf>>,
     /// The configuration's version and body as they came, for changes to be made to.
-    pub(crate) body: (u64, Vec<u8>),
+    pub(crate) body: (u64, Rc<[u8]>),
     pub(crate) checks: Checks,
     pub(crate) shapes: wv_pool::Shapes,
     pub(crate) clients: Map<u64, Client>,
@@ -65,7 +65,7 @@
             now: 0,
             zone: zone.to_owned(),
             conf: None,
-            body: (0, Vec::new()),
+            body: Default::default(),
             checks: Checks::default(),
             shapes: wv_pool::Shapes::default(),
             clients: Map::default(),
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -82,6 +82,11 @@
         idle.into_iter().for_each(|db| self.close_db(db));
     }
 
+    /// The version of the configuration that is held, 0 for none.
+    pub fn conf_version(&self) -> u64 {
+        self.body.0
+    }
+
     /// Where the feed stands here, for the next follow.
     pub fn place(&self) -> (u64, u64) {
         (self.follower.life, self.follower.place)
--- a/crates/wv-access/src/share.rs
+++ b/crates/wv-access/src/share.rs
@@ -38,7 +38,11 @@
     }
 
     /// Weights bind from the next start on; what is under way ends as it began.
-    pub(crate) fn set_tenants(&mut self, conf: &wv_conf::Conf) {
+    pub(crate) fn set_tenants(&mut self, conf: &wv_conf::Conf, before: Option<&wv_conf::Conf>) {
+        // Where nobody has a share, all sessions are alike: they need not be gone through.
+        if conf.tenants.is_empty() && before.is_some_and(|before| before.tenants.is_empty()) {
+            return;
+        }
         self.shares.tenants = Tenants::new(&conf.tenants, &self.shares.tenants);
         let count = self.shares.tenants.len();
         self.shares.tallies.resize(count, Tally::default());
--- a/crates/wv-conf/src/lib.rs
+++ b/crates/wv-conf/src/lib.rs
@@ -1,7 +1,11 @@
 //! The operator's configuration: read whole, checked, and kept as sent.
+mod cut;
+mod entry;
+mod hosts;
 mod parts;
 mod path;
 mod plans;
+mod renew;
 
 pub use parts::{is_meant, Partner, Tenant, PARTS_MAX};
 pub use path::{PathError, Reader};
@@ -75,6 +79,8 @@
     pub precedence: u32,
     pub service: String,
     pub max_attempts: u32,
+    /// The beginning of paths that it is for; none where it is for all.
+    pub prefix: Option<Box<str>>,
 }
 
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -91,12 +97,14 @@
     pub txn_idle_us: u64,
 }
 
+pub type Services = hashbrown::HashMap<String, Service, Fixed>;
+
 /// One whole configuration under its version.
 #[derive(Clone, Debug)]
 pub struct Conf {
     pub version: u64,
     pub routes: Vec<std::rc::Rc<Route>>,
-    pub services: hashbrown::HashMap<String, Service, Fixed>,
+    pub services: std::rc::Rc<Services>,
     pub limits: Limits,
     /// Sections that may be absent; without them nothing is divided and nothing owned.
     pub tenants: Vec<Tenant>,
@@ -105,94 +113,64 @@
     pub shards: Vec<String>,
     /// The services that are to be split in time.
     pub plans: Vec<ShardPlan>,
-    hosts: hashbrown::HashMap<String, usize, Fixed>,
-}
-
-fn ms(reader: &Reader<'_>, path: &str) -> Result<u64, PathError> {
-    reader.number(path).map(|ms| (ms * 1000.0) as u64)
-}
-
-fn ms_or(reader: &Reader<'_>, path: &str, default: u64) -> Result<u64, PathError> {
-    if reader.has(path) {
-        ms(reader, path)
-    } else {
-        Ok(default)
-    }
-}
-
-fn read_route(reader: &Reader<'_>) -> Result<(Route, String), ConfError> {
-    let label = reader.text("label")?.to_owned();
-    let expiry_us = ms(reader, "expiryMs")?;
-    // A statement that may take no time could never be served: the operator meant something else.
-    if expiry_us == 0 {
-        return Err(ConfError::NoLimit(label));
-    }
-    // An unknown category is the strictest one, so that a newer word never weakens a promise.
-    let category = match reader.text("category").unwrap_or("primary") {
-        "bounded_staleness" => Category::Bounded { stale_us: ms_or(reader, "maxStalenessMs", 0)? },
-        _ => Category::Primary,
-    };
-    let prefix = if reader.has("pathPrefix") { reader.text("pathPrefix")?.to_owned() } else { "/".to_owned() };
-    let route = Route {
-        host: reader.text("host")?.to_owned(),
-        category,
-        expiry_us,
-        target_us: ms_or(reader, "targetMs", expiry_us)?.max(1000),
-        precedence: reader.whole_or("precedence", 1)?.min(255) as u32,
-        service: reader.text("destination")?.to_owned(),
-        max_attempts: reader.whole_or("maxAttempts", 1)?.clamp(1, 16) as u32,
-        label,
-    };
-    Ok((route, prefix))
-}
-
-fn read_service(reader: &Reader<'_>) -> Result<Service, ConfError> {
-    Ok(Service {
-        label: reader.text("label")?.to_owned(),
-        max_connections: reader.whole_or("maxConnections", 64)?.clamp(1, 100_000) as u32,
-        sync_replicas: reader.whole_or("syncReplicas", 0)?.min(1000) as u32,
-    })
+    /// The labels of the services in their order.
+    labels: std::rc::Rc<Vec<String>>,
+    hosts: std::rc::Rc<hosts::Hosts>,
+    /// The text that all this was read of, and where its routes and services stand in it.
+    body: std::rc::Rc<[u8]>,
+    entries: Vec<cut::Entry>,
+    /// How many entries were read, rather than taken from an older configuration.
+    pub fresh: usize,
 }
 
 impl Conf {
+    /// Reads the whole text.
     pub fn parse(body: &[u8]) -> Result<Conf, ConfError> {
         let value: serde_json::Value = serde_json::from_slice(body)?;
-        let reader = Reader::new(&value);
+        let mut conf = Conf::read(&value, &renew::Known::none())?;
+        conf.entries = cut::entries(body, &conf);
+        conf.body = body.into();
+        Ok(conf)
+    }
+
+    /// Reads a value whose lists may hold, in place of entries that are known, what tells which they are.
+    fn read(value: &serde_json::Value, known: &renew::Known<'_>) -> Result<Conf, ConfError> {
+        let reader = Reader::new(value);
         let version = reader.whole("issue")?;
-        let mut services = hashbrown::HashMap::default();
         let (service_list, route_list) = (reader.list("services")?, reader.list("routing")?);
-        if service_list.len() > ENTRIES_MAX || route_list.len() > ENTRIES_MAX {
+        if known.count(&service_list) > ENTRIES_MAX || known.count(&route_list) > ENTRIES_MAX {
             return Err(ConfError::TooMany);
         }
-        for entry in service_list {
-            let service = read_service(&entry)?;
-            let label = service.label.clone();
-            if services.insert(label.clone(), service).is_some() {
-                return Err(ConfError::SameService(label));
-            }
-        }
-        let mut places = hashbrown::HashSet::new();
-        let (mut routes, mut hosts) = (Vec::new(), hashbrown::HashMap::default());
+        let shared = known.services(&service_list);
+        let is_shared = shared.is_some();
+        let (services, labels) = shared.map_or_else(|| entry::services(&service_list, known), Ok)?;
+        let mut routes = Vec::new();
+        let mut hosts = hosts::Entering::new(known.old());
         for entry in route_list {
-            let (route, prefix) = read_route(&entry)?;
-            if !services.contains_key(&route.service) {
-                return Err(ConfError::UnknownService(route.label, route.service));
-            }
-            if !places.insert((route.host.clone(), prefix.clone())) {
-                return Err(ConfError::SamePlace(route.host, prefix));
+            let run = known.run(&entry);
+            let fresh = if run.is_none() { Some(std::rc::Rc::new(entry::route(&entry)?)) } else { None };
+            // A route that stood there before names one of the same services.
+            let is_checked = run.is_some() && is_shared;
+            for route in run.into_iter().flatten().filter_map(|at| known.route(*at)).chain(fresh) {
+                if !is_checked && !services.contains_key(&route.service) {
+                    return Err(ConfError::UnknownService(route.label.clone(), route.service.clone()));
+                }
+                if !hosts.enter(&routes, &route) {
+                    let prefix = route.prefix.as_deref().unwrap_or("/").to_owned();
+                    return Err(ConfError::SamePlace(route.host.clone(), prefix));
+                }
+                routes.push(route);
             }
-            // The wire has no paths: of several routes with one host the first one counts.
-            hosts.entry(route.host.clone()).or_insert(routes.len());
-            routes.push(std::rc::Rc::new(route));
         }
+        let hosts = hosts.end(&routes);
         let limits = Limits {
             line_bytes: (reader.whole_or("limits.headerBytes", 16_384)? as usize)
                 .saturating_add(reader.whole_or("limits.bodyBytes", 262_144)? as usize)
                 .clamp(1024, 1 << 20),
-            setup_us: ms_or(&reader, "limits.headerTimerMs", 3_000_000)?,
-            txn_idle_us: ms_or(&reader, "limits.txnIdleMs", 3_000_000)?,
+            setup_us: entry::ms_or(&reader, "limits.headerTimerMs", 3_000_000)?,
+            txn_idle_us: entry::ms_or(&reader, "limits.txnIdleMs", 3_000_000)?,
         };
-        let tenants = parts::tenants(&reader, |host| hosts.contains_key(host))?;
+        let tenants = parts::tenants(&reader, |host| hosts.find(&routes, host).is_some())?;
         let partners = parts::partners(&reader)?;
         let mut shards = parts::shards(&reader, |name| services.contains_key(name))?;
         // Where partners are named and no shards, all services are shared.
@@ -203,11 +181,32 @@
         let is_synced = |name: &str| services.get(name).map(|service: &Service| service.sync_replicas > 0);
         let routed = |name: &str| routes.iter().find(|route| route.service == name).map(|route| route.label.clone());
         let plans = plans::plans(&reader, is_synced, routed)?;
-        Ok(Conf { version, routes, services, limits, tenants, partners, shards, plans, hosts })
+        let (body, entries) = Default::default();
+        let fresh = (routes.len() + labels.len()).saturating_sub(known.taken());
+        Ok(Conf {
+            version,
+            routes,
+            services,
+            limits,
+            tenants,
+            partners,
+            shards,
+            plans,
+            labels,
+            hosts,
+            body,
+            entries,
+            fresh,
+        })
+    }
+
+    /// The text that this was read of.
+    pub fn body(&self) -> &std::rc::Rc<[u8]> {
+        &self.body
     }
 
     /// The route whose host is this database name.
     pub fn route(&self, database: &str) -> Option<&std::rc::Rc<Route>> {
-        self.hosts.get(database).and_then(|at| self.routes.get(*at))
+        self.hosts.find(&self.routes, database).and_then(|at| self.routes.get(at))
     }
 }
--- a/crates/wv-conf/src/path.rs
+++ b/crates/wv-conf/src/path.rs
@@ -95,6 +95,11 @@
         self.value.as_str().ok_or_else(|| PathError::Kind(self.base.clone(), "a text"))
     }
 
+    /// The value itself, where it is not what a reader of paths expects.
+    pub(crate) fn value(&self) -> &'a serde_json::Value {
+        self.value
+    }
+
     pub fn itself_whole(&self) -> Result<u64, PathError> {
         self.value.as_u64().ok_or_else(|| PathError::Kind(self.base.clone(), "a whole number"))
     }
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -40,7 +40,7 @@
             return self.ret(token, 413, "{\"cause\":\"the configuration is over the bound\"}");
         };
         // Checked also when its version is old: an invalid one is never acknowledged.
-        let conf = match wv_conf::Conf::parse(body) {
+        let conf = match self.read_conf(body) {
             Ok(conf) => conf,
             Err(error) => return self.ret(token, 400, cause(&error.to_string())),
         };
@@ -53,7 +53,7 @@
         }
         let order = Order { number: conf.version, digest: digest(body) };
         self.waiting.insert(token, Waiting::Put(order));
-        self.quorum.start(token, CONF, Some(take(order, wv_pack::pack(body))), self.now);
+        self.quorum.start(token, CONF, Some(take(order, self.packs.pack(body))), self.now);
         self.run_quorum();
     }
 
@@ -79,10 +79,10 @@
         };
         if done.key == CONF {
             if let Outcome::Read(cell) | Outcome::Written(cell) | Outcome::Held(cell) = &done.outcome {
-                let base = self.published;
+                let is_news = cell.version > self.published;
                 self.in_force(cell);
-                if cell.version > base && matches!(waiting, Waiting::Put(_)) {
-                    self.tell_committed(base, CONF, done.accepted);
+                if is_news && matches!(waiting, Waiting::Put(_)) {
+                    self.tell_committed(CONF, done.accepted);
                 }
             }
         }
@@ -94,8 +94,8 @@
                 self.ret(done.token, 404, "{\"cause\":\"no configuration has been taken yet\"}")
             }
             (Waiting::Get, Outcome::Read(cell)) => {
-                match wv_pack::unpack(&Decided::read(&cell).body, crate::core::BODY_MAX) {
-                    Ok(body) => self.ret(done.token, 200, body.into_owned()),
+                match self.packs.unpack(&Decided::read(&cell).body, crate::core::BODY_MAX) {
+                    Ok(body) => self.ret(done.token, 200, body),
                     Err(error) => self.ret(done.token, 500, cause(&error.to_string())),
                 }
             }
@@ -140,8 +140,8 @@
             log::error!("number {} stands with two contents: {digest:x}, {:x}", cell.version, self.published_digest);
         }
         if cell.version > self.published && !cell.value.is_empty() {
-            match wv_pack::unpack(&decided.body, crate::core::BODY_MAX) {
-                Ok(body) => self.enter_conf(cell.version, &body),
+            match self.packs.unpack(&decided.body, crate::core::BODY_MAX) {
+                Ok(body) => self.enter_conf(cell.version, decided.body, &body),
                 Err(error) => {
                     (self.published, self.published_digest) = (cell.version, digest);
                     log::error!("the configuration in force: {error}");
@@ -149,16 +149,6 @@
             }
         }
     }
-
-    /// Takes over the configuration in force and tells all followers.
-    pub(crate) fn enter_conf(&mut self, version: u64, body: &[u8]) {
-        (self.published, self.published_digest) = (version, digest(body));
-        log::info!("in force {version}");
-        self.conf = wv_conf::Conf::parse(body).ok();
-        self.sync_slots();
-        let msg = self.feed.publish_conf(version, body);
-        self.tell_followers(&msg);
-    }
 }
 
 pub(crate) fn cause(text: &str) -> Vec<u8> {
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -55,6 +55,14 @@
     pub(crate) published: u64,
     /// The digest of its bytes: one number never stands for two contents.
     pub(crate) published_digest: u64,
+    /// Its text and its packed form.
+    pub(crate) packs: wv_pack::Packs,
+    /// When followers were last told of one, of which they were told before that, and whether there is a newer one.
+    pub(crate) conf_told: u64,
+    pub(crate) conf_base: u64,
+    pub(crate) is_conf_due: bool,
+    /// Control nodes without a vote are to hear of that one from this node.
+    pub(crate) is_teller: bool,
     /// How many callers this node has sent on.
     pub(crate) sent_on: usize,
     /// When this node last asked another one for a newer one.
@@ -141,6 +149,11 @@
             published: 0,
             published_digest: 0,
             armed: 0,
+            packs: Default::default(),
+            conf_told: 0,
+            conf_base: 0,
+            is_conf_due: false,
+            is_teller: false,
             sent_on: 0,
             lacked: 0,
             is_caught_up: false,
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -6,6 +6,7 @@
 mod exec;
 mod falls;
 mod fills;
+mod force;
 mod head;
 mod keep;
 mod operate;
--- a/crates/wv-control/src/order.rs
+++ b/crates/wv-control/src/order.rs
@@ -35,9 +35,13 @@
     pub body: Vec<u8>,
 }
 
-/// Which bytes they are; stable from build to build.
+/// Which bytes they are; stable from build to build. Eight at a time, as bodies are long.
 pub fn digest(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |sum, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
+    let mix = |sum: u64, word: u64| (sum ^ word).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29);
+    let words = bytes.chunks_exact(8);
+    let rest = words.remainder().iter().fold(bytes.len() as u64, |word, byte| word << 8 | u64::from(*byte));
+    let word = |word: &[u8]| word.first_chunk::<8>().map_or(0, |eight| u64::from_le_bytes(*eight));
+    mix(words.fold(0xcbf2_9ce4_8422_2325, |sum, eight| mix(sum, word(eight))), rest)
 }
 
 impl Decided {
--- a/crates/wv-control/src/thin.rs
+++ b/crates/wv-control/src/thin.rs
@@ -23,9 +23,8 @@
             }
             return;
         }
-        if version > self.published && self.lacked + LACK_US <= self.now {
-            self.lacked = self.now;
-            self.send_peer(addr, Msg::Lack { version: self.published });
+        if version > self.published {
+            self.lack(addr, self.published);
         }
         // Whatever was acknowledged stands on a majority: nothing newer than what is here, if a majority has nothing.
         self.is_caught_up |= self.has_newest();
@@ -45,22 +44,17 @@
         !voters.members.is_empty() && heard.count() >= self.quorum.majority()
     }
 
-    /// Voters hold the cell already and hear that it counts; the others hear what differs from the one before.
-    pub(crate) fn tell_committed(&mut self, base: u64, key: &str, accepted: wv_inner::Ballot) {
-        let (voters, others): (Vec<String>, Vec<String>) =
-            self.peers.keys().cloned().partition(|addr| self.quorum.voters().has(addr));
-        for addr in voters {
-            self.send_peer(&addr, Msg::Committed { key: key.to_owned(), accepted });
-        }
-        let news = self.feed.conf_since(base);
-        for addr in others {
-            self.send_peer(&addr, Msg::InForce(news.clone()));
+    /// Asks for what is newer than `version`; not again while the answer may be under way.
+    fn lack(&mut self, addr: &str, version: u64) {
+        if self.lacked + LACK_US <= self.now {
+            self.lacked = self.now;
+            self.send_peer(addr, Msg::Lack { version });
         }
     }
 
     /// Another node holds an older configuration than the one in force.
     pub(crate) fn take_lack(&mut self, link: u64, version: u64) {
-        if version < self.published {
+        if version < self.feed.conf_version() {
             let news = self.feed.conf_since(version);
             self.send(link, Msg::InForce(news));
         }
@@ -71,25 +65,24 @@
         for news in news {
             let read = match news {
                 News::Conf { version, body } if version > self.published => {
-                    wv_pack::unpack(&body, crate::core::BODY_MAX).map(|body| (version, body.into_owned()))
+                    self.packs.unpack(&body, crate::core::BODY_MAX).map(|text| (version, body, text))
                 }
                 News::ConfChange { base, version, change } if version > self.published => {
                     if base != self.published {
-                        self.send_peer(addr, Msg::Lack { version: self.published });
-                        return;
+                        return self.lack(addr, self.published);
                     }
-                    let body = self.feed.conf_body().unwrap_or_default();
-                    wv_pack::apply(body, &change, crate::core::BODY_MAX).map(|body| (version, body))
+                    let (held, _) = self.packs.held();
+                    let made = wv_pack::apply(&held, &change, crate::core::BODY_MAX);
+                    made.map(|text| (version, self.packs.pack(&text), text))
                 }
                 _ => continue,
             };
             match read {
-                Ok((version, body)) => self.enter_conf(version, &body),
+                Ok((version, packed, text)) => self.enter_conf(version, packed, &text),
                 // Not made of what is held here: the whole is asked for.
                 Err(error) => {
                     log::error!("the configuration in force: {error}");
-                    self.send_peer(addr, Msg::Lack { version: 0 });
-                    return;
+                    return self.lack(addr, 0);
                 }
             }
         }
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -49,6 +49,7 @@
         if !self.is_caught_up && self.is_fresh() && !self.is_thin() {
             self.sync_conf();
         }
+        self.tell_conf();
         self.serve_follows();
         self.keep_table();
         self.roster.tick(self.now);
--- a/crates/wv-feed/src/follow.rs
+++ b/crates/wv-feed/src/follow.rs
@@ -8,7 +8,7 @@
     life: u64,
     place: u64,
     /// The configuration in force: its version, the news of it packed, and its body.
-    conf: Option<(u64, News, Vec<u8>)>,
+    conf: Option<(u64, News, std::rc::Rc<[u8]>)>,
     nodes: u32,
     leads: std::collections::BTreeMap<String, Lead>,
     owners: std::collections::BTreeMap<String, Owner>,
@@ -30,17 +30,23 @@
         }
     }
 
-    /// A configuration came into force: followers hear what differs, newcomers the whole.
-    pub fn publish_conf(&mut self, version: u64, body: &[u8]) -> Msg {
-        let whole = News::Conf { version, body: wv_pack::pack(body) };
+    /// A configuration came into force, `body` and the same `packed`: followers hear what differs from the one before,
+    /// newcomers the whole.
+    pub fn publish_conf(&mut self, version: u64, packed: Vec<u8>, body: std::rc::Rc<[u8]>) -> Msg {
+        let whole = News::Conf { version, body: packed };
         let news = match self.conf.take() {
-            Some((base, _, old)) => News::ConfChange { base, version, change: wv_pack::delta(&old, body) },
+            Some((base, _, old)) => News::ConfChange { base, version, change: wv_pack::delta(&old, &body) },
             None => whole.clone(),
         };
-        self.conf = Some((version, whole, body.to_vec()));
+        self.conf = Some((version, whole, body));
         self.publish(news)
     }
 
+    /// The version of the configuration that followers were told last, 0 for none.
+    pub fn conf_version(&self) -> u64 {
+        self.conf.as_ref().map_or(0, |conf| conf.0)
+    }
+
     /// What makes the configuration in force of that of `version`: the changes since where they are still held and
     /// shorter, else the whole; nothing where it is that one.
     pub fn conf_since(&self, version: u64) -> Vec<News> {
@@ -61,11 +67,6 @@
         }
     }
 
-    /// The body of the configuration in force.
-    pub fn conf_body(&self) -> Option<&[u8]> {
-        self.conf.as_ref().map(|(_, _, body)| &body[..])
-    }
-
     /// Numbers a change; the caller sends the message to its followers.
     pub fn publish(&mut self, news: News) -> Msg {
         match &news {
--- a/crates/wv-fleet/src/lib.rs
+++ b/crates/wv-fleet/src/lib.rs
@@ -24,7 +24,7 @@
 pub use load::Load;
 pub use log::Answer;
 pub use oracle::Oracle;
-pub use world::World;
+pub use world::{Crossed, World};
 
 /// Virtual milliseconds in whole microseconds.
 pub const MS: u64 = 1000;
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -79,7 +79,8 @@
                 let far = self.controls[at].far.get(&link).copied();
                 let is_cut = far.is_some_and(|far| self.is_cut_ends(to, far));
                 if !is_cut {
-                    self.weigh(at, &msg);
+                    let name = self.controls[at].name.clone();
+                    self.weigh(&name, &msg);
                     self.with_control(at, |core, now| core.msg(link, msg, now));
                 }
             }
@@ -89,6 +90,8 @@
                     return;
                 }
                 self.access[at].heard = self.now;
+                let name = self.access[at].name.clone();
+                self.weigh(&name, &msg);
                 match msg {
                     Msg::Beat { fresh: false } => self.access[at].heard = 0,
                     Msg::Beat { .. } | Msg::Peers { .. } => {}
@@ -110,12 +113,15 @@
         }
     }
 
-    fn weigh(&mut self, at: usize, msg: &Msg) {
-        if let Some(crossed) = self.crossed.as_mut() {
-            let mut frame = Vec::new();
-            wv_inner::put_frame(&mut frame, msg);
-            *crossed.entry(at).or_default() += frame.len() as u64;
-        }
+    fn weigh(&mut self, name: &str, msg: &Msg) {
+        let Some(crossed) = self.crossed.as_mut() else { return };
+        let mut frame = Vec::new();
+        wv_inner::put_frame(&mut frame, msg);
+        let held = crossed.entry(name.to_owned()).or_default();
+        held.bytes += frame.len() as u64;
+        let is_conf =
+            |news: &wv_inner::News| matches!(news, wv_inner::News::Conf { .. } | wv_inner::News::ConfChange { .. });
+        held.confs += u64::from(matches!(msg, Msg::Change { news, .. } if is_conf(news)));
     }
 
     fn is_cut_ends(&self, one: End, other: End) -> bool {
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -8,6 +8,13 @@
 /// One way between any two processes.
 pub(crate) const HOP: u64 = MS / 2;
 
+/// Bytes, and how many of the messages told of a configuration.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Crossed {
+    pub bytes: u64,
+    pub confs: u64,
+}
+
 pub struct World {
     pub now: u64,
     turn: u64,
@@ -50,8 +57,8 @@
     pub epoch_us: u64,
     /// How many things loads write to; 0 for a single one.
     pub things: u64,
-    /// Bytes that came to each control node over its links, where a story weighs them.
-    pub crossed: Option<BTreeMap<usize, u64>>,
+    /// What came to each node over its links with control nodes, by its name, where a story weighs it.
+    pub crossed: Option<BTreeMap<String, Crossed>>,
     /// What happened, a line each, where a story or the replay wants it.
     pub course: Vec<(u64, String)>,
 }
--- a/crates/wv-fleet/tests/change.rs
+++ b/crates/wv-fleet/tests/change.rs
@@ -38,11 +38,11 @@
     world.returns.get(&token).map_or(0, |ret| ret.0)
 }
 
-/// What came to one control node meanwhile, in bytes.
-fn crossed(world: &mut World, at: usize, course: impl FnOnce(&mut World)) -> u64 {
+/// What came to one node meanwhile.
+fn crossed(world: &mut World, name: &str, course: impl FnOnce(&mut World)) -> wv_fleet::Crossed {
     world.crossed = Some(Default::default());
     course(world);
-    world.crossed.take().and_then(|crossed| crossed.get(&at).copied()).unwrap_or_default()
+    world.crossed.take().and_then(|crossed| crossed.get(name).copied()).unwrap_or_default()
 }
 
 fn version(world: &World, at: usize) -> u64 {
@@ -54,17 +54,17 @@
     let mut world = fleet();
     let packed = wv_pack::pack(&long(5, 2000)).len() as u64;
     expect_that!(packed, gt(20_000));
-    let first = crossed(&mut world, 7, |world| expect_that!(put(world, 0, &long(5, 2000)), eq(200)));
+    let first = crossed(&mut world, "c7", |world| expect_that!(put(world, 0, &long(5, 2000)), eq(200)));
     expect_that!(version(&world, 7), eq(5));
-    expect_that!(first, lt(2 * packed));
-    let quiet = crossed(&mut world, 7, |world| world.run(10 * 1200 * MS));
-    let changes = crossed(&mut world, 7, |world| {
+    expect_that!(first.bytes, lt(2 * packed));
+    let quiet = crossed(&mut world, "c7", |world| world.run(10 * 1200 * MS));
+    let changes = crossed(&mut world, "c7", |world| {
         (6..16).for_each(|version| {
             expect_that!(put(world, version as usize % 7, &long(version, 2000 + version as usize)), eq(200))
         });
     });
     expect_that!(version(&world, 7), eq(15));
-    expect_that!(changes, lt(quiet + 10_000), "quiet {quiet}");
+    expect_that!(changes.bytes, lt(quiet.bytes + 10_000), "quiet {quiet:?}");
 }
 
 #[gtest]
@@ -73,17 +73,17 @@
     expect_that!(put(&mut world, 0, &long(5, 2000)), eq(200));
     let packed = wv_pack::pack(&long(5, 2000)).len() as u64;
     restart_thin(&mut world, 7);
-    let start = crossed(&mut world, 7, |world| world.run(2 * S));
+    let start = crossed(&mut world, "c7", |world| world.run(2 * S));
     expect_that!(version(&world, 7), eq(5));
-    expect_that!(start, lt(packed + 20_000));
+    expect_that!(start.bytes, lt(packed + 20_000));
     // A writer that dies before it tells anyone: what it wrote comes there all the same, and once.
     let token = world.call(1, "PUT", "/configuration", &long(6, 2001));
     world.run(1700);
     world.kill_control(1);
     expect_that!(world.returns.get(&token), none());
-    let told = crossed(&mut world, 7, |world| world.run(3 * S));
+    let told = crossed(&mut world, "c7", |world| world.run(3 * S));
     expect_that!(version(&world, 7), eq(6));
-    expect_that!(told, lt(20_000));
+    expect_that!(told.bytes, lt(20_000));
 }
 
 #[gtest]
@@ -106,3 +106,30 @@
     let token = world.call(7, "PUT", "/configuration", &World::conf(9));
     expect_that!(world.returns.get(&token).map(|ret| ret.0), some(eq(503)));
 }
+
+#[gtest]
+fn given_changes_that_follow_each_other_then_followers_hear_of_the_newest_in_steps_and_of_one_alone_at_once() {
+    let mut world = World::serving(2, 3);
+    // Between two turns of the control nodes.
+    world.run(S + 30 * MS);
+    let told = crossed(&mut world, "a0", |world| {
+        let token = world.call(0, "PUT", "/configuration", &long(2, 20));
+        world.run(20 * MS);
+        expect_that!(world.returns.get(&token).map(|ret| ret.0), some(eq(200)));
+        let client = world.client(0, "p");
+        expect_that!(world.take(client), elements_are![eq("IDLE I -")]);
+    });
+    expect_that!(told.confs, eq(1));
+    // Forty in two seconds, to one node after the other: one in force everywhere is never older than the last.
+    let told = crossed(&mut world, "a0", |world| {
+        for version in 3..43 {
+            world.call(version as usize % 3, "PUT", "/configuration", &long(version, 20 + version as usize % 2));
+            world.run(50 * MS);
+        }
+        world.run(300 * MS);
+    });
+    expect_that!(told.confs, ge(8));
+    expect_that!(told.confs, le(16));
+    (0..3).for_each(|at| expect_that!(version(&world, at), eq(42)));
+    (0..2).for_each(|at| expect_that!(world.access[at].core.as_ref().map_or(0, |core| core.conf_version()), eq(42)));
+}
--- a/crates/wv-pack/src/delta.rs
+++ b/crates/wv-pack/src/delta.rs
@@ -26,17 +26,21 @@
     pieces: Vec<Piece>,
 }
 
-fn split(body: &[u8]) -> impl Iterator<Item = &[u8]> {
-    body.split_inclusive(|byte| *byte == b'}')
+/// The text cut behind each place where an object ends.
+pub(crate) fn split(body: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut from = 0;
+    let ends = memchr::memchr_iter(b'}', body).map(|at| at + 1);
+    let last = (!body.is_empty() && !body.ends_with(b"}")).then_some(body.len());
+    ends.chain(last).map(move |end| &body[std::mem::replace(&mut from, end)..end])
 }
 
 /// What makes `new` of `old`.
 pub fn delta(old: &[u8], new: &[u8]) -> Vec<u8> {
-    let places: hashbrown::HashMap<&[u8], u32, ahash::RandomState> =
-        split(old).enumerate().map(|(at, piece)| (piece, at as u32)).collect();
+    let olds: Vec<&[u8]> = split(old).collect();
+    let mut align = crate::Align::new(olds.len(), |at| olds[at]);
     let mut pieces: Vec<Piece> = Vec::new();
     for piece in split(new) {
-        let place = places.get(piece).copied();
+        let place = align.find(piece).map(|at| at as u32);
         match (pieces.last_mut(), place) {
             (Some(Piece::Copy { from, count }), Some(place)) if *from + *count == place => *count += 1,
             (_, Some(from)) => pieces.push(Piece::Copy { from, count: 1 }),
@@ -55,13 +59,15 @@
     if change.form != FORM || change.len as usize > bound {
         return Err(PackError::Change);
     }
-    let olds: Vec<&[u8]> = split(old).collect();
+    let mut ends = vec![0];
+    split(old).for_each(|piece| ends.push(ends[ends.len() - 1] + piece.len()));
     let mut new = Vec::with_capacity(change.len as usize);
     for piece in &change.pieces {
         match piece {
             Piece::Copy { from, count } => {
                 let (from, to) = (*from as usize, (*from as usize).saturating_add(*count as usize));
-                olds.get(from..to).ok_or(PackError::Change)?.iter().for_each(|piece| new.extend_from_slice(piece));
+                let (start, end) = ends.get(from).zip(ends.get(to)).ok_or(PackError::Change)?;
+                new.extend_from_slice(old.get(*start..*end).ok_or(PackError::Change)?);
             }
             Piece::Bytes(bytes) => new.extend_from_slice(bytes),
         }
--- a/crates/wv-pack/src/lib.rs
+++ b/crates/wv-pack/src/lib.rs
@@ -1,6 +1,10 @@
-//! Long bodies made short: packed as a whole, or told as what differs from a body that the other side holds.
+//! Long bodies made short: packed, or told as what differs from a body that the other side holds.
+mod align;
+mod chunks;
 mod delta;
 
+pub use align::Align;
+pub use chunks::Packs;
 pub use delta::{apply, delta};
 
 #[derive(thiserror::Error, Debug, PartialEq, Eq)]
@@ -35,12 +39,13 @@
     out
 }
 
-/// The body again, whether it was packed or not; never longer than `bound`.
+/// The body again, whether it was packed, in chunks or as one, or not; never longer than `bound`.
 pub fn unpack(bytes: &[u8], bound: usize) -> Result<std::borrow::Cow<'_, [u8]>, PackError> {
     match bytes.split_first() {
         Some((&MARK, packed)) => miniz_oxide::inflate::decompress_to_vec_with_limit(packed, bound)
             .map(std::borrow::Cow::Owned)
             .map_err(|_| PackError::Packed),
+        Some((&chunks::MARK, _)) => Packs::default().unpack(bytes, bound).map(std::borrow::Cow::Owned),
         _ if bytes.len() > bound => Err(PackError::Packed),
         _ => Ok(std::borrow::Cow::Borrowed(bytes)),
     }
--- a/crates/wv-pack/tests/pack.rs
+++ b/crates/wv-pack/tests/pack.rs
@@ -1,5 +1,5 @@
 use googletest::prelude::*;
-use wv_pack::{apply, delta, pack, unpack, PackError};
+use wv_pack::{apply, delta, pack, unpack, Align, PackError, Packs};
 
 fn body(issue: u32, routes: std::ops::Range<u32>) -> Vec<u8> {
     let routes: Vec<String> =
@@ -37,3 +37,49 @@
     expect_that!(unpack(b"{}", 10).map(|body| body.into_owned()), ok(eq(&b"{}".to_vec())));
     expect_that!(unpack(&packed[..packed.len() / 2], 1 << 20).map(|body| body.into_owned()), err(anything()));
 }
+
+#[gtest]
+fn given_a_body_in_chunks_then_a_small_change_packs_and_unpacks_only_the_chunks_that_it_touches() {
+    let (old, new) = (body(1, 0..4000), body(2, 100..4001));
+    let mut packs = Packs::default();
+    let first = packs.pack(&old);
+    expect_that!(first.len(), lt(pack(&old).len() * 6 / 5));
+    packs.note(old.clone().into(), first.clone());
+    expect_that!(packs.pack(&old), eq(&first));
+    let second = packs.pack(&new);
+    // Of whatever came before, the same bytes: copies of one body on several nodes are alike.
+    expect_that!(second, eq(&Packs::default().pack(&new)));
+    let chunks = |bytes: &[u8]| -> Vec<Vec<u8>> {
+        let (mut at, mut found) = (1, Vec::new());
+        while at < bytes.len() {
+            let len = u32::from_le_bytes(bytes[at + 4..at + 8].try_into().expect("four bytes")) as usize;
+            found.push(bytes[at + 8..at + 8 + len].to_vec());
+            at += 8 + len;
+        }
+        found
+    };
+    let (olds, news) = (chunks(&first), chunks(&second));
+    expect_that!(news.len(), gt(8));
+    expect_that!(news.iter().filter(|chunk| !olds.contains(chunk)).count(), le(3));
+    for bytes in [&first, &second] {
+        let whole = if *bytes == first { &old } else { &new };
+        expect_that!(packs.unpack(bytes, 1 << 20), ok(eq(whole)));
+        expect_that!(unpack(bytes, 1 << 20).map(|body| body.into_owned()), ok(eq(whole)));
+        expect_that!(packs.unpack(bytes, whole.len() - 1), err(eq(&PackError::Packed)));
+    }
+    expect_that!(packs.unpack(&pack(&new), 1 << 20), ok(eq(&new)));
+    expect_that!(packs.unpack(&first[..first.len() - 1], 1 << 20), err(eq(&PackError::Packed)));
+    expect_that!(packs.unpack(&[3, 255, 255, 255, 255, 1, 0, 0, 0, 7], 1 << 20), err(eq(&PackError::Packed)));
+}
+
+#[gtest]
+fn given_pieces_that_moved_came_or_went_then_each_that_stood_before_is_found() {
+    let olds: Vec<Vec<u8>> = (0..100u32).map(|at| at.to_string().into_bytes()).collect();
+    let mut align = Align::new(olds.len(), |at| olds[at].as_slice());
+    let course = [("0", Some(0)), ("3", Some(3)), ("x", None), ("y", None), ("4", Some(4))];
+    // What lies further off is looked for once several in a row were not where they are expected.
+    let lost = [("90", None), ("91", None), ("92", None), ("93", Some(93)), ("94", Some(94)), ("2", None)];
+    for (wanted, found) in course.into_iter().chain(lost) {
+        expect_that!(align.find(wanted.as_bytes()), eq(found), "{wanted}");
+    }
+}
