Taking over stands by itself; a disk that is no member learns beforehand and says when it is ready

Cause: a newcomer counts in a set before it holds anything, and nobody could tell one that holds the state. Change: pull, pulled and give_all move from voters.rs into takeover.rs as they are. A disk that is no member of the newest set asks one voter at a time for what is newer and keeps it; Pong says `ready` where the last question answered so was put less than 1.2 s ago; Peer keeps it as `is_ready`.

--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -35,6 +35,9 @@
     pub(crate) seat: Seat,
     /// What members of the newest set and of the one before it hold, for a disk that is to vote.
     pub(crate) pulls: BTreeMap<String, (u64, Vec<(String, Held)>)>,
+    /// Whom a learner asked last and when, and when the last question was put after which it held all that was told.
+    pub(crate) asked: Option<(String, u64)>,
+    pub(crate) learnt: Option<u64>,
     pub(crate) change: Option<Change>,
     /// The highest fence met over the next set.
     pub(crate) met: u64,
@@ -135,6 +138,8 @@
             is_core: start.is_core,
             seat,
             pulls: BTreeMap::new(),
+            asked: None,
+            learnt: None,
             change: None,
             met: 0,
             changed: 0,
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -20,6 +20,7 @@
 mod run_texts;
 mod shards;
 mod sweep;
+mod takeover;
 mod thin;
 mod tick;
 mod types;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -146,12 +146,13 @@
                 let conf = self.store.get(crate::core::CONF).map_or(0, |held| held.cell.version);
                 let disk = self.is_core.then_some(self.seat.disk);
                 let set = self.seat.votes_in(&self.me);
-                self.send(link, Msg::Pong { request, conf, disk, set });
+                let ready = self.is_ready();
+                self.send(link, Msg::Pong { request, conf, disk, set, ready });
             }
-            Msg::Pong { conf, disk, set, .. } => {
+            Msg::Pong { conf, disk, set, ready, .. } => {
                 self.roster.peer_core(addr, disk.is_some());
                 if let Some(peer) = self.peers.get_mut(addr) {
-                    (peer.ponged, peer.disk, peer.set) = (self.now, disk, set);
+                    (peer.ponged, peer.disk, peer.set, peer.is_ready) = (self.now, disk, set, ready);
                 }
                 self.hear_version(addr, conf);
             }
@@ -164,7 +165,10 @@
                 self.quorum.voted(addr, (asker, request), &key, vote, self.now);
             }
             Msg::GetAll { voters, before, held } => self.give_all(link, &voters, &before, &held),
-            Msg::GotAll { set, cells } => self.pulled(addr, set, cells),
+            Msg::GotAll { set, cells } => {
+                self.learned(addr, set, &cells);
+                self.pulled(addr, set, cells);
+            }
             msg @ (Msg::Claim { .. } | Msg::Settle { .. }) => {
                 let word = self.change_word(msg);
                 word.into_iter().for_each(|word| self.send(link, word));
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -28,6 +28,7 @@
         if self.pinged + PING_US <= self.now {
             self.ping();
             self.pull();
+            self.learn();
             self.tell_sessions();
             self.beat_followers();
             self.forget_words();
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -1,7 +1,7 @@
-//! The set of voters in change: who plans it, how it is agreed on, and how a new member takes up its vote.
+//! The set of voters in change: who plans it, and how it is agreed on.
 use crate::core::{Core, FRESH_US};
-use wv_inner::{Held, Member, Msg, Voters};
-use wv_reg::{Change, End, Seat};
+use wv_inner::{Member, Msg, Voters};
+use wv_reg::{Change, End};
 
 /// The key of the duty of changing the voters.
 const DUTY: &str = "voters";
@@ -54,68 +54,6 @@
         self.ping();
     }
 
-    /// A member of the newest set that does not vote in it yet asks for what it must hold.
-    pub(crate) fn pull(&mut self) {
-        let is_due = self.seat.is_member(&self.me) && self.seat.votes_in(&self.me) == 0;
-        if !is_due {
-            return;
-        }
-        let (voters, before) = (self.seat.voters.clone(), self.seat.before.clone());
-        let msg = Msg::GetAll { voters: voters.clone(), before: before.clone(), held: Seat::held(&self.store) };
-        let addrs: std::collections::BTreeSet<&str> = voters.addrs().chain(before.addrs()).collect();
-        for addr in addrs.into_iter() {
-            self.send_peer(addr, msg.clone());
-        }
-        // This disk's own word on the set before counts as any other's.
-        if self.seat.set > 0 {
-            let (me, set) = (self.me.clone(), self.seat.set);
-            self.pulled(&me, set, Vec::new());
-        }
-    }
-
-    /// A majority of the set before, each of which has left it, holds whatever was acknowledged there; so does any
-    /// single voter of the newest set, which took it from such a majority. What was acknowledged in the newest set
-    /// stands on a majority of it without this disk.
-    pub(crate) fn pulled(&mut self, addr: &str, set: u64, cells: Vec<(String, Held)>) {
-        if !self.seat.is_member(&self.me) || self.seat.votes_in(&self.me) > 0 {
-            return;
-        }
-        self.pulls.insert(addr.to_owned(), (set, cells));
-        let (voters, before) = (&self.seat.voters, &self.seat.before);
-        let has_newest = self.pulls.values().any(|held| held.0 == voters.number);
-        let has_left = |addr: &&str| self.pulls.get(*addr).is_some_and(|held| held.0 == before.number);
-        let has_before = before.number > 0 && before.addrs().filter(has_left).count() >= before.majority();
-        if !has_newest && !has_before {
-            return;
-        }
-        let cells = std::mem::take(&mut self.pulls).into_values().flat_map(|(_, cells)| cells);
-        match self.seat.install(&mut self.store, cells) {
-            Ok(()) => {
-                log::warn!("this disk votes in set {}", self.seat.set);
-                self.ping();
-            }
-            Err(error) => log::error!("the registers of the new set are not kept: {error}"),
-        }
-    }
-
-    pub(crate) fn give_all(
-        &mut self,
-        link: u64,
-        voters: &Voters,
-        before: &Voters,
-        held: &[(String, wv_inner::Ballot, u64, u32)],
-    ) {
-        // Knowing of the set is to have left the one before: only then is what is told here final.
-        self.learn_voters(voters, before);
-        if self.seat.voters.number > voters.number {
-            let msg = self.peers_msg();
-            return self.send(link, msg);
-        }
-        if self.seat.set > 0 {
-            self.send(link, Msg::GotAll { set: self.seat.set, cells: Seat::cells(&self.store, held) });
-        }
-    }
-
     /// The holder of the duty looks whether the set should change, and drives an attempt under way.
     pub(crate) fn run_voters(&mut self) {
         let due = self.change.as_mut().map(|change| change.tick(self.now));
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -105,12 +105,14 @@
     Ping {
         request: u64,
     },
-    /// `disk` is the speaker's own (none where it keeps nothing), `set` the one it votes in, 0 for none.
+    /// `disk` is the speaker's own (none where it keeps nothing), `set` the one it votes in, 0 for none. `ready`: that
+    /// disk is no member of the newest set, and holds what a voter of it held but for the last moments.
     Pong {
         request: u64,
         conf: u64,
         disk: Option<u64>,
         set: u64,
+        ready: bool,
     },
     /// Calls on registers name the life that asks and the set they are counted in; voters of another one do not answer.
     Call {
