Ballots of a later set of voters are above all of an earlier one

Cause: promises were not carried over with the copies, so a proposal kept by one voter that was left behind could turn up in the next set above what that had decided in the meantime, and be helped along: an acknowledged change was undone. And a copy that came by taking over, below the taker's own promise, counted as accepted: a read showed it and a later straggler undid it. Change: the round of a ballot begins at the number of its set times 2^40; a copy of an earlier set is shown or left as it is only after it was proposed anew in this one. Disks of before are read on: their rounds belong to no set.

--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -118,8 +118,8 @@
     pub fn new(start: Start, mut store: Store) -> Result<Core, wv_reg::RegError> {
         let seat = Seat::open(&mut store, &start.me, &start.seeds, start.is_first, start.disk)?;
         let mut quorum = Quorum::new(start.who);
-        store.iter().for_each(|(_, held)| quorum.see(held.promised.max(held.accepted)));
         quorum.set_voters(seat.voters.clone());
+        store.iter().for_each(|(_, held)| quorum.see(held.promised.max(held.accepted)));
         let mut peers = BTreeMap::new();
         let known = seat.voters.addrs().chain(seat.before.addrs());
         for addr in start.seeds.iter().map(String::as_str).chain(known).filter(|addr| *addr != start.me) {
--- a/crates/wv-reg/src/attempt.rs
+++ b/crates/wv-reg/src/attempt.rs
@@ -1,9 +1,22 @@
 //! One attempt at one register: what voters have said so far, and what follows from it.
-use wv_inner::{Ballot, Cell, Held, Step, Vote};
+use wv_inner::{Ballot, Cell, Held, Step, Vote, Voters};
 
 /// What a caller makes of what stands: a cell to write in its place, or none to leave it.
 pub type Edit = Box<dyn Fn(&Cell) -> Option<Cell>>;
 
+/// Rounds of one set; those of a later set are all above them.
+const ROUNDS: u32 = 40;
+
+/// The set in which a ballot was proposed; 0 for those from before rounds told it.
+pub(crate) fn set_of(ballot: Ballot) -> u64 {
+    ballot.round >> ROUNDS
+}
+
+/// The round below all of the set.
+pub(crate) fn first_round(set: u64) -> u64 {
+    set << ROUNDS
+}
+
 /// One caller's wish: a read where there is no edit.
 pub(crate) struct Op {
     pub token: u64,
@@ -98,7 +111,8 @@
     }
 
     /// Takes a vote in.
-    pub fn hear(&mut self, voter: &str, vote: Vote, majority: usize) -> Next {
+    pub fn hear(&mut self, voter: &str, vote: Vote, voters: &Voters) -> Next {
+        let majority = voters.majority();
         match (&self.phase, vote) {
             (Phase::Looking | Phase::Preparing, Vote::Holds { accepted, cell }) => {
                 if self.copies.iter().any(|(known, _)| known == voter) {
@@ -110,9 +124,9 @@
                     return Next::Wait;
                 }
                 if matches!(self.phase, Phase::Looking) {
-                    self.looked(majority)
+                    self.looked(voters)
                 } else {
-                    self.prepared(majority)
+                    self.prepared(voters)
                 }
             }
             (Phase::Accepting { cell }, Vote::Accepted) => {
@@ -135,28 +149,31 @@
         self.copies.iter().fold(Held::default(), newest)
     }
 
-    /// A copy that a majority holds alike is decided.
-    fn is_agreed(&self, newest: &Held, majority: usize) -> bool {
+    /// A copy of this set that a majority holds alike is decided. One of an earlier set may have come by taking over,
+    /// below a promise: a later proposal of that set may still turn up. Where nobody wrote, there is nothing to undo.
+    fn is_agreed(&self, newest: &Held, voters: &Voters) -> bool {
         let is_same = |(_, copy): &&(String, Held)| copy.accepted == newest.accepted && copy.cell == newest.cell;
-        self.copies.iter().filter(is_same).count() >= majority
+        let is_empty = newest.cell == Cell::default() && newest.accepted == Ballot::default();
+        (is_empty || set_of(newest.accepted) == voters.number)
+            && self.copies.iter().filter(is_same).count() >= voters.majority()
     }
 
-    fn looked(&mut self, majority: usize) -> Next {
+    fn looked(&mut self, voters: &Voters) -> Next {
         let newest = self.newest();
         // Nothing is shown before a majority holds it, else a later reader could miss it.
-        if self.is_agreed(&newest, majority) {
+        if self.is_agreed(&newest, voters) {
             return Next::Decided(newest.accepted, newest.cell);
         }
         // A ballot has one cell for ever, so whoever sees it may help it along; nobody's proposal is disturbed by that.
-        // Copies from before there were ballots may differ under the lowest one: they need a proposal.
-        if newest.accepted == Ballot::default() {
+        // Copies of an earlier set, or from before there were ballots, need a proposal in this one.
+        if set_of(newest.accepted) != voters.number {
             return Next::Turn(Phase::Preparing, Ballot::default());
         }
         Next::Turn(Phase::Accepting { cell: newest.cell }, newest.accepted)
     }
 
     /// A majority takes nothing older any more: what may have been decided is among what it told.
-    fn prepared(&mut self, majority: usize) -> Next {
+    fn prepared(&mut self, voters: &Voters) -> Next {
         let newest = self.newest();
         let mut cell = newest.cell.clone();
         for op in &mut self.ops {
@@ -166,7 +183,7 @@
             cell = edited.unwrap_or(cell);
         }
         // Nobody changes anything and a majority holds it already: no second round.
-        if cell == newest.cell && self.is_agreed(&newest, majority) {
+        if cell == newest.cell && self.is_agreed(&newest, voters) {
             return Next::Decided(newest.accepted, cell);
         }
         Next::Turn(Phase::Accepting { cell }, self.ballot)
--- a/crates/wv-reg/src/quorum.rs
+++ b/crates/wv-reg/src/quorum.rs
@@ -1,6 +1,6 @@
 //! The proposer's side of all registers, after the published CASPaxos: a promise of a majority, then its acceptance;
 //! there is no log and no leader.
-use crate::attempt::{Attempt, Next, Op, Phase};
+use crate::attempt::{first_round, set_of, Attempt, Next, Op, Phase};
 use crate::done::{Done, Outcome};
 use crate::line::Line;
 use crate::Edit;
@@ -51,6 +51,8 @@
     /// A newer set counts from now on: whatever is under way begins again there. What it wrote to too few of the set
     /// before is either found again or was never promised.
     pub fn set_voters(&mut self, voters: Voters) {
+        // What is proposed in a later set is above all that any straggler of an earlier one still holds.
+        self.round = self.round.max(first_round(voters.number));
         self.voters = voters;
         let keys: Vec<String> = self.lines.keys().cloned().collect();
         keys.iter().for_each(|key| self.restart(key));
@@ -74,9 +76,12 @@
         self.next_request
     }
 
-    /// A ballot was heard of: the next own one is above it.
+    /// A ballot was heard of: the next own one is above it. Those of a set that is not known here yet do not count: no
+    /// proposal of this set may pass for one of theirs.
     pub fn see(&mut self, ballot: Ballot) {
-        self.round = self.round.max(ballot.round);
+        if set_of(ballot) <= self.voters.number {
+            self.round = self.round.max(ballot.round);
+        }
     }
 
     /// Reads `key`; with an edit, changes it atomically. The edit may be tried on several cells and must depend on
@@ -120,10 +125,9 @@
             Vote::Refused { promised } => self.see(*promised),
             Vote::Accepted => {}
         }
-        let majority = self.majority();
         let attempt = self.lines.get_mut(key).and_then(|line| line.active.as_mut());
         let Some(attempt) = attempt.filter(|attempt| attempt.request == request) else { return };
-        match attempt.hear(voter, vote, majority) {
+        match attempt.hear(voter, vote, &self.voters) {
             Next::Wait => {}
             Next::Decided(accepted, cell) => self.decided(key, accepted, cell, now),
             // A look that needs a proposal begins one of its own.
