Taking over by digests over ranges of keys, in parts of 64 KiB, from one source at a time

Cause: a restarted member asked all of both sets for their whole state every 0.4 s; each answered with all of it in one frame (2 MiB at most, while a store may hold 8), and nothing was kept until everything was there. Change: Msg::Takeover in place of GetAll and GotAll. One digest first, 129 range digests where it differs, then parts of what is newer: the configuration, duties, the rest; each kept at once; one part under way; another source where one is silent. A learner goes the same way at rest. What voters keep is never refused for the store's bound; a register must fit a frame.

--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -2,7 +2,7 @@
 use crate::types::{Fall, Hold, Link, Peer, Waiting};
 use std::collections::BTreeMap;
 use wv_feed::{Feed, Table};
-use wv_inner::{Held, Msg, News};
+use wv_inner::{Msg, News};
 use wv_reg::{Change, Quorum, Seat, Store};
 use wv_roster::Roster;
 
@@ -33,11 +33,8 @@
     pub(crate) store: Store,
     pub(crate) is_core: bool,
     pub(crate) seat: Seat,
-    /// What members of the newest set and of the one before it hold, for a disk that is to vote.
-    pub(crate) pulls: BTreeMap<String, (u64, Vec<(String, Held)>)>,
-    /// Whom a learner asked last and when, and when the last question was put after which it held all that was told.
-    pub(crate) asked: Option<(String, u64)>,
-    pub(crate) learnt: Option<u64>,
+    /// How far this disk is with what voters hold, while it does not vote.
+    pub(crate) progress: crate::takeover::Progress,
     pub(crate) change: Option<Change>,
     /// The highest fence met over the next set.
     pub(crate) met: u64,
@@ -137,9 +134,7 @@
             store,
             is_core: start.is_core,
             seat,
-            pulls: BTreeMap::new(),
-            asked: None,
-            learnt: None,
+            progress: Default::default(),
             change: None,
             met: 0,
             changed: 0,
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -40,7 +40,7 @@
         owners.into_iter().for_each(|owner| self.send(link, owner));
         let maps: Vec<Msg> = self.feed.slots().values().cloned().map(Msg::Slots).collect();
         maps.into_iter().for_each(|map| self.send(link, map));
-        self.pull();
+        self.take_over();
     }
 
     pub fn link_down(&mut self, link: u64, now: u64) {
@@ -164,11 +164,7 @@
             Msg::Voted { asker, request, key, vote } => {
                 self.quorum.voted(addr, (asker, request), &key, vote, self.now);
             }
-            Msg::GetAll { voters, before, held } => self.give_all(link, &voters, &before, &held),
-            Msg::GotAll { set, cells } => {
-                self.learned(addr, set, &cells);
-                self.pulled(addr, set, cells);
-            }
+            Msg::Takeover(msg) => self.hear_takeover(link, addr, msg),
             msg @ (Msg::Claim { .. } | Msg::Settle { .. }) => {
                 let word = self.change_word(msg);
                 word.into_iter().for_each(|word| self.send(link, word));
--- a/crates/wv-control/src/takeover.rs
+++ b/crates/wv-control/src/takeover.rs
@@ -1,109 +1,211 @@
 //! How a disk comes to hold what the voters hold: a member of a new set before it votes, and a learner beforehand.
 use crate::core::Core;
-use wv_inner::{Held, Msg, Voters};
-use wv_reg::Seat;
+use std::collections::BTreeSet;
+use wv_inner::{Held, Msg, Takeover};
+use wv_reg::parts;
 
-/// A learner asks for what it lacks no more often.
-const LEARN_US: u64 = 800_000;
-/// Whoever has not answered within this is asked no more.
-const SILENT_US: u64 = 3_000_000;
-/// It counts as ready when a comparison that found nothing missing began no longer ago.
+/// A learner that holds everything compares again after this.
+const LEARN_US: u64 = 500_000;
+/// It counts as ready while the last comparison that ended with nothing missing began no longer ago.
 const READY_US: u64 = 1_200_000;
+/// Whoever has not answered within this is asked no more; doubled with each that stays silent in a row, up to sixteen
+/// times: a long register over a thin link takes its time.
+const SILENT_US: u64 = 600_000;
+
+/// One comparison with one source.
+struct Comparison {
+    source: String,
+    request: u64,
+    began: u64,
+    heard: u64,
+    /// The set in which the source voted last, once it said so.
+    set: u64,
+    /// Ranges that differ still, and how many of them were asked for last.
+    open: Vec<u32>,
+    asked: usize,
+}
+
+#[derive(Default)]
+pub(crate) struct Progress {
+    current: Option<Comparison>,
+    /// Members of the set before, which have left it and of which all stands here.
+    told: BTreeSet<String>,
+    /// Who stayed silent, since anybody last answered.
+    silent: Vec<String>,
+    /// When the last comparison began that ended with nothing missing.
+    learnt: Option<u64>,
+    /// No learner asks before this.
+    rests: u64,
+}
+
+impl Progress {
+    /// Another set is the newest: what was told for the one before counts no more. What stands here, stands.
+    pub fn restart(&mut self) {
+        *self = Progress::default();
+    }
+}
 
 impl Core {
-    /// A member of the newest set that does not vote in it yet asks for what it must hold.
-    pub(crate) fn pull(&mut self) {
-        let is_due = self.seat.is_member(&self.me) && self.seat.votes_in(&self.me) == 0;
-        if !is_due {
+    /// A member of the newest set that does not vote in it yet.
+    fn is_taking_over(&self) -> bool {
+        self.seat.is_member(&self.me) && self.seat.votes_in(&self.me) == 0
+    }
+
+    fn is_learner(&self) -> bool {
+        self.is_core && !self.seat.is_member(&self.me) && !self.seat.voters.members.is_empty()
+    }
+
+    /// Whether this disk, no member yet, lacks nothing but the last moments of what a voter held.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.is_learner() && self.progress.learnt.is_some_and(|at| at + READY_US > self.now)
+    }
+
+    /// Compares with one source at a time, and goes on to another where one is silent.
+    pub(crate) fn take_over(&mut self) {
+        let is_urgent = self.is_taking_over();
+        if !is_urgent && !self.is_learner() {
             return;
         }
-        let (voters, before) = (self.seat.voters.clone(), self.seat.before.clone());
-        let msg = Msg::GetAll { voters: voters.clone(), before: before.clone(), held: Seat::held(&self.store) };
-        let addrs: std::collections::BTreeSet<&str> = voters.addrs().chain(before.addrs()).collect();
-        for addr in addrs.into_iter() {
-            self.send_peer(addr, msg.clone());
+        let span = SILENT_US << self.progress.silent.len().min(4);
+        if let Some(held) = &self.progress.current {
+            let is_up = self.peers.get(&held.source).is_some_and(|peer| peer.is_up);
+            if is_up && held.heard + span > self.now {
+                return;
+            }
+            let source = held.source.clone();
+            self.progress.silent.push(source);
+            self.progress.current = None;
         }
-        // This disk's own word on the set before counts as any other's.
-        if self.seat.set > 0 {
-            let (me, set) = (self.me.clone(), self.seat.set);
-            self.pulled(&me, set, Vec::new());
+        if !is_urgent && self.progress.rests > self.now {
+            return;
         }
+        let Some(source) = self.next_source(is_urgent) else { return };
+        let (voters, before, request) =
+            (self.seat.voters.clone(), self.seat.before.clone(), self.quorum.next_request());
+        let sum = parts::total(&parts::sums(&self.store));
+        let (now, open) = (self.now, Vec::new());
+        self.send_peer(&source, Msg::Takeover(Takeover::Compare { request, voters, before, sum }));
+        self.progress.current = Some(Comparison { source, request, began: now, heard: now, set: 0, open, asked: 0 });
     }
 
-    /// A majority of the set before, each of which has left it, holds whatever was acknowledged there; so does any
-    /// single voter of the newest set, which took it from such a majority. What was acknowledged in the newest set
-    /// stands on a majority of it without this disk.
-    pub(crate) fn pulled(&mut self, addr: &str, set: u64, cells: Vec<(String, Held)>) {
-        if !self.seat.is_member(&self.me) || self.seat.votes_in(&self.me) > 0 {
-            return;
-        }
-        self.pulls.insert(addr.to_owned(), (set, cells));
+    /// A voter of the newest set tells all at once; else those of the set before, one after the other. Of equals the
+    /// one that has been silent least often.
+    fn next_source(&self, is_urgent: bool) -> Option<String> {
         let (voters, before) = (&self.seat.voters, &self.seat.before);
-        let has_newest = self.pulls.values().any(|held| held.0 == voters.number);
-        let has_left = |addr: &&str| self.pulls.get(*addr).is_some_and(|held| held.0 == before.number);
-        let has_before = before.number > 0 && before.addrs().filter(has_left).count() >= before.majority();
-        if !has_newest && !has_before {
-            return;
-        }
-        let cells = std::mem::take(&mut self.pulls).into_values().flat_map(|(_, cells)| cells);
-        match self.seat.install(&mut self.store, cells) {
-            Ok(()) => {
-                log::warn!("this disk votes in set {}", self.seat.set);
-                self.ping();
+        let addrs: BTreeSet<&str> = voters.addrs().chain(before.addrs().filter(|_| is_urgent)).collect();
+        let order = |addr: &&str| {
+            let peer = self.peers.get(*addr).filter(|peer| peer.is_up && !self.progress.told.contains(*addr))?;
+            let silent = self.progress.silent.iter().filter(|silent| silent == addr).count();
+            let is_voter = peer.set == voters.number;
+            (is_voter || is_urgent).then_some((silent, !is_voter, std::cmp::Reverse(peer.ponged)))
+        };
+        let ordered = addrs.into_iter().filter_map(|addr| Some((order(&addr)?, addr)));
+        ordered.min().map(|(_, addr)| addr.to_owned())
+    }
+
+    /// The side that is asked, and the side that asks.
+    pub(crate) fn hear_takeover(&mut self, link: u64, addr: &str, msg: Takeover) {
+        match msg {
+            Takeover::Compare { request, voters, before, sum } => {
+                // Knowing of the set is to have left the one before: only then is what is told here final.
+                self.learn_voters(&voters, &before);
+                if self.seat.voters.number > voters.number {
+                    let msg = self.peers_msg();
+                    return self.send(link, msg);
+                }
+                if self.seat.set > 0 {
+                    let sums = parts::sums(&self.store);
+                    let sums = if parts::total(&sums) == sum { Vec::new() } else { sums };
+                    self.send(link, Msg::Takeover(Takeover::Sums { request, set: self.seat.set, sums }));
+                }
+            }
+            Takeover::Lacking { request, ranges } => {
+                let (cells, is_whole) = parts::part(&self.store, &ranges);
+                self.send(link, Msg::Takeover(Takeover::Part { request, cells, is_whole }));
             }
-            Err(error) => log::error!("the registers of the new set are not kept: {error}"),
+            Takeover::Sums { request, set, sums } => self.compared(addr, request, set, &sums),
+            Takeover::Part { request, cells, is_whole } => self.told_part(addr, request, cells, is_whole),
         }
     }
 
-    pub(crate) fn give_all(
-        &mut self,
-        link: u64,
-        voters: &Voters,
-        before: &Voters,
-        held: &[(String, wv_inner::Ballot, u64, u32)],
-    ) {
-        // Knowing of the set is to have left the one before: only then is what is told here final.
-        self.learn_voters(voters, before);
-        if self.seat.voters.number > voters.number {
-            let msg = self.peers_msg();
-            return self.send(link, msg);
+    fn current(&mut self, addr: &str, request: u64) -> Option<&mut Comparison> {
+        let now = self.now;
+        let held = self.progress.current.as_mut().filter(|held| held.source == addr && held.request == request)?;
+        held.heard = now;
+        Some(held)
+    }
+
+    fn compared(&mut self, addr: &str, request: u64, set: u64, theirs: &[u64]) {
+        let ours = parts::sums(&self.store);
+        let Some(held) = self.current(addr, request) else { return };
+        let differs = |range: &u32| theirs.get(*range as usize).is_some_and(|sum| *sum != ours[*range as usize]);
+        (held.set, held.open) = (set, (0..parts::RANGES as u32).filter(differs).collect());
+        self.progress.silent.clear();
+        self.ask_part();
+    }
+
+    /// What came is kept at once, whoever it is from and however late: before it votes a disk may always hold more.
+    fn told_part(&mut self, addr: &str, request: u64, cells: Vec<(String, Held)>, is_whole: bool) {
+        if !self.is_taking_over() && !self.is_learner() {
+            return;
+        }
+        if let Err(error) = self.store.adopt(cells) {
+            log::error!("what a voter holds is not kept: {error}");
+            self.progress.current = None;
+            return;
         }
-        if self.seat.set > 0 {
-            self.send(link, Msg::GotAll { set: self.seat.set, cells: Seat::cells(&self.store, held) });
+        let Some(held) = self.current(addr, request) else { return };
+        if is_whole {
+            let asked = std::mem::take(&mut held.asked).min(held.open.len());
+            held.open.drain(..asked);
         }
+        self.progress.silent.clear();
+        self.ask_part();
     }
 
-    /// A disk that is no member holds what some voter holds all the same, so that it may become one at once.
-    pub(crate) fn learn(&mut self) {
-        let voters = &self.seat.voters;
-        if !self.is_core || self.seat.is_member(&self.me) || voters.members.is_empty() {
-            return;
+    /// One part is under way at a time: no link is filled, and those that are asked have their turns between.
+    fn ask_part(&mut self) {
+        let Some(held) = self.progress.current.as_mut() else { return };
+        if held.open.is_empty() {
+            return self.end_comparison();
         }
-        // One question at a time: what is told counts from when it was asked for.
-        let pause = self.asked.as_ref().map(|(_, at)| at + SILENT_US).or(self.learnt.map(|at| at + LEARN_US));
-        let asked = pause.unwrap_or(0);
-        let is_voter = |addr: &&str| self.peers.get(*addr).is_some_and(|peer| peer.is_up && peer.set == voters.number);
-        let Some(addr) = voters.addrs().find(is_voter).filter(|_| asked <= self.now).map(str::to_owned) else { return };
-        let (voters, before, held) = (voters.clone(), self.seat.before.clone(), Seat::held(&self.store));
-        self.asked = Some((addr.clone(), self.now));
-        self.send_peer(&addr, Msg::GetAll { voters, before, held });
+        let ranges = parts::listed(&self.store, &held.open);
+        held.asked = ranges.len();
+        let (source, request) = (held.source.clone(), held.request);
+        self.send_peer(&source, Msg::Takeover(Takeover::Lacking { request, ranges }));
     }
 
-    /// What a voter held when it was asked stands here now.
-    pub(crate) fn learned(&mut self, addr: &str, set: u64, cells: &[(String, Held)]) {
-        let is_asked = self.asked.as_ref().is_some_and(|(asked, _)| asked == addr);
-        if !is_asked || set != self.seat.voters.number || self.seat.is_member(&self.me) {
+    /// All that the source held when it was asked stands here.
+    fn end_comparison(&mut self) {
+        let Some(held) = self.progress.current.take() else { return };
+        self.progress.rests = self.now + LEARN_US;
+        let (voters, before) = (self.seat.voters.clone(), self.seat.before.clone());
+        if held.set == voters.number {
+            self.progress.learnt = Some(held.began);
+        }
+        if !self.is_taking_over() {
             return;
         }
-        match self.store.adopt(cells.to_vec()) {
-            Ok(_) => self.learnt = self.asked.take().map(|(_, at)| at),
-            Err(error) => log::warn!("what a voter holds is not kept: {error}"),
+        if held.set == before.number {
+            self.progress.told.insert(held.source);
+        }
+        // This disk's own word on the set before counts as any other's.
+        let has_left =
+            |addr: &&str| self.progress.told.contains(*addr) || (*addr == self.me && self.seat.set == before.number);
+        let has_before = before.number > 0 && before.addrs().filter(has_left).count() >= before.majority();
+        // A majority of the set before, each of which had left it when it told, holds whatever was acknowledged there;
+        // so does any single voter of the newest set, which took it from such a majority. What was acknowledged in the
+        // newest set stands on a majority of it without this disk.
+        if held.set != voters.number && !has_before {
+            return self.take_over();
+        }
+        match self.seat.install(&mut self.store) {
+            Ok(()) => {
+                log::warn!("this disk votes in set {}", self.seat.set);
+                self.progress.restart();
+                self.ping();
+            }
+            Err(error) => log::error!("the vote in the new set is not kept: {error}"),
         }
-    }
-
-    /// Whether this disk, no member yet, lacks nothing but the last moments of what a voter held.
-    pub(crate) fn is_ready(&self) -> bool {
-        let is_new = self.learnt.is_some_and(|at| at + READY_US > self.now);
-        self.is_core && is_new && !self.seat.is_member(&self.me)
     }
 }
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -27,8 +27,6 @@
         self.dial();
         if self.pinged + PING_US <= self.now {
             self.ping();
-            self.pull();
-            self.learn();
             self.tell_sessions();
             self.beat_followers();
             self.forget_words();
@@ -53,6 +51,7 @@
         self.tell_conf();
         self.serve_follows();
         self.keep_table();
+        self.take_over();
         self.roster.tick(self.now);
         self.settle_holders();
         self.run_voters();
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -47,10 +47,10 @@
         }
         self.quorum.set_voters(voters.clone());
         self.change = None;
-        self.pulls.clear();
+        self.progress.restart();
         let msg = self.peers_msg();
         self.send_peers(&msg);
-        self.pull();
+        self.take_over();
         self.ping();
     }
 
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -6,6 +6,7 @@
 mod nodes;
 mod register;
 mod slots;
+mod takeover;
 mod voters;
 
 pub use frame::{cut_frame, put_frame, InnerError, FRAME_MAX};
@@ -16,6 +17,7 @@
 pub use nodes::{Owner, Session};
 pub use register::{Ballot, Cell, Held, Step, Vote};
 pub use slots::{slot, Entry, Fill, Marks, Phase, Range, SlotMap, SLOTS};
+pub use takeover::{Known, Takeover};
 pub use voters::{Member, Voters};
 
 /// Who leads a service, as far as the control side knows; `term` 0 where only beats told it.
@@ -152,18 +154,7 @@
         request: u64,
         ok: bool,
     },
-    /// All registers, for a member of a settled set that does not vote in it yet.
-    GetAll {
-        voters: Voters,
-        before: Voters,
-        /// What the asker holds of each. Only what is newer is returned.
-        held: Vec<(String, Ballot, u64, u32)>,
-    },
-    /// `set` is the one in which the speaker voted last.
-    GotAll {
-        set: u64,
-        cells: Vec<(String, Held)>,
-    },
+    Takeover(Takeover),
     /// What was accepted under this ballot stands in a register by agreement, for voters, which have it.
     Committed {
         key: String,
--- a/crates/wv-reg/src/lib.rs
+++ b/crates/wv-reg/src/lib.rs
@@ -4,6 +4,7 @@
 mod done;
 mod files;
 mod line;
+pub mod parts;
 mod quorum;
 mod record;
 mod seat;
--- a/crates/wv-reg/src/seat.rs
+++ b/crates/wv-reg/src/seat.rs
@@ -126,17 +126,8 @@
         shared.map(|(key, copy)| (key.to_owned(), copy.accepted, copy.cell.version, copy.cell.tie)).collect()
     }
 
-    /// The registers of the set before, merged, make this disk a voter of the newest one.
-    pub fn install(&mut self, store: &mut Store, cells: impl Iterator<Item = (String, Held)>) -> Result<(), RegError> {
-        let mut merged: std::collections::BTreeMap<String, Held> = Default::default();
-        for (key, copy) in cells.filter(|(key, _)| !key.starts_with(LOCAL)) {
-            let held = merged.entry(key).or_default();
-            if copy.is_newer(held) {
-                *held = copy;
-            }
-        }
-        // First all copies, then the vote that rests on them: in between the disk only holds more.
-        store.adopt(merged.into_iter().collect())?;
+    /// All that was acknowledged in the set before stands on this disk: it votes in the newest one from now on.
+    pub fn install(&mut self, store: &mut Store) -> Result<(), RegError> {
         let changed = Seat { set: self.voters.number, fence: 0, next: None, ..self.clone() };
         self.turn(store, changed)
     }
--- a/crates/wv-reg/src/store.rs
+++ b/crates/wv-reg/src/store.rs
@@ -104,7 +104,7 @@
         if held.is_some_and(|held| held.accepted == ballot && held.cell == *cell) {
             return Ok(true);
         }
-        self.fits(cell)?;
+        self.fits(key, cell)?;
         let change = Change { key: key.to_owned(), promised: ballot, accepted: Some((ballot, cell.clone())) };
         self.change(vec![change]).map(|()| true)
     }
@@ -114,7 +114,7 @@
     pub fn adopt(&mut self, copies: Vec<(String, Held)>) -> Result<usize, RegError> {
         let is_news = |(key, copy): &(String, Held)| self.get(key).is_none_or(|held| copy.is_newer(held));
         let news: Vec<(String, Held)> = copies.into_iter().filter(is_news).collect();
-        news.iter().try_for_each(|(_, copy)| self.fits(&copy.cell))?;
+        // No bound here: those that told it keep it, and a vote must never wait for a local hint that is shorter there.
         let change = |(key, copy): (String, Held)| Change {
             key,
             promised: copy.accepted,
@@ -132,12 +132,15 @@
     pub fn put_local(&mut self, key: &str, value: Vec<u8>) -> Result<(), RegError> {
         let round = self.get(key).map_or(1, |held| held.accepted.round + 1);
         let (ballot, cell) = (Ballot { round, who: 0 }, crate::cell(round, value));
-        self.fits(&cell)?;
+        self.fits(key, &cell)?;
         self.change(vec![Change { key: key.to_owned(), promised: ballot, accepted: Some((ballot, cell)) }])
     }
 
-    fn fits(&self, cell: &Cell) -> Result<(), RegError> {
-        let is_over = cell.value.len() > STORE_MAX / 4 || self.size + cell.value.len() > STORE_MAX;
+    fn fits(&self, key: &str, cell: &Cell) -> Result<(), RegError> {
+        let replaced = self.get(key).map_or(0, |held| held.cell.value.len());
+        // A register crosses in one frame, with some room for what stands around it.
+        let is_long = cell.value.len() > wv_inner::FRAME_MAX - (64 << 10);
+        let is_over = is_long || self.size - replaced + cell.value.len() > STORE_MAX;
         if is_over {
             return Err(RegError::Oversize(cell.value.len()));
         }
