A set is sealed and handed over before its successor is settled; only learners that are ready come in

Change: claim, seal at a majority of the set, merge what it tells, hand it to a majority of the next set, and only then settle. Members that were handed all vote as soon as they hear that it is settled. A sealed set whose planner died is given a successor by the next one. The planner is a voter; it waits until every reachable member votes. Zones are spread. crates/wv-reg/tests/change.rs: the same story with the two new phases, and that nothing is proposed before them; cores there are ready learners, as plan now asks for.

--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -7,6 +7,7 @@
 mod falls;
 mod fills;
 mod force;
+mod handover;
 mod head;
 mod keep;
 mod operate;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -147,12 +147,14 @@
                 let disk = self.is_core.then_some(self.seat.disk);
                 let set = self.seat.votes_in(&self.me);
                 let ready = self.is_ready();
-                self.send(link, Msg::Pong { request, conf, disk, set, ready });
+                let sealed = if set == 0 { self.seat.sits_in(&self.me) } else { 0 };
+                self.send(link, Msg::Pong { request, conf, disk, set, sealed, ready });
             }
-            Msg::Pong { conf, disk, set, ready, .. } => {
+            Msg::Pong { conf, disk, set, sealed, ready, .. } => {
                 self.roster.peer_core(addr, disk.is_some());
                 if let Some(peer) = self.peers.get_mut(addr) {
-                    (peer.ponged, peer.disk, peer.set, peer.is_ready) = (self.now, disk, set, ready);
+                    (peer.ponged, peer.disk, peer.set) = (self.now, disk, set);
+                    (peer.sealed, peer.is_ready) = (sealed, ready);
                 }
                 self.hear_version(addr, conf);
             }
@@ -165,11 +167,15 @@
                 self.quorum.voted(addr, (asker, request), &key, vote, self.now);
             }
             Msg::Takeover(msg) => self.hear_takeover(link, addr, msg),
-            msg @ (Msg::Claim { .. } | Msg::Settle { .. }) => {
+            msg
+            @ (Msg::Claim { .. } | Msg::Seal { .. } | Msg::Fetch { .. } | Msg::Rest { .. } | Msg::Settle { .. }) => {
                 let word = self.change_word(msg);
                 word.into_iter().for_each(|word| self.send(link, word));
             }
-            msg @ (Msg::Claimed { .. } | Msg::Settled { .. }) => self.change_heard(addr, msg),
+            Msg::Lacking { request, held } => self.lacking(link, request, &held),
+            msg @ (Msg::Claimed { .. } | Msg::Sealed { .. } | Msg::Fetched { .. } | Msg::Settled { .. }) => {
+                self.change_heard(addr, msg)
+            }
             Msg::Committed { key, accepted } if key == crate::core::CONF => self.committed(accepted),
             Msg::Lack { version } => self.take_lack(link, version),
             Msg::InForce(news) => self.take_in_force(addr, news),
--- a/crates/wv-control/src/takeover.rs
+++ b/crates/wv-control/src/takeover.rs
@@ -48,7 +48,7 @@
 impl Core {
     /// A member of the newest set that does not vote in it yet.
     fn is_taking_over(&self) -> bool {
-        self.seat.is_member(&self.me) && self.seat.votes_in(&self.me) == 0
+        self.seat.is_member(&self.me) && self.seat.sits_in(&self.me) == 0
     }
 
     fn is_learner(&self) -> bool {
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -83,8 +83,12 @@
     /// The set it votes in and its disk, as it last said; `since` when it was first heard of.
     pub set: u64,
     pub disk: Option<u64>,
+    /// The set in which it is sealed for a successor that is not settled yet, 0 for none.
+    pub sealed: u64,
     /// Whether that disk, no member yet, lacked nothing but the last moments.
     pub is_ready: bool,
+    /// It has said that it is about to end.
+    pub is_leaving: bool,
     pub since: u64,
     pub zone: String,
     /// The version of the configuration that it last said to hold.
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -1,5 +1,6 @@
 //! The set of voters in change: who plans it, and how it is agreed on.
 use crate::core::{Core, FRESH_US};
+use crate::types::Peer;
 use wv_inner::{Member, Msg, Voters};
 use wv_reg::{Change, End};
 
@@ -7,6 +8,10 @@
 const DUTY: &str = "voters";
 /// Attempts follow each other no sooner.
 const PAUSE_US: u64 = 300_000;
+/// A set grows no sooner after the last change: nothing is lost while it waits.
+const GROW_US: u64 = 1_000_000;
+/// A member that is reachable and does not vote holds up the next change for no longer.
+const LATE_US: u64 = 5_000_000;
 /// Addresses that nobody has reached for this long, and that no set or seed names, are forgotten.
 const FORGOTTEN_US: u64 = 60_000_000;
 
@@ -33,7 +38,7 @@
 
     /// A settled set was heard of: it counts from now on, here and for whoever is told.
     pub(crate) fn learn_voters(&mut self, voters: &Voters, before: &Voters) {
-        let is_news = self.seat.learn(&mut self.store, voters, before).unwrap_or_else(|error| {
+        let is_news = self.seat.learn(&mut self.store, &self.me, voters, before).unwrap_or_else(|error| {
             log::error!("the set of voters is not kept: {error}");
             false
         });
@@ -43,10 +48,11 @@
         log::warn!("voters {}: {}", voters.number, voters.addrs().collect::<Vec<_>>().join(" "));
         for addr in voters.addrs().filter(|addr| *addr != self.me) {
             let since = self.now;
-            self.peers.entry(addr.to_owned()).or_insert_with(|| crate::types::Peer { since, ..Default::default() });
+            self.peers.entry(addr.to_owned()).or_insert_with(|| Peer { since, ..Default::default() });
         }
         self.quorum.set_voters(voters.clone());
         self.change = None;
+        self.changed = self.now;
         self.progress.restart();
         let msg = self.peers_msg();
         self.send_peers(&msg);
@@ -64,29 +70,59 @@
         }
     }
 
+    /// Whether this node is in fresh contact with a majority of the newest set that has a say on its successor: of those
+    /// that vote, and of those that are sealed for a successor which is not settled yet.
+    fn is_seated(&self) -> bool {
+        let voters = &self.seat.voters;
+        let is_heard = |peer: &&Peer| self.is_heard(peer) && peer.set.max(peer.sealed) == voters.number;
+        let others = voters.addrs().filter_map(|addr| self.peers.get(addr)).filter(is_heard).count();
+        let own = usize::from(self.seat.sits_in(&self.me) > 0);
+        !voters.members.is_empty() && own + others >= voters.majority()
+    }
+
+    pub(crate) fn is_heard(&self, peer: &Peer) -> bool {
+        peer.is_up && peer.ponged + FRESH_US > self.now
+    }
+
+    /// Of those that sit in the newest set and stay, one plans its successor: it holds nearly all that will be handed on.
+    fn is_planner(&self) -> bool {
+        let voters = &self.seat.voters;
+        let is_meant = |addr: &str| {
+            let is_member = |disk: u64| voters.members.iter().any(|member| member.addr == addr && member.disk == disk);
+            self.peers.get(addr).is_some_and(|peer| {
+                let is_seated = peer.set.max(peer.sealed) == voters.number && peer.disk.is_some_and(is_member);
+                is_seated && !peer.is_leaving
+            })
+        };
+        let is_own = self.is_core && self.seat.sits_in(&self.me) > 0 && !self.is_leaving;
+        is_own && self.roster.is_holder_among(DUTY, is_meant)
+    }
+
+    /// Whether every member that is reachable votes: before that nobody else is changed, so that what the set is meant to
+    /// bear it bears. One that does not come to vote is not waited for without end.
+    fn is_complete(&self) -> bool {
+        let number = self.seat.voters.number;
+        let is_behind = |addr: &str| self.peers.get(addr).is_some_and(|peer| self.is_heard(peer) && peer.set != number);
+        self.changed + LATE_US <= self.now || !self.seat.voters.addrs().any(is_behind)
+    }
+
     fn plan_change(&mut self) {
-        let is_ours = self.roster.is_holder(DUTY) && self.is_fresh() && self.changed + PAUSE_US <= self.now;
-        if !is_ours || self.is_leaving {
+        if self.changed + PAUSE_US > self.now || !self.is_planner() || !self.is_seated() {
             return;
         }
-        let own = self.is_core.then(|| (self.me.clone(), self.seat.disk, true));
-        let is_up = |peer: &crate::types::Peer| peer.is_up && peer.ponged + FRESH_US > self.now;
-        let others = self.peers.iter().filter_map(|(addr, peer)| Some((addr.clone(), peer.disk?, is_up(peer))));
-        let cores: Vec<wv_reg::Core> = own
-            .into_iter()
-            .chain(others)
-            .map(|(addr, disk, is_up)| wv_reg::Core { member: Member { addr, disk }, is_up })
-            .collect();
-        let away_us = |addr: &str| {
-            // What has no disk forgets with its process: it gives its place to the first that has one.
-            let is_forgetful = |peer: &crate::types::Peer| peer.ponged > 0 && peer.disk.is_none();
-            if (addr == self.me && !self.is_core) || self.peers.get(addr).is_some_and(is_forgetful) {
-                return wv_reg::AWAY_US;
-            }
-            let peer = self.peers.get(addr).filter(|peer| !is_up(peer));
-            peer.map_or(0, |peer| self.now.saturating_sub(peer.since.max(peer.ponged).max(self.born)))
+        let voters = &self.seat.voters;
+        let is_sealed = |addr: &str| self.peers.get(addr).is_some_and(|peer| peer.sealed == voters.number);
+        // A predecessor began what it could not end: the set must not stay sealed without a successor.
+        let is_begun = self.seat.votes_in(&self.me) == 0 || voters.addrs().any(is_sealed);
+        if !is_begun && !self.is_complete() {
+            return;
+        }
+        let same = || Voters { number: voters.number + 1, members: voters.members.clone() };
+        let next = wv_reg::plan(voters, &self.cores(), |addr| self.away_us(addr)).or_else(|| is_begun.then(same));
+        let is_larger = |next: &Voters| next.members.len() > voters.members.len();
+        let Some(next) = next.filter(|next| is_begun || !is_larger(next) || self.changed + GROW_US <= self.now) else {
+            return;
         };
-        let Some(next) = wv_reg::plan(&self.seat.voters, &cores, away_us) else { return };
         let own = self.me.bytes().fold(0u64, |sum, byte| (sum * 31 + u64::from(byte)) & 0xffff);
         let fence = (((self.met.max(self.seat.fence) >> 16) + 1) << 16) | own;
         log::warn!("set {} is to follow: {}", next.number, next.addrs().collect::<Vec<_>>().join(" "));
@@ -96,6 +132,38 @@
         self.run_voters();
     }
 
+    /// The machines that could vote, as they are known here.
+    fn cores(&self) -> Vec<wv_reg::Core> {
+        let own = wv_reg::Core {
+            member: Member { addr: self.me.clone(), disk: self.seat.disk },
+            zone: self.zone.clone(),
+            is_up: true,
+            is_ready: self.is_ready(),
+            is_leaving: self.is_leaving,
+        };
+        let other = |(addr, peer): (&String, &Peer)| {
+            Some(wv_reg::Core {
+                member: Member { addr: addr.clone(), disk: peer.disk? },
+                zone: peer.zone.clone(),
+                is_up: self.is_heard(peer),
+                is_ready: peer.is_ready,
+                is_leaving: peer.is_leaving,
+            })
+        };
+        self.is_core.then_some(own).into_iter().chain(self.peers.iter().filter_map(other)).collect()
+    }
+
+    /// For how long nobody has answered for a member. A disk that is slow or hangs is not away: its machine answers.
+    fn away_us(&self, addr: &str) -> u64 {
+        // What has no disk forgets with its process: it gives its place to the first that has one.
+        let is_forgetful = |peer: &Peer| peer.ponged > 0 && peer.disk.is_none();
+        if (addr == self.me && !self.is_core) || self.peers.get(addr).is_some_and(is_forgetful) {
+            return wv_reg::AWAY_US;
+        }
+        let peer = self.peers.get(addr).filter(|peer| !self.is_heard(peer));
+        peer.map_or(0, |peer| self.now.saturating_sub(peer.since.max(peer.ponged).max(self.born)))
+    }
+
     /// Whether this node is agreeing on the next voters right now.
     pub fn is_changing(&self) -> bool {
         self.change.is_some()
@@ -126,51 +194,7 @@
         self.ret(token, 200, body.to_string());
     }
 
-    fn send_change(&mut self, msgs: Vec<(String, Msg)>) {
-        let me = self.me.clone();
-        for (voter, msg) in msgs {
-            if voter != me {
-                self.send_peer(&voter, msg);
-                continue;
-            }
-            let word = self.change_word(msg);
-            word.into_iter().for_each(|word| self.change_heard(&me, word));
-        }
-    }
-
-    /// A voter's answer to the one that changes the set.
-    pub(crate) fn change_word(&mut self, msg: Msg) -> Option<Msg> {
-        let noted = |error: wv_reg::RegError| log::error!("a word on the next voters is not kept: {error}");
-        match msg {
-            Msg::Claim { request, set, fence } => {
-                let claimed = self.seat.claim(&mut self.store, &self.me, set, fence)?.map_err(noted).ok()?;
-                Some(Msg::Claimed { request, ok: claimed.is_ok, fence: claimed.fence, next: claimed.next })
-            }
-            Msg::Settle { request, set, fence, next } => {
-                let ok = self.seat.settle(&mut self.store, &self.me, (set, fence), &next)?.map_err(noted).ok()?;
-                Some(Msg::Settled { request, ok })
-            }
-            _ => None,
-        }
-    }
-
-    pub(crate) fn change_heard(&mut self, voter: &str, msg: Msg) {
-        let end = self.change.as_mut().and_then(|change| match msg {
-            Msg::Claimed { request, ok, fence, next } => change.claimed(voter, request, ok, fence, next),
-            Msg::Settled { request, ok } => change.settled(voter, request, ok),
-            _ => None,
-        });
-        match end {
-            Some(end) => self.end_change(end),
-            // Its next step goes out at once.
-            None => {
-                let due = self.change.as_mut().map(|change| change.tick(self.now));
-                due.into_iter().flatten().for_each(|msgs| self.send_change(msgs));
-            }
-        }
-    }
-
-    fn end_change(&mut self, end: End) {
+    pub(crate) fn end_change(&mut self, end: End) {
         self.change = None;
         self.changed = self.now;
         match end {
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -114,6 +114,8 @@
         conf: u64,
         disk: Option<u64>,
         set: u64,
+        /// The set in which it is sealed, 0 for none.
+        sealed: u64,
         ready: bool,
     },
     /// Calls on registers name the life that asks and the set they are counted in; voters of another one do not answer.
@@ -144,6 +146,38 @@
         fence: u64,
         next: Option<(u64, Voters)>,
     },
+    /// From here on the voter votes no more in the registers of `set`; `held` is what the one that asks holds of them.
+    Seal {
+        request: u64,
+        set: u64,
+        fence: u64,
+        held: Vec<(String, Ballot, u64, u32)>,
+    },
+    /// `cells` are final, and only what is newer than what the one that asked holds.
+    Sealed {
+        request: u64,
+        ok: bool,
+        cells: Vec<(String, Held)>,
+    },
+    /// A sealed majority of `set` has told all: a member of `next` is to fetch it from the speaker.
+    Fetch {
+        request: u64,
+        set: u64,
+        next: Voters,
+    },
+    Lacking {
+        request: u64,
+        held: Vec<(String, Ballot, u64, u32)>,
+    },
+    Rest {
+        request: u64,
+        set: u64,
+        cells: Vec<(String, Held)>,
+    },
+    /// All of it stands on this disk.
+    Fetched {
+        request: u64,
+    },
     Settle {
         request: u64,
         set: u64,
--- a/crates/wv-reg/src/change.rs
+++ b/crates/wv-reg/src/change.rs
@@ -9,46 +9,78 @@
 const RESEND_US: u64 = 200_000;
 
 /// A control node that could vote, as the one that plans sees it.
-#[derive(Clone, PartialEq, Eq, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
 pub struct Core {
     pub member: Member,
+    pub zone: String,
     pub is_up: bool,
+    /// A learner that lacks nothing but the last moments of what the voters hold.
+    pub is_ready: bool,
+    /// It is about to end.
+    pub is_leaving: bool,
 }
 
 /// The next set, if one is wanted: one member is replaced, or two are added. Nobody is dropped without a newcomer, so
-/// that a set is never made smaller than what it was agreed to bear.
+/// that a set is never made smaller than what it was agreed to bear, and nobody comes in that is not ready.
 pub fn plan(voters: &Voters, cores: &[Core], away_us: impl Fn(&str) -> u64) -> Option<Voters> {
     let is_member = |member: &Member| voters.members.contains(member);
-    let mut newcomers: Vec<&Member> =
-        cores.iter().filter(|core| core.is_up && !is_member(&core.member)).map(|core| &core.member).collect();
-    newcomers.sort();
+    let mut newcomers: Vec<&Core> = cores
+        .iter()
+        .filter(|core| core.is_up && core.is_ready && !core.is_leaving && !is_member(&core.member))
+        .collect();
+    newcomers.sort_by(|one, other| one.member.cmp(&other.member));
     let is_wiped = |member: &Member| {
         cores.iter().any(|core| core.is_up && core.member.addr == member.addr && core.member != *member)
     };
-    let is_lost = |member: &&Member| is_wiped(member) || away_us(&member.addr) >= AWAY_US;
+    let is_leaving = |member: &Member| cores.iter().any(|core| core.is_leaving && core.member == *member);
+    // What was lost goes before what is lost, and that before what is about to go.
+    let lost: Vec<&Member> = voters
+        .members
+        .iter()
+        .filter(|member| is_wiped(member))
+        .chain(voters.members.iter().filter(|member| away_us(&member.addr) >= AWAY_US))
+        .chain(voters.members.iter().filter(|member| is_leaving(member)))
+        .collect();
+    let zone = |member: &Member| cores.iter().find(|core| core.member.addr == member.addr).map(|core| &core.zone);
+    // How many of the others share its zone; one that is not known is shared by nobody.
+    let shared = |core: &Core, members: &[Member]| {
+        let is_near = |member: &&Member| !core.zone.is_empty() && zone(member) == Some(&core.zone);
+        members.iter().filter(is_near).count()
+    };
     let mut members = voters.members.clone();
-    match voters.members.iter().find(|member| is_wiped(member)).or_else(|| voters.members.iter().find(is_lost)) {
-        Some(lost) => {
-            // The same machine with another disk comes first: it keeps the zones as they were.
-            let heir = newcomers
-                .iter()
-                .find(|new| new.addr == lost.addr)
-                .or(newcomers.iter().find(|new| !voters.has(&new.addr)))?;
-            members.retain(|member| member != lost);
-            members.push((*heir).clone());
+    let replaced = lost.iter().find_map(|lost| {
+        let rest: Vec<Member> = members.iter().filter(|member| member != lost).cloned().collect();
+        // The same machine with another disk comes first: it keeps the zones as they were. A seat is never held by an
+        // address twice.
+        let own = newcomers.iter().find(|new| new.member.addr == lost.addr);
+        let others = newcomers.iter().filter(|new| !voters.has(&new.member.addr));
+        own.or(others.min_by_key(|new| shared(new, &rest))).map(|heir| (rest, heir.member.clone()))
+    });
+    if let Some((rest, heir)) = replaced {
+        members = rest;
+        members.push(heir);
+    } else if members.len() + 2 <= VOTERS_MAX {
+        let mut others: Vec<&Core> = newcomers.into_iter().filter(|new| !voters.has(&new.member.addr)).collect();
+        for _ in 0..2 {
+            let at = (0..others.len()).min_by_key(|at| shared(others[*at], &members))?;
+            members.push(others.remove(at).member.clone());
         }
-        None if members.len() + 2 <= VOTERS_MAX && newcomers.len() >= 2 => {
-            members.extend(newcomers.into_iter().take(2).cloned());
-        }
-        None => return None,
+    } else {
+        return None;
     }
     members.sort();
     Some(Voters { number: voters.number + 1, members })
 }
 
 enum Phase {
-    Claiming { acks: Vec<String>, best: Option<(u64, Voters)> },
-    Settling { acks: Vec<String> },
+    /// A majority of the set is to let this fence name its successor.
+    Claiming { best: Option<(u64, Voters)> },
+    /// A majority of the set is to stop, and to tell what it holds.
+    Sealing,
+    /// A majority of the next set is to hold what was told.
+    Handing,
+    /// A majority of the set is to accept the successor.
+    Settling,
 }
 
 /// What became of a change.
@@ -68,17 +100,19 @@
     from: Voters,
     next: Voters,
     phase: Phase,
+    /// Who has answered in this phase.
+    acks: Vec<String>,
     limit: u64,
     resend: u64,
 }
 
 impl Change {
     pub fn new(request: u64, fence: u64, from: Voters, next: Voters, now: u64) -> Change {
-        let phase = Phase::Claiming { acks: Vec::new(), best: None };
-        Change { request, fence, from, next, phase, limit: now + LIMIT_US, resend: 0 }
+        let phase = Phase::Claiming { best: None };
+        Change { request, fence, from, next, phase, acks: Vec::new(), limit: now + LIMIT_US, resend: 0 }
     }
 
-    /// What is to be sent to whom now; an end where the time is over.
+    /// What is to be sent to whom now; an end where the time is over. What the sender holds is for it to fill in.
     pub fn tick(&mut self, now: u64) -> Result<Vec<(String, Msg)>, End> {
         if now >= self.limit {
             return Err(End::Off { seen: 0 });
@@ -88,14 +122,37 @@
         }
         self.resend = now + RESEND_US;
         let (request, set, fence) = (self.request, self.from.number, self.fence);
-        let (acks, msg) = match &self.phase {
-            Phase::Claiming { acks, .. } => (acks, Msg::Claim { request, set, fence }),
-            Phase::Settling { acks } => (acks, Msg::Settle { request, set, fence, next: self.next.clone() }),
+        let msg = match &self.phase {
+            Phase::Claiming { .. } => Msg::Claim { request, set, fence },
+            Phase::Sealing => Msg::Seal { request, set, fence, held: Vec::new() },
+            Phase::Handing => Msg::Fetch { request, set, next: self.next.clone() },
+            Phase::Settling => Msg::Settle { request, set, fence, next: self.next.clone() },
         };
-        let open = self.from.addrs().filter(|addr| !acks.iter().any(|known| known == addr));
+        let open = self.asked().addrs().filter(|addr| !self.acks.iter().any(|known| known == addr));
         Ok(open.map(|addr| (addr.to_owned(), msg.clone())).collect())
     }
 
+    /// Whose answers count in this phase.
+    fn asked(&self) -> &Voters {
+        match self.phase {
+            Phase::Handing => &self.next,
+            _ => &self.from,
+        }
+    }
+
+    /// One more has answered. Whether a majority has.
+    fn count(&mut self, voter: &str) -> bool {
+        if self.asked().has(voter) && !self.acks.iter().any(|known| known == voter) {
+            self.acks.push(voter.to_owned());
+        }
+        self.acks.len() >= self.asked().majority()
+    }
+
+    fn turn(&mut self, phase: Phase) {
+        (self.phase, self.resend) = (phase, 0);
+        self.acks.clear();
+    }
+
     pub fn claimed(
         &mut self,
         voter: &str,
@@ -104,39 +161,60 @@
         fence: u64,
         next: Option<(u64, Voters)>,
     ) -> Option<End> {
-        let majority = self.from.majority();
-        let Phase::Claiming { acks, best } = &mut self.phase else { return None };
-        if request != self.request || acks.iter().any(|known| known == voter) {
+        let Phase::Claiming { best } = &mut self.phase else { return None };
+        if request != self.request {
             return None;
         }
         if !is_ok {
             return Some(End::Off { seen: fence });
         }
-        acks.push(voter.to_owned());
         if let Some(next) = next.filter(|next| best.as_ref().is_none_or(|best| best.0 < next.0)) {
             *best = Some(next);
         }
-        if acks.len() >= majority {
-            // What may already be settled under an earlier fence stays: it is proposed again rather than ours.
-            if let Some((_, next)) = best.take() {
-                self.next = next;
-            }
-            self.phase = Phase::Settling { acks: Vec::new() };
-            self.resend = 0;
+        // What may already be settled under an earlier fence stays: it is proposed again rather than ours.
+        let best = best.take();
+        if self.count(voter) {
+            self.next = best.map_or(self.next.clone(), |(_, next)| next);
+            self.turn(Phase::Sealing);
+        } else {
+            self.phase = Phase::Claiming { best };
         }
         None
     }
 
+    /// A voter of the set has stopped, and what it told is kept here.
+    pub fn sealed(&mut self, voter: &str, request: u64, is_ok: bool) -> Option<End> {
+        if !matches!(self.phase, Phase::Sealing) || request != self.request {
+            return None;
+        }
+        if !is_ok {
+            return Some(End::Off { seen: self.fence });
+        }
+        if self.count(voter) {
+            self.turn(Phase::Handing);
+        }
+        None
+    }
+
+    /// Whether a sealed majority has told all: from here on the rest may be fetched.
+    pub fn has_rest(&self, request: u64) -> bool {
+        request == self.request && matches!(self.phase, Phase::Handing | Phase::Settling)
+    }
+
+    /// A member of the next set holds all of this one.
+    pub fn fetched(&mut self, voter: &str, request: u64) {
+        if matches!(self.phase, Phase::Handing) && request == self.request && self.count(voter) {
+            self.turn(Phase::Settling);
+        }
+    }
+
     pub fn settled(&mut self, voter: &str, request: u64, is_ok: bool) -> Option<End> {
-        let majority = self.from.majority();
-        let Phase::Settling { acks } = &mut self.phase else { return None };
-        if request != self.request || acks.iter().any(|known| known == voter) {
+        if !matches!(self.phase, Phase::Settling) || request != self.request {
             return None;
         }
         if !is_ok {
             return Some(End::Off { seen: self.fence });
         }
-        acks.push(voter.to_owned());
-        (acks.len() >= majority).then(|| End::Settled(self.next.clone()))
+        self.count(voter).then(|| End::Settled(self.next.clone()))
     }
 }
--- a/crates/wv-reg/src/lib.rs
+++ b/crates/wv-reg/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod parts;
 mod quorum;
 mod record;
+mod seal;
 mod seat;
 mod store;
 mod thread;
--- /dev/null
+++ b/crates/wv-reg/src/seal.rs
@@ -0,0 +1,30 @@
+//! Sealing a set: its voters stop, what they hold is final, and the next set has it before it is settled.
+use crate::{RegError, Seat, Store};
+use wv_inner::Held;
+
+impl Seat {
+    /// Votes no more in the registers of `set`, unless a higher fence was seen. Kept before it is answered: what is told
+    /// after it stays all that this disk ever voted for in that set.
+    pub fn seal(&mut self, store: &mut Store, me: &str, (set, fence): (u64, u64)) -> Option<Result<bool, RegError>> {
+        (set > 0 && self.sits_in(me) == set).then_some(())?;
+        if fence < self.fence {
+            return Some(Ok(false));
+        }
+        let is_kept = self.sealed == set && self.fence == fence;
+        let kept = if is_kept { Ok(()) } else { self.turn(store, Seat { fence, sealed: set, ..self.clone() }) };
+        Some(kept.map(|()| true))
+    }
+
+    /// Takes over what a sealed majority of `set` told, merged: nothing acknowledged in it is missing here from now on.
+    /// The copies come first, the word that rests on them second. False where another set is in force here.
+    pub fn finish(&mut self, store: &mut Store, set: u64, cells: Vec<(String, Held)>) -> Result<bool, RegError> {
+        if set == 0 || set != self.voters.number {
+            return Ok(false);
+        }
+        store.adopt(cells)?;
+        if self.whole != set {
+            self.turn(store, Seat { whole: set, ..self.clone() })?;
+        }
+        Ok(true)
+    }
+}
--- a/crates/wv-reg/src/seat.rs
+++ b/crates/wv-reg/src/seat.rs
@@ -17,6 +17,30 @@
     /// The highest fence seen over the successor of `set`, and what was accepted under which.
     pub fence: u64,
     pub next: Option<(u64, Voters)>,
+    /// The set in which this disk votes no more, whatever follows it.
+    pub sealed: u64,
+    /// The set of which this disk holds all that was ever acknowledged in it; with it, it may vote in the next one.
+    pub whole: u64,
+}
+
+/// As it was kept before sets were sealed.
+#[derive(nanoserde::SerBin, nanoserde::DeBin)]
+struct OldSeat {
+    disk: u64,
+    voters: Voters,
+    before: Voters,
+    set: u64,
+    fence: u64,
+    next: Option<(u64, Voters)>,
+}
+
+fn read(bytes: &[u8]) -> Option<Seat> {
+    let old = || {
+        let old = <OldSeat as nanoserde::DeBin>::deserialize_bin(bytes).ok()?;
+        let OldSeat { disk, voters, before, set, fence, next } = old;
+        Some(Seat { disk, voters, before, set, fence, next, ..Seat::default() })
+    };
+    <Seat as nanoserde::DeBin>::deserialize_bin(bytes).ok().or_else(old)
 }
 
 /// A voter's answer to a claim.
@@ -29,8 +53,7 @@
 impl Seat {
     /// Reads the seat, or takes one: the seeds of a first start are the first set, whoever else starts empty has none.
     pub fn open(store: &mut Store, me: &str, seeds: &[String], is_first: bool, disk: u64) -> Result<Seat, RegError> {
-        let held = store.get(KEY).and_then(|held| nanoserde::DeBin::deserialize_bin(&held.cell.value).ok());
-        if let Some(seat) = held {
+        if let Some(seat) = store.get(KEY).and_then(|held| read(&held.cell.value)) {
             return Ok(seat);
         }
         let first = |addrs: &[String]| Voters {
@@ -57,7 +80,7 @@
     }
 
     /// Takes `changed` over once the disk has it.
-    fn turn(&mut self, store: &mut Store, changed: Seat) -> Result<(), RegError> {
+    pub(crate) fn turn(&mut self, store: &mut Store, changed: Seat) -> Result<(), RegError> {
         changed.keep(store)?;
         *self = changed;
         Ok(())
@@ -68,9 +91,8 @@
         self.voters.members.iter().any(|member| member.addr == me && member.disk == self.disk)
     }
 
-    /// The set in which this disk votes now, 0 for none. Whoever knows of a successor has left its set: what a
-    /// successor takes over must not be written behind its back.
-    pub fn votes_in(&self, me: &str) -> u64 {
+    /// The set that this disk is a member of and holds whole, 0 for none: here it has a say on the successor.
+    pub fn sits_in(&self, me: &str) -> u64 {
         if self.set == self.voters.number && self.is_member(me) {
             self.set
         } else {
@@ -78,17 +100,33 @@
         }
     }
 
+    /// The set in whose registers this disk votes now, 0 for none. Whoever knows of a successor, or was sealed for one,
+    /// has left its set: what a successor takes over must not be written behind its back.
+    pub fn votes_in(&self, me: &str) -> u64 {
+        let set = self.sits_in(me);
+        if set == self.sealed {
+            0
+        } else {
+            set
+        }
+    }
+
     /// A settled set was heard of.
-    pub fn learn(&mut self, store: &mut Store, voters: &Voters, before: &Voters) -> Result<bool, RegError> {
+    pub fn learn(&mut self, store: &mut Store, me: &str, voters: &Voters, before: &Voters) -> Result<bool, RegError> {
         if voters.number <= self.voters.number || voters.members.is_empty() {
             return Ok(false);
         }
-        let changed = Seat { voters: voters.clone(), before: before.clone(), ..self.clone() };
+        let mut changed = Seat { voters: voters.clone(), before: before.clone(), ..self.clone() };
+        // What was handed over before the set was settled is all that it begins with.
+        if self.whole > 0 && self.whole == before.number && voters.number == before.number + 1 && changed.is_member(me)
+        {
+            (changed.set, changed.fence, changed.next) = (voters.number, 0, None);
+        }
         self.turn(store, changed).map(|()| true)
     }
 
     pub fn claim(&mut self, store: &mut Store, me: &str, set: u64, fence: u64) -> Option<Result<Claimed, RegError>> {
-        (set > 0 && self.votes_in(me) == set).then_some(())?;
+        (set > 0 && self.sits_in(me) == set).then_some(())?;
         let is_ok = fence > self.fence;
         let kept = if is_ok { self.turn(store, Seat { fence, ..self.clone() }) } else { Ok(()) };
         Some(kept.map(|()| Claimed { is_ok, fence: self.fence, next: self.next.clone() }))
@@ -102,7 +140,7 @@
         (set, fence): (u64, u64),
         next: &Voters,
     ) -> Option<Result<bool, RegError>> {
-        (set > 0 && self.votes_in(me) == set && next.number == set + 1).then_some(())?;
+        (set > 0 && self.sits_in(me) == set && next.number == set + 1).then_some(())?;
         if fence < self.fence {
             return Some(Ok(false));
         }
@@ -150,6 +188,6 @@
     // A copy in memory: mending a torn tail there leaves the folder as it is.
     let store = Store::open(Box::new(files))?;
     let state = store.state().cloned().ok_or(if has_any { RegError::Unreadable } else { RegError::Empty })?;
-    let seat = store.get(KEY).and_then(|held| nanoserde::DeBin::deserialize_bin(&held.cell.value).ok());
+    let seat = store.get(KEY).and_then(|held| read(&held.cell.value));
     seat.map(|seat| (state, seat)).ok_or(RegError::Unreadable)
 }
--- a/crates/wv-reg/tests/change.rs
+++ b/crates/wv-reg/tests/change.rs
@@ -9,13 +9,27 @@
 }
 
 fn cores(all: &[(&str, u64, bool)]) -> Vec<Core> {
-    all.iter()
-        .map(|(addr, disk, is_up)| Core { member: Member { addr: (*addr).to_owned(), disk: *disk }, is_up: *is_up })
-        .collect()
+    let core = |(addr, disk, is_up): &(&str, u64, bool)| Core {
+        member: Member { addr: (*addr).to_owned(), disk: *disk },
+        is_up: *is_up,
+        is_ready: true,
+        ..Core::default()
+    };
+    all.iter().map(core).collect()
 }
 
-fn proposed(change: &mut Change, now: u64) -> Option<Voters> {
-    change.tick(now).ok()?.into_iter().find_map(|(_, msg)| match msg {
+/// The set is sealed and handed over as it must be before anything is proposed.
+fn proposed(change: &mut Change, request: u64, holders: [&str; 2]) -> Option<Voters> {
+    let is_settling = |msgs: &[(String, Msg)]| msgs.iter().any(|(_, msg)| matches!(msg, Msg::Settle { .. }));
+    for voter in ["a", "b"] {
+        expect_that!(is_settling(&change.tick(0).unwrap_or_default()), eq(false));
+        expect_that!(change.sealed(voter, request, true), none());
+    }
+    for member in holders {
+        expect_that!(is_settling(&change.tick(0).unwrap_or_default()), eq(false));
+        change.fetched(member, request);
+    }
+    change.tick(0).ok()?.into_iter().find_map(|(_, msg)| match msg {
         Msg::Settle { next, .. } => Some(next),
         _ => None,
     })
@@ -29,7 +43,7 @@
     expect_that!(change.claimed("a", 7, true, 300, Some((100, older))), none());
     expect_that!(change.claimed("b", 7, true, 300, Some((200, newer.clone()))), none());
     // Of several, the one under the highest fence: only that can have been settled.
-    expect_that!(proposed(&mut change, 0), some(eq(&newer)));
+    expect_that!(proposed(&mut change, 7, ["b", "c"]), some(eq(&newer)));
     expect_that!(change.settled("a", 7, true), none());
     expect_that!(change.settled("a", 7, true), none());
     expect_that!(change.settled("c", 7, true), some(eq(&End::Settled(newer))));
@@ -37,7 +51,7 @@
     let mut change = Change::new(8, 400, from, ours.clone(), 0);
     change.claimed("b", 8, true, 400, None);
     change.claimed("c", 8, true, 400, None);
-    expect_that!(proposed(&mut change, 0), some(eq(&ours)));
+    expect_that!(proposed(&mut change, 8, ["a", "x"]), some(eq(&ours)));
     expect_that!(change.settled("b", 8, false), some(matches_pattern!(End::Off { .. })));
 }
 
--- a/crates/wv-roster/src/lib.rs
+++ b/crates/wv-roster/src/lib.rs
@@ -165,6 +165,13 @@
         nodes.max_by_key(|node| (weight(key, node), *node)).unwrap_or(&self.me)
     }
 
+    /// Whether this node has the greatest weight for `key` of itself and the live ones that `is_meant` names.
+    pub fn is_holder_among(&self, key: &str, is_meant: impl Fn(&str) -> bool) -> bool {
+        let rank = |addr: &str| (weight(key, addr), addr.to_owned());
+        let others = self.peers.keys().filter(|addr| is_meant(addr));
+        others.map(|addr| rank(addr)).all(|other| other < rank(&self.me))
+    }
+
     pub fn is_holder(&self, key: &str) -> bool {
         self.holder(key) == self.me
     }
