--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -39,6 +39,8 @@
     /// The highest fence met over the next set.
     pub(crate) met: u64,
     pub(crate) changed: u64,
+    /// A settled set was told that this disk did not take.
+    pub(crate) is_unlearned: bool,
     pub(crate) quorum: Quorum,
     /// When this node is to be woken next.
     pub(crate) armed: u64,
@@ -138,6 +140,7 @@
             change: None,
             met: 0,
             changed: 0,
+            is_unlearned: false,
             quorum,
             table: Table::default(),
             links: BTreeMap::new(),
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -40,6 +40,7 @@
     pub(crate) fn learn_voters(&mut self, voters: &Voters, before: &Voters) {
         let is_news = self.seat.learn(&mut self.store, &self.me, voters, before).unwrap_or_else(|error| {
             log::error!("the set of voters is not kept: {error}");
+            self.is_unlearned = true;
             false
         });
         if !is_news {
@@ -62,6 +63,11 @@
 
     /// The holder of the duty looks whether the set should change, and drives an attempt under way.
     pub(crate) fn run_voters(&mut self) {
+        // What this disk could not take is told once more to whoever speaks of an older set.
+        if std::mem::take(&mut self.is_unlearned) {
+            let msg = self.peers_msg();
+            self.send_peers(&msg);
+        }
         let due = self.change.as_mut().map(|change| change.tick(self.now));
         match due {
             Some(Ok(msgs)) => self.send_change(msgs),
