What is sealed is handed over by digests over ranges, in parts; answers of a change are known by its fence

Cause: whole lists of keys crossed while the set stood still; and an answer that came late could pass for another attempt's.

--- a/crates/wv-control/src/handover.rs
+++ b/crates/wv-control/src/handover.rs
@@ -1,52 +1,53 @@
 //! The steps of a change of voters between those that take part: claimed, sealed, handed over, settled.
 use crate::core::Core;
-use wv_inner::{Member, Msg};
-use wv_reg::{RegError, Seat};
+use wv_inner::{Handover, Held, Known, Member, Msg, Voters};
+use wv_reg::{parts, RegError};
 
 fn noted(error: RegError) {
     log::error!("a word on the next voters is not kept: {error}");
 }
 
 impl Core {
+    /// Sends a step of a change. This node's own part in it comes last: it may already lead to the next step.
     pub(crate) fn send_change(&mut self, msgs: Vec<(String, Msg)>) {
+        let sums = parts::sums(&self.store);
         let me = self.me.clone();
-        for (voter, msg) in msgs {
-            let msg = match msg {
-                // Only what is newer than what stands here needs to be told.
-                Msg::Seal { request, set, fence, .. } => {
-                    Msg::Seal { request, set, fence, held: Seat::held(&self.store) }
-                }
-                msg => msg,
-            };
-            if voter != me {
-                self.send_peer(&voter, msg);
-                continue;
+        let (own, others): (Vec<_>, Vec<_>) = msgs.into_iter().partition(|(voter, _)| *voter == me);
+        for (voter, mut msg) in others {
+            match &mut msg {
+                Msg::Handover(Handover::Seal { sum, .. }) => *sum = parts::total(&sums),
+                Msg::Handover(Handover::Fetch { sums: told, .. }) => *told = sums.clone(),
+                _ => {}
             }
-            let word = match msg {
-                // What is to be fetched stands here already.
-                Msg::Fetch { request, set, next } => {
-                    self.fetch(request, set, &next).and_then(|_| self.finish(request, set, Vec::new()))
+            self.send_peer(&voter, msg);
+        }
+        for (_, msg) in own {
+            match msg {
+                // What is told or to be fetched stands here already.
+                Msg::Handover(Handover::Seal { request, set, fence, .. }) => {
+                    let sealed = self.seal(set, fence);
+                    sealed.into_iter().for_each(|ok| self.sealed(&me, request, ok));
+                }
+                Msg::Handover(Handover::Fetch { request, set, next, .. }) => {
+                    if self.is_meant(set, &next) && self.is_whole(set, Vec::new()) {
+                        self.fetched(&me, request);
+                    }
                 }
-                msg => self.change_word(msg),
-            };
-            word.into_iter().for_each(|word| self.change_heard(&me, word));
+                msg => {
+                    let word = self.change_word(msg);
+                    word.into_iter().for_each(|word| self.change_heard(&me, word));
+                }
+            }
         }
     }
 
-    /// An answer to the one that changes the set.
+    /// A voter's answer to the one that changes the set.
     pub(crate) fn change_word(&mut self, msg: Msg) -> Option<Msg> {
         match msg {
             Msg::Claim { request, set, fence } => {
                 let claimed = self.seat.claim(&mut self.store, &self.me, set, fence)?.map_err(noted).ok()?;
                 Some(Msg::Claimed { request, ok: claimed.is_ok, fence: claimed.fence, next: claimed.next })
             }
-            Msg::Seal { request, set, fence, held } => {
-                let ok = self.seat.seal(&mut self.store, &self.me, (set, fence))?.map_err(noted).ok()?;
-                let cells = if ok { Seat::cells(&self.store, &held) } else { Vec::new() };
-                Some(Msg::Sealed { request, ok, cells })
-            }
-            Msg::Fetch { request, set, next } => self.fetch(request, set, &next),
-            Msg::Rest { request, set, cells } => self.finish(request, set, cells),
             Msg::Settle { request, set, fence, next } => {
                 let ok = self.seat.settle(&mut self.store, &self.me, (set, fence), &next)?.map_err(noted).ok()?;
                 Some(Msg::Settled { request, ok })
@@ -55,42 +56,119 @@
         }
     }
 
-    /// Only the disk that is named is to hold it.
-    fn fetch(&self, request: u64, set: u64, next: &wv_inner::Voters) -> Option<Msg> {
+    fn seal(&mut self, set: u64, fence: u64) -> Option<bool> {
+        self.seat.seal(&mut self.store, &self.me, (set, fence))?.map_err(noted).ok()
+    }
+
+    /// Only the disk that is named is to hold what is handed over.
+    fn is_meant(&self, set: u64, next: &Voters) -> bool {
         let own = Member { addr: self.me.clone(), disk: self.seat.disk };
-        let is_meant = set == self.seat.voters.number && next.members.contains(&own);
-        is_meant.then(|| Msg::Lacking { request, held: Seat::held(&self.store) })
+        set == self.seat.voters.number && next.members.contains(&own)
+    }
+
+    fn is_whole(&mut self, set: u64, cells: Vec<(String, Held)>) -> bool {
+        self.seat.finish(&mut self.store, set, cells).map_err(noted).unwrap_or(false)
+    }
+
+    pub(crate) fn hear_handover(&mut self, link: u64, addr: &str, msg: Handover) {
+        match msg {
+            Handover::Seal { request, set, fence, sum } => {
+                let Some(ok) = self.seal(set, fence) else { return };
+                let sums = parts::sums(&self.store);
+                let sums = if parts::total(&sums) == sum { Vec::new() } else { sums };
+                self.send(link, Msg::Handover(Handover::Sealed { request, ok, sums }));
+            }
+            Handover::Sealed { request, ok, sums } => {
+                let open = parts::differing(&self.store, &sums);
+                match self.seat.voters.number {
+                    set if ok && !open.is_empty() => self.ask_rest(link, (request, set, false), &open),
+                    _ => self.sealed(addr, request, ok),
+                }
+            }
+            Handover::Fetch { request, set, next, sums } => {
+                if self.is_meant(set, &next) {
+                    let open = parts::differing(&self.store, &sums);
+                    self.rest(link, addr, (request, set, true), Vec::new(), &open);
+                }
+            }
+            Handover::Lacking { request, set, is_member, ranges, others } => {
+                self.lacking(link, (request, set, is_member), &ranges, others);
+            }
+            Handover::Rest { request, set, is_member, cells, left } => {
+                self.rest(link, addr, (request, set, is_member), cells, &left);
+            }
+            Handover::Fetched { request } => self.fetched(addr, request),
+        }
     }
 
-    fn finish(&mut self, request: u64, set: u64, cells: Vec<(String, wv_inner::Held)>) -> Option<Msg> {
-        let is_whole = self.seat.finish(&mut self.store, set, cells).map_err(noted).ok()?;
-        is_whole.then_some(Msg::Fetched { request })
+    fn ask_rest(&mut self, link: u64, (request, set, is_member): (u64, u64, bool), open: &[u32]) {
+        let ranges = parts::listed(&self.store, open);
+        let is_asked = |range: &u32| ranges.iter().any(|asked| asked.0 == *range);
+        let others = open.iter().copied().filter(|range| !is_asked(range)).collect();
+        self.send(link, Msg::Handover(Handover::Lacking { request, set, is_member, ranges, others }));
     }
 
-    /// What is lacking at a member of the next set, as soon as all of it stands here.
-    pub(crate) fn lacking(&mut self, link: u64, request: u64, held: &[(String, wv_inner::Ballot, u64, u32)]) {
-        if self.change.as_ref().is_some_and(|change| change.has_rest(request)) {
-            let (set, cells) = (self.seat.voters.number, Seat::cells(&self.store, held));
-            self.send(link, Msg::Rest { request, set, cells });
+    /// Told is only what is final: by a voter that is sealed, or by the one to which a sealed majority has told all.
+    fn lacking(
+        &mut self,
+        link: u64,
+        (request, set, is_member): (u64, u64, bool),
+        ranges: &[(u32, Vec<Known>)],
+        others: Vec<u32>,
+    ) {
+        let is_handing = || self.change.as_ref().is_some_and(|change| change.is_handing(request));
+        let is_final = if is_member { is_handing() } else { self.seat.sealed == set };
+        if set != self.seat.voters.number || !is_final {
+            return;
+        }
+        let (cells, is_whole) = parts::part(&self.store, ranges);
+        let again = ranges.iter().map(|range| range.0).filter(|_| !is_whole);
+        let left = again.chain(others).collect();
+        self.send(link, Msg::Handover(Handover::Rest { request, set, is_member, cells, left }));
+    }
+
+    /// More of what was lacking here; what cannot be kept was not told.
+    fn rest(
+        &mut self,
+        link: u64,
+        addr: &str,
+        (request, set, is_member): (u64, u64, bool),
+        cells: Vec<(String, Held)>,
+        left: &[u32],
+    ) {
+        if set != self.seat.voters.number || self.store.adopt(cells).map_err(noted).is_err() {
+            return;
+        }
+        if !left.is_empty() {
+            return self.ask_rest(link, (request, set, is_member), left);
+        }
+        if !is_member {
+            self.sealed(addr, request, true);
+        } else if self.is_whole(set, Vec::new()) {
+            self.send(link, Msg::Handover(Handover::Fetched { request }));
         }
     }
 
+    fn sealed(&mut self, voter: &str, request: u64, is_ok: bool) {
+        let end = self.change.as_mut().and_then(|change| change.sealed(voter, request, is_ok));
+        self.step_change(end);
+    }
+
+    fn fetched(&mut self, voter: &str, request: u64) {
+        self.change.iter_mut().for_each(|change| change.fetched(voter, request));
+        self.step_change(None);
+    }
+
     pub(crate) fn change_heard(&mut self, voter: &str, msg: Msg) {
-        let Some(change) = self.change.as_mut() else { return };
-        let end = match msg {
+        let end = self.change.as_mut().and_then(|change| match msg {
             Msg::Claimed { request, ok, fence, next } => change.claimed(voter, request, ok, fence, next),
-            Msg::Sealed { request, ok, cells } => {
-                // What is not kept here cannot be handed on: then it was not told.
-                let kept = self.store.adopt(cells).map_err(noted);
-                kept.ok().and_then(|_| change.sealed(voter, request, ok))
-            }
-            Msg::Fetched { request } => {
-                change.fetched(voter, request);
-                None
-            }
             Msg::Settled { request, ok } => change.settled(voter, request, ok),
             _ => None,
-        };
+        });
+        self.step_change(end);
+    }
+
+    fn step_change(&mut self, end: Option<wv_reg::End>) {
         match end {
             Some(end) => self.end_change(end),
             // Its next step goes out at once.
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -167,15 +167,12 @@
                 self.quorum.voted(addr, (asker, request), &key, vote, self.now);
             }
             Msg::Takeover(msg) => self.hear_takeover(link, addr, msg),
-            msg
-            @ (Msg::Claim { .. } | Msg::Seal { .. } | Msg::Fetch { .. } | Msg::Rest { .. } | Msg::Settle { .. }) => {
+            Msg::Handover(msg) => self.hear_handover(link, addr, msg),
+            msg @ (Msg::Claim { .. } | Msg::Settle { .. }) => {
                 let word = self.change_word(msg);
                 word.into_iter().for_each(|word| self.send(link, word));
             }
-            Msg::Lacking { request, held } => self.lacking(link, request, &held),
-            msg @ (Msg::Claimed { .. } | Msg::Sealed { .. } | Msg::Fetched { .. } | Msg::Settled { .. }) => {
-                self.change_heard(addr, msg)
-            }
+            msg @ (Msg::Claimed { .. } | Msg::Settled { .. }) => self.change_heard(addr, msg),
             Msg::Committed { key, accepted } if key == crate::core::CONF => self.committed(accepted),
             Msg::Lack { version } => self.take_lack(link, version),
             Msg::InForce(news) => self.take_in_force(addr, news),
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -132,9 +132,9 @@
         let own = self.me.bytes().fold(0u64, |sum, byte| (sum * 31 + u64::from(byte)) & 0xffff);
         let fence = (((self.met.max(self.seat.fence) >> 16) + 1) << 16) | own;
         log::warn!("set {} is to follow: {}", next.number, next.addrs().collect::<Vec<_>>().join(" "));
-        let request = self.quorum.next_request();
         self.changed = self.now;
-        self.change = Some(Change::new(request, fence, self.seat.voters.clone(), next, self.now));
+        // No two attempts have the same fence: it is also what answers are known by.
+        self.change = Some(Change::new(fence, fence, self.seat.voters.clone(), next, self.now));
         self.run_voters();
     }
 
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -1,6 +1,7 @@
 //! What windvalve's own processes say to each other: nanoserde binary in length-prefixed frames.
 mod frame;
 mod hand;
+mod handover;
 mod inst;
 mod news;
 mod nodes;
@@ -11,6 +12,7 @@
 
 pub use frame::{cut_frame, put_frame, InnerError, FRAME_MAX};
 pub use hand::Hand;
+pub use handover::Handover;
 pub use inst::Inst;
 use nanoserde::{DeBin, SerBin};
 pub use news::News;
@@ -146,38 +148,6 @@
         fence: u64,
         next: Option<(u64, Voters)>,
     },
-    /// From here on the voter votes no more in the registers of `set`; `held` is what the one that asks holds of them.
-    Seal {
-        request: u64,
-        set: u64,
-        fence: u64,
-        held: Vec<(String, Ballot, u64, u32)>,
-    },
-    /// `cells` are final, and only what is newer than what the one that asked holds.
-    Sealed {
-        request: u64,
-        ok: bool,
-        cells: Vec<(String, Held)>,
-    },
-    /// A sealed majority of `set` has told all: a member of `next` is to fetch it from the speaker.
-    Fetch {
-        request: u64,
-        set: u64,
-        next: Voters,
-    },
-    Lacking {
-        request: u64,
-        held: Vec<(String, Ballot, u64, u32)>,
-    },
-    Rest {
-        request: u64,
-        set: u64,
-        cells: Vec<(String, Held)>,
-    },
-    /// All of it stands on this disk.
-    Fetched {
-        request: u64,
-    },
     Settle {
         request: u64,
         set: u64,
@@ -189,6 +159,7 @@
         ok: bool,
     },
     Takeover(Takeover),
+    Handover(Handover),
     /// What was accepted under this ballot stands in a register by agreement, for voters, which have it.
     Committed {
         key: String,
--- a/crates/wv-reg/src/change.rs
+++ b/crates/wv-reg/src/change.rs
@@ -1,5 +1,5 @@
 //! Agreeing on the next set of voters: by a majority of the set before it, under a fence.
-use wv_inner::{Member, Msg, Voters};
+use wv_inner::{Handover, Member, Msg, Voters};
 
 /// A voter that is away for this long may be replaced where another stands ready.
 pub const AWAY_US: u64 = 2_500_000;
@@ -124,8 +124,11 @@
         let (request, set, fence) = (self.request, self.from.number, self.fence);
         let msg = match &self.phase {
             Phase::Claiming { .. } => Msg::Claim { request, set, fence },
-            Phase::Sealing => Msg::Seal { request, set, fence, held: Vec::new() },
-            Phase::Handing => Msg::Fetch { request, set, next: self.next.clone() },
+            Phase::Sealing => Msg::Handover(Handover::Seal { request, set, fence, sum: 0 }),
+            Phase::Handing => {
+                let next = self.next.clone();
+                Msg::Handover(Handover::Fetch { request, set, next, sums: Vec::new() })
+            }
             Phase::Settling => Msg::Settle { request, set, fence, next: self.next.clone() },
         };
         let open = self.asked().addrs().filter(|addr| !self.acks.iter().any(|known| known == addr));
@@ -196,8 +199,8 @@
         None
     }
 
-    /// Whether a sealed majority has told all: from here on the rest may be fetched.
-    pub fn has_rest(&self, request: u64) -> bool {
+    /// Whether a sealed majority has told all, so that it may be handed on.
+    pub fn is_handing(&self, request: u64) -> bool {
         request == self.request && matches!(self.phase, Phase::Handing | Phase::Settling)
     }
 
--- a/crates/wv-reg/src/parts.rs
+++ b/crates/wv-reg/src/parts.rs
@@ -52,6 +52,13 @@
     sums.iter().fold(SEED, |sum, word| fnv(sum, &word.to_le_bytes()))
 }
 
+/// The ranges in which `theirs` differ from what is held here.
+pub fn differing(store: &Store, theirs: &[u64]) -> Vec<u32> {
+    let ours = sums(store);
+    let differs = |(range, sum): (usize, &u64)| (ours.get(range).is_some_and(|own| own != sum)).then_some(range as u32);
+    theirs.iter().enumerate().filter_map(differs).collect()
+}
+
 /// As many of the `open` ranges, from the first on, as can be listed in one message, and what is held in each.
 pub fn listed(store: &Store, open: &[u32]) -> Vec<(u32, Vec<Known>)> {
     let mut lists: BTreeMap<u32, Vec<Known>> = open.iter().map(|range| (*range, Vec::new())).collect();
