--- a/crates/wv-control/src/takeover.rs
+++ b/crates/wv-control/src/takeover.rs
@@ -56,7 +56,7 @@
     }
 
     /// Whether this disk, no member yet, lacks nothing but the last moments of what a voter held.
-    pub(crate) fn is_ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         self.is_learner() && self.progress.learnt.is_some_and(|at| at + READY_US > self.now)
     }
 
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -119,6 +119,8 @@
         wv_inner::put_frame(&mut frame, msg);
         let held = crossed.entry(name.to_owned()).or_default();
         held.bytes += frame.len() as u64;
+        held.longest = held.longest.max(frame.len() as u64);
+        held.parts += u64::from(matches!(msg, Msg::Takeover(wv_inner::Takeover::Part { .. })));
         let is_conf =
             |news: &wv_inner::News| matches!(news, wv_inner::News::Conf { .. } | wv_inner::News::ConfChange { .. });
         held.confs += u64::from(matches!(msg, Msg::Change { news, .. } if is_conf(news)));
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -13,6 +13,10 @@
 pub struct Crossed {
     pub bytes: u64,
     pub confs: u64,
+    /// The longest of them, in bytes.
+    pub longest: u64,
+    /// Parts of registers, for a disk that does not vote.
+    pub parts: u64,
 }
 
 pub struct World {
--- a/crates/wv-reg/src/seat.rs
+++ b/crates/wv-reg/src/seat.rs
@@ -68,10 +68,15 @@
             }
             _ => Seat { disk: disk.max(1), ..Seat::default() },
         };
-        if store.state().is_none() {
-            store.reset(State { me: me.to_owned(), ..State::default() })?;
+        if store.state().is_some() {
+            return seat.keep(store).map(|()| seat);
         }
-        seat.keep(store)?;
+        // In one write: a loss of power in between would make another member of a seed.
+        let ballot = Ballot { round: 1, who: 0 };
+        let cell = crate::cell(1, nanoserde::SerBin::serialize_bin(&seat));
+        let held = Held { promised: ballot, accepted: ballot, cell };
+        let cells = [(KEY.to_owned(), held)].into_iter().collect();
+        store.reset(State { me: me.to_owned(), cells, ..State::default() })?;
         Ok(seat)
     }
 
--- a/crates/wv-reg/src/store.rs
+++ b/crates/wv-reg/src/store.rs
@@ -19,9 +19,8 @@
     /// Bytes of all registers, about.
     size: usize,
     generation: u64,
-    /// The generation of the last attempt at a slot. One that failed may still come to stand on the disk.
-    tried: u64,
-    /// Such an attempt hides what is appended under the older generation: first a slot must be written again.
+    /// What came of the last write is not known: a slot that yet comes to stand hides what is appended under the older
+    /// generation, a torn tail all that follows. First a slot must be written again.
     is_doubtful: bool,
     log_len: usize,
     log_min: usize,
@@ -49,14 +48,13 @@
                 best = slot;
             }
         }
-        let mut store =
-            Store { files, state: None, size: 0, generation: 0, tried: 0, is_doubtful: false, log_len: 0, log_min };
+        let mut store = Store { files, state: None, size: 0, generation: 0, is_doubtful: false, log_len: 0, log_min };
         if has_slots && best.is_none() {
             // As good as a lost disk: it votes again once it was taken in anew.
             log::error!("no slot on this disk can be read: it counts as lost");
         }
         let Some((generation, mut state, is_present)) = best else { return Ok(store) };
-        (store.generation, store.tried) = (generation, generation);
+        store.generation = generation;
         let log = store.files.read(LOG)?.unwrap_or_default();
         let read = play(&log, generation, &mut state);
         store.size = state.cells.iter().map(|(key, held)| bytes(key, &held.cell)).sum();
@@ -188,11 +186,9 @@
 
     /// Writes the slot that does not hold the state in force; only when it stands does it take that one's place.
     fn write_slot(&mut self, state: State) -> Result<(), RegError> {
-        let mut generation = self.generation + 1;
-        while generation <= self.tried {
-            generation += 2;
-        }
-        (self.tried, self.is_doubtful) = (generation, true);
+        // One that failed is written again in its own place; until then nothing is appended.
+        let generation = self.generation + 1;
+        self.is_doubtful = true;
         self.files.write(SLOTS[generation as usize % 2], &put_slot(generation, &state))?;
         self.size = state.cells.iter().map(|(key, held)| bytes(key, &held.cell)).sum();
         (self.generation, self.state) = (generation, Some(state));
