A control node that ends hands over first: duties at once, its vote where the set could not bear one more loss

Cause: duties of a node that was told to end lay idle until its silence was noticed, and its place among the voters was filled 2.5 s after its end; a loss meanwhile left three voters without a majority. Change: Leaving is told to all peers on SIGTERM; others take up its duties, splits and shards. A voter is replaced by a ready learner if one more loss would stop the rest, and ends once the next set stands, after three quarters of its grace at most. A set that bears one more loss stays as it is: most that end come back in moments.

--- /dev/null
+++ b/crates/wv-control/src/leaving.rs
@@ -0,0 +1,34 @@
+//! Leaving in order: what a node holds goes to others before it ends.
+use crate::core::Core;
+use wv_inner::{Member, Msg};
+
+impl Core {
+    /// SIGTERM: sessions are sent elsewhere, duties, splits and shards go to others at once, and a voter whose set could
+    /// not bear one more loss is replaced where somebody stands ready. Calls are served on until the end.
+    pub fn leave(&mut self, now: u64) {
+        self.now = self.now.max(now);
+        self.is_leaving = true;
+        // Where all others have no disk, they hold what there is to hold from now on.
+        self.roster.set_core(false);
+        self.send_peers(&Msg::Leaving);
+        self.beat_followers();
+        self.run_duties();
+    }
+
+    pub(crate) fn peer_leaves(&mut self, addr: &str) {
+        self.peers.get_mut(addr).into_iter().for_each(|peer| peer.is_leaving = true);
+        self.roster.peer_core(addr, false);
+    }
+
+    /// Whether a node that leaves may end before its time is over. A voter may not while it is about to be replaced, or
+    /// while its set is sealed and not settled yet; nor may the one that drives a change.
+    pub fn is_relieved(&self) -> bool {
+        if !self.seat.is_member(&self.me) {
+            return self.is_fresh();
+        }
+        let own = Member { addr: self.me.clone(), disk: self.seat.disk };
+        let is_kept = |next: wv_inner::Voters| next.members.contains(&own);
+        let is_sealed = self.seat.votes_in(&self.me) == 0;
+        !is_sealed && !self.is_changing() && self.planned().is_none_or(is_kept)
+    }
+}
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod head;
 mod keep;
+mod leaving;
 mod operate;
 mod order;
 mod outlook;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -31,6 +31,9 @@
             },
         );
         self.send(link, self.peers_msg());
+        if self.is_leaving {
+            self.send(link, Msg::Leaving);
+        }
         let request = self.quorum.next_request();
         self.send(link, Msg::Ping { request });
         self.send(link, Msg::Digests { ranges: self.table.digests() });
@@ -76,7 +79,11 @@
         let is_control = !control.is_empty();
         if is_control {
             self.know_peer(control.clone());
-            self.peers.get_mut(&control).into_iter().for_each(|peer| peer.zone = zone.clone());
+            // Another life of its machine, perhaps: one that stays.
+            self.peers
+                .get_mut(&control)
+                .into_iter()
+                .for_each(|peer| (peer.zone, peer.is_leaving) = (zone.clone(), false));
             self.links.insert(link, Link { peer: Some(control), node: None, is_follower: false, awaited: None });
         } else {
             self.roster.enter(&node, place, self.now);
@@ -151,7 +158,8 @@
                 self.send(link, Msg::Pong { request, conf, disk, set, sealed, ready });
             }
             Msg::Pong { conf, disk, set, sealed, ready, .. } => {
-                self.roster.peer_core(addr, disk.is_some());
+                let is_leaving = self.peers.get(addr).is_some_and(|peer| peer.is_leaving);
+                self.roster.peer_core(addr, disk.is_some() && !is_leaving);
                 if let Some(peer) = self.peers.get_mut(addr) {
                     (peer.ponged, peer.disk, peer.set) = (self.now, disk, set);
                     (peer.sealed, peer.is_ready) = (sealed, ready);
@@ -167,6 +175,7 @@
                 self.quorum.voted(addr, (asker, request), &key, vote, self.now);
             }
             Msg::Takeover(msg) => self.hear_takeover(link, addr, msg),
+            Msg::Leaving => self.peer_leaves(addr),
             Msg::Handover(msg) => self.hear_handover(link, addr, msg),
             msg @ (Msg::Claim { .. } | Msg::Settle { .. }) => {
                 let word = self.change_word(msg);
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -9,6 +9,10 @@
 /// Well above what a slow disk takes for one sync, well under what peers and followers take for silence.
 const DISK_LIMIT: std::time::Duration = std::time::Duration::from_millis(200);
 
+/// A node that leaves stays for a quarter of its grace, so that callers learn of it, and for at most so many quarters
+/// while its place among the voters is being filled.
+const LEAVE_MAX: u64 = 3;
+
 struct Control {
     node: Node,
     file: SettingsFile,
@@ -48,7 +52,9 @@
                 core.tick(now);
                 core.set_epoch(epoch.map_or(0, |since| since.as_micros() as u64));
             });
-            if control.leaving_since.is_some_and(|since| control.node.now() > since + control.leave_us) {
+            let left_us = control.leaving_since.map_or(0, |since| control.node.now().saturating_sub(since));
+            let is_relieved = || control.node.core.borrow().is_relieved();
+            if left_us > LEAVE_MAX * control.leave_us || (left_us > control.leave_us && is_relieved()) {
                 System::current().stop();
             }
         });
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -125,13 +125,6 @@
         }
     }
 
-    /// SIGTERM: sessions are sent elsewhere; calls are served on until the end.
-    pub fn leave(&mut self, now: u64) {
-        self.now = self.now.max(now);
-        self.is_leaving = true;
-        self.beat_followers();
-    }
-
     /// Whether cautious work that can wait prefers to run now.
     pub fn set_window(&mut self, is_open: bool) {
         self.is_window_open = is_open;
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -124,7 +124,7 @@
             return;
         }
         let same = || Voters { number: voters.number + 1, members: voters.members.clone() };
-        let next = wv_reg::plan(voters, &self.cores(), |addr| self.away_us(addr)).or_else(|| is_begun.then(same));
+        let next = self.planned().or_else(|| is_begun.then(same));
         let is_larger = |next: &Voters| next.members.len() > voters.members.len();
         let Some(next) = next.filter(|next| is_begun || !is_larger(next) || self.changed + GROW_US <= self.now) else {
             return;
@@ -138,6 +138,11 @@
         self.run_voters();
     }
 
+    /// The next set, if this node sees a reason for one.
+    pub(crate) fn planned(&self) -> Option<Voters> {
+        wv_reg::plan(&self.seat.voters, &self.cores(), |addr| self.away_us(addr))
+    }
+
     /// The machines that could vote, as they are known here.
     fn cores(&self) -> Vec<wv_reg::Core> {
         let own = wv_reg::Core {
--- /dev/null
+++ b/crates/wv-fleet/tests/leaving_voters.rs
@@ -0,0 +1,102 @@
+//! Stories of control nodes that are told to end: what they hold is in others' hands before they do.
+use googletest::prelude::*;
+use wv_fleet::{World, MS, S};
+
+fn put(world: &mut World, control: usize, version: u64) -> u16 {
+    let token = world.call(control, "PUT", "/configuration", &World::conf(version));
+    world.run(1200 * MS);
+    world.returns.get(&token).map_or(0, |ret| ret.0)
+}
+
+/// The number of the set as `control` knows it, and the addresses in it.
+fn voters(world: &mut World, control: usize) -> (u64, String) {
+    let token = world.call(control, "GET", "/voters", b"");
+    let body = world.returns.get(&token).cloned().unwrap_or_default().1;
+    let value: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    (value["number"].as_u64().unwrap_or(0), value["members"].to_string())
+}
+
+/// SIGTERM, and the end as the process has it: after a quarter of six seconds, and up to three while it is needed.
+fn term(world: &mut World, control: usize) -> u64 {
+    let start = world.now;
+    let leave = |core: &mut wv_control::Core| core.leave(start);
+    world.controls[control].core.iter_mut().for_each(leave);
+    let is_over = |world: &World| {
+        let is_relieved = world.controls[control].core.as_ref().is_none_or(|core| core.is_relieved());
+        let left = world.now - start;
+        left > 4500 * MS || (left > 1500 * MS && is_relieved)
+    };
+    while !is_over(world) {
+        world.run(100 * MS);
+    }
+    world.kill_control(control);
+    world.now - start
+}
+
+#[gtest]
+fn given_a_voter_of_three_that_ends_where_one_stands_by_then_the_next_set_stands_before_it_goes() {
+    for gone in 0..3 {
+        let mut world = World::serving(1, 4);
+        expect_that!(put(&mut world, gone, 20), eq(200));
+        expect_that!(term(&mut world, gone), le(1700 * MS), "gone {gone}");
+        let other = (gone + 1) % 3;
+        let (number, members) = voters(&mut world, other);
+        expect_that!(number, eq(2), "gone {gone}");
+        expect_that!(members.contains(&world.controls[gone].addr), eq(false), "gone {gone}");
+        // One more loss in the moment of its end.
+        world.kill_control((gone + 2) % 3);
+        world.run(500 * MS);
+        expect_that!(put(&mut world, other, 21), eq(200), "gone {gone}");
+        let token = world.call(3, "GET", "/configuration", b"");
+        world.run(1200 * MS);
+        expect_that!(world.returns.get(&token), some(eq(&(200, World::conf(21)))), "gone {gone}");
+    }
+}
+
+#[gtest]
+fn given_voters_that_end_and_start_again_in_turn_then_a_set_that_bears_it_stays_as_it_is() {
+    let mut world = World::serving(1, 8);
+    world.run(4 * S);
+    let before = voters(&mut world, 0);
+    expect_that!(before.0, eq(3));
+    for at in 0..8 {
+        expect_that!(term(&mut world, at), le(1700 * MS), "control {at}");
+        world.run(300 * MS);
+        world.start_control(at, false);
+        world.run(S);
+        expect_that!(put(&mut world, (at + 1) % 8, 20 + at as u64), eq(200), "control {at}");
+    }
+    expect_that!(voters(&mut world, 0), eq(&before));
+}
+
+#[gtest]
+fn given_a_voter_that_ends_where_nobody_stands_by_then_it_goes_in_its_time_and_the_set_stays() {
+    let mut world = World::serving(1, 3);
+    expect_that!(term(&mut world, 1), le(1700 * MS));
+    world.run(4 * S);
+    expect_that!(voters(&mut world, 0).0, eq(1));
+    expect_that!(put(&mut world, 2, 20), eq(200));
+}
+
+#[gtest]
+fn given_any_control_node_that_is_about_to_end_when_a_primary_crashes_then_the_promotion_is_not_held_up() {
+    for at in 0..3 {
+        let mut world = World::serving(4, 3);
+        world.load(10, "p");
+        world.run(2 * S);
+        let now = world.now;
+        world.controls[at].core.iter_mut().for_each(|core| core.leave(now));
+        world.run(1400 * MS);
+        world.crash(0);
+        // It ends before it could have done anything; that it is gone the others would notice only later.
+        world.run(100 * MS);
+        world.kill_control(at);
+        world.run(900 * MS);
+        expect_that!(world.primary(), not(eq(0)), "control {at}");
+        world.revive(0);
+        world.run(S);
+        world.stop_load();
+        world.run(wv_fleet::REST);
+        expect_that!(world.judge(), is_empty(), "control {at}");
+    }
+}
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -160,6 +160,8 @@
     },
     Takeover(Takeover),
     Handover(Handover),
+    /// The speaker is about to end: what it holds others take up now.
+    Leaving,
     /// What was accepted under this ballot stands in a register by agreement, for voters, which have it.
     Committed {
         key: String,
--- a/crates/wv-reg/src/change.rs
+++ b/crates/wv-reg/src/change.rs
@@ -32,7 +32,11 @@
     let is_wiped = |member: &Member| {
         cores.iter().any(|core| core.is_up && core.member.addr == member.addr && core.member != *member)
     };
-    let is_leaving = |member: &Member| cores.iter().any(|core| core.is_leaving && core.member == *member);
+    // One that is about to end mostly comes back in moments: it is replaced only where the rest could not bear one loss.
+    let is_staying =
+        |member: &&Member| cores.iter().any(|core| core.is_up && !core.is_leaving && core.member == **member);
+    let is_bare = voters.members.iter().filter(is_staying).count() <= voters.majority();
+    let is_leaving = |member: &Member| is_bare && cores.iter().any(|core| core.is_leaving && core.member == *member);
     // What was lost goes before what is lost, and that before what is about to go.
     let lost: Vec<&Member> = voters
         .members
