A leader that is gone leaves its last fenced sighting behind: another may follow it

A primary that says only DELETE was told of as unseen, its words were dropped, and where another database had left shortly before nothing could prove any more that the rest had received all: every look at them ended in nothing, and the service had no writer for ever. Change: access nodes go on telling the newest fenced sighting of a leader that is gone, with each beat; the holder of the duty keeps it while the database is remembered. Measured: the story in leaving.rs failed before and passes; wv-fleet, wv-control, wv-promo, wv-access: all passed. Where the two leave within half a second of each other the proof is still missing.

--- a/crates/wv-access/src/sights.rs
+++ b/crates/wv-access/src/sights.rs
@@ -33,7 +33,9 @@
         let turns = led.div_ceil(ROUND_LEADERS).max(1);
         let mut sights = Vec::new();
         for (service, checker) in self.checks.iter() {
-            let fenced = checker.fenced.settled();
+            // Nothing is written to a leader that is gone: what was seen last has reached the others by now.
+            let is_led_gone = checker.led().and_then(|seat| checker.member(seat)).is_some_and(|lead| lead.inst.gone);
+            let fenced = if is_led_gone { checker.fenced.newest() } else { checker.fenced.settled() };
             for (seat, member) in checker.members() {
                 let spot = Spot { service, seat };
                 let is_standing = pools.get(&spot).is_some_and(|pool| pool.all > pool.opening);
@@ -47,15 +49,17 @@
                     _ => Sight::Unseen,
                 };
                 let told = self.told.get(&spot).copied().unwrap_or(Sight::Unseen);
-                let is_leader = checker.leader() == Some(seat);
+                let is_leader = checker.led() == Some(seat);
                 // Of many services each round tells of a few leaders in turn: other nodes tell of the same ones.
                 let is_turn = telling != Telling::Round || (u64::from(service) + self.round).is_multiple_of(turns);
                 let ages = match sight {
-                    Sight::Unseen => false,
+                    // Of a leader that is gone the last fenced sighting still tells who may follow it.
+                    Sight::Unseen => is_leader && fenced.is_some() && member.inst.gone,
                     Sight::Up => is_leader && fenced.is_some() && is_turn,
                     _ => true,
                 };
-                let least = if is_leader && member.inst.draining { Telling::Beat } else { Telling::Round };
+                let is_ending = member.inst.draining || member.inst.gone;
+                let least = if is_leader && is_ending { Telling::Beat } else { Telling::Round };
                 if sight == told && !(ages && telling >= least) {
                     continue;
                 }
--- a/crates/wv-check/src/checker.rs
+++ b/crates/wv-check/src/checker.rs
@@ -193,6 +193,12 @@
         }
     }
 
+    /// Who is said to lead, also when it has said since that it is gone.
+    pub fn led(&self) -> Option<u16> {
+        let lead = self.lead.as_ref()?;
+        self.members.iter().position(|member| member.inst.id == lead.id).map(|at| at as u16)
+    }
+
     /// Who is said to lead, whatever its condition.
     pub fn leader(&self) -> Option<u16> {
         let lead = self.lead.as_ref()?;
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -20,8 +20,10 @@
         let is_bad = |sight: &&Sighting| !matches!(sight.sight, Sight::Up | Sight::Unseen);
         let bad: Vec<String> = sights.iter().filter(is_bad).map(|sight| sight.id.clone()).collect();
         for sight in &sights {
+            // Of a leader that is gone the last fenced sighting still tells who may follow it.
+            let is_gone = self.table.get(&sight.id).is_some_and(|inst| inst.gone);
             let words = self.sights.entry(sight.id.clone()).or_default();
-            if sight.sight == Sight::Unseen {
+            if sight.sight == Sight::Unseen && (sight.fenced.is_empty() || !is_gone) {
                 words.remove(node);
             } else {
                 words.insert(node.to_owned(), (self.now, sight.clone()));
--- a/crates/wv-control/src/words.rs
+++ b/crates/wv-control/src/words.rs
@@ -52,9 +52,10 @@
 
     /// Words of nodes that are gone count no more.
     pub(crate) fn forget_words(&mut self) {
-        let nodes = self.roster.nodes();
-        self.sights.retain(|_, words| {
-            words.retain(|node, _| nodes.contains(node));
+        let (nodes, table) = (self.roster.nodes(), &self.table);
+        self.sights.retain(|id, words| {
+            let is_known = table.get(id).is_some();
+            words.retain(|node, (_, sight)| nodes.contains(node) && (is_known || sight.sight != Sight::Unseen));
             !words.is_empty()
         });
     }
--- a/crates/wv-fleet/tests/leaving.rs
+++ b/crates/wv-fleet/tests/leaving.rs
@@ -74,3 +74,23 @@
     world.run(S);
     expect_that!(end(&mut world), is_empty());
 }
+
+#[gtest]
+fn given_a_primary_that_only_says_that_it_is_gone_soon_after_another_left_then_one_leads_after_it() {
+    let mut world = busy();
+    world.bases[0].is_draining = true;
+    world.run(1500 * MS);
+    let second = world.primary();
+    expect_that!(second, not(eq(0)));
+    leave(&mut world, 0);
+    world.run(S);
+    // It never says that it drains; it serves on for a while.
+    let id = world.bases[second].id.clone();
+    world.call(1, "DELETE", &format!("/instances/{id}"), b"");
+    world.run(7 * S);
+    world.bases[second].is_left = true;
+    world.crash(second);
+    world.run(3 * S);
+    expect_that!(world.primary(), eq(3 - second));
+    expect_that!(end(&mut world), is_empty());
+}
