--- a/crates/wv-control/src/handover.rs
+++ b/crates/wv-control/src/handover.rs
@@ -1,6 +1,6 @@
 //! The steps of a change of voters between those that take part: claimed, sealed, handed over, settled.
 use crate::core::Core;
-use wv_inner::{Handover, Held, Known, Member, Msg, Voters};
+use wv_inner::{Handover, Held, Known, Msg};
 use wv_reg::{parts, RegError};
 
 fn noted(error: RegError) {
@@ -29,7 +29,7 @@
                     sealed.into_iter().for_each(|ok| self.sealed(&me, request, ok));
                 }
                 Msg::Handover(Handover::Fetch { request, set, next, .. }) => {
-                    if self.is_meant(set, &next) && self.is_whole(set, Vec::new()) {
+                    if self.seat.is_named(&me, set, &next) && self.is_whole(set) {
                         self.fetched(&me, request);
                     }
                 }
@@ -60,14 +60,8 @@
         self.seat.seal(&mut self.store, &self.me, (set, fence))?.map_err(noted).ok()
     }
 
-    /// Only the disk that is named is to hold what is handed over.
-    fn is_meant(&self, set: u64, next: &Voters) -> bool {
-        let own = Member { addr: self.me.clone(), disk: self.seat.disk };
-        set == self.seat.voters.number && next.members.contains(&own)
-    }
-
-    fn is_whole(&mut self, set: u64, cells: Vec<(String, Held)>) -> bool {
-        self.seat.finish(&mut self.store, set, cells).map_err(noted).unwrap_or(false)
+    fn is_whole(&mut self, set: u64) -> bool {
+        self.seat.finish(&mut self.store, set).map_err(noted).unwrap_or(false)
     }
 
     pub(crate) fn hear_handover(&mut self, link: u64, addr: &str, msg: Handover) {
@@ -86,7 +80,7 @@
                 }
             }
             Handover::Fetch { request, set, next, sums } => {
-                if self.is_meant(set, &next) {
+                if self.seat.is_named(&self.me, set, &next) {
                     let open = parts::differing(&self.store, &sums);
                     self.rest(link, addr, (request, set, true), Vec::new(), &open);
                 }
@@ -144,7 +138,7 @@
         }
         if !is_member {
             self.sealed(addr, request, true);
-        } else if self.is_whole(set, Vec::new()) {
+        } else if self.is_whole(set) {
             self.send(link, Msg::Handover(Handover::Fetched { request }));
         }
     }
--- a/crates/wv-fleet/tests/leaving_voters.rs
+++ b/crates/wv-fleet/tests/leaving_voters.rs
@@ -100,3 +100,46 @@
         expect_that!(world.judge(), is_empty(), "control {at}");
     }
 }
+
+/// The version of the configuration on the disk of `control`, and the newest set known there.
+fn disk(world: &World, control: usize) -> (u64, wv_inner::Voters) {
+    let files = Box::new(world.controls[control].files.copy());
+    let mut store = wv_reg::Store::open(files).expect("it can be read");
+    let addr = &world.controls[control].addr;
+    let seat = wv_reg::Seat::open(&mut store, addr, &[], false, 1).expect("it has one");
+    (store.get("conf").map_or(0, |held| held.cell.version), seat.voters)
+}
+
+#[gtest]
+fn given_writes_that_one_that_ends_and_one_other_hold_alone_then_the_next_set_has_them_before_it_is_settled() {
+    let mut acks = 0;
+    for (gone, missing, other) in [(0, 1, 2), (0, 2, 1), (1, 0, 2), (1, 2, 0), (2, 0, 1), (2, 1, 0)] {
+        for wait in 0..12 {
+            let mut world = World::serving(1, 4);
+            world.run(3 * S + wait * 31 * MS);
+            let now = world.now;
+            world.controls[gone].core.iter_mut().for_each(|core| core.leave(now));
+            let token = world.call(gone, "PUT", "/configuration", &World::conf(20));
+            world.run(2 * MS);
+            // From here on nothing passes between the one that ends and one of the others.
+            world.cut.insert((format!("c{gone}"), format!("c{missing}")));
+            let (mut tokens, mut acked) = (vec![(20, token)], 0);
+            while [other, missing].iter().all(|at| disk(&world, *at).1.number == 1) && tokens.len() < 400 {
+                let version = 20 + tokens.len() as u64;
+                tokens.push((version, world.call(gone, "PUT", "/configuration", &World::conf(version))));
+                world.run(MS / 2);
+                let is_acked = |(_, token): &&(u64, u64)| world.returns.get(token).is_some_and(|ret| ret.0 == 200);
+                acked = tokens.iter().filter(is_acked).map(|(version, _)| *version).max().unwrap_or(acked);
+            }
+            let next = [other, missing].map(|at| disk(&world, at).1).into_iter().max_by_key(|known| known.number);
+            let next = next.unwrap_or_default();
+            let is_holder = |at: &usize| next.has(&world.controls[*at].addr) && disk(&world, *at).0 >= acked;
+            let holders = (0..4).filter(is_holder).count();
+            expect_that!(next.number, eq(2), "{gone} {missing} {wait}");
+            expect_that!(next.has(&world.controls[gone].addr), eq(false), "{gone} {missing} {wait}");
+            expect_that!(holders, ge(next.majority()), "{gone} {missing} {wait}: {acked}");
+            acks += u64::from(acked >= 20);
+        }
+    }
+    expect_that!(acks, ge(36));
+}
--- a/crates/wv-reg/src/seal.rs
+++ b/crates/wv-reg/src/seal.rs
@@ -1,6 +1,6 @@
 //! Sealing a set: its voters stop, what they hold is final, and the next set has it before it is settled.
 use crate::{RegError, Seat, Store};
-use wv_inner::Held;
+use wv_inner::Voters;
 
 impl Seat {
     /// Votes no more in the registers of `set`, unless a higher fence was seen. Kept before it is answered: what is told
@@ -15,13 +15,19 @@
         Some(kept.map(|()| true))
     }
 
-    /// Takes over what a sealed majority of `set` told, merged: nothing acknowledged in it is missing here from now on.
-    /// The copies come first, the word that rests on them second. False where another set is in force here.
-    pub fn finish(&mut self, store: &mut Store, set: u64, cells: Vec<(String, Held)>) -> Result<bool, RegError> {
+    /// Whether this very disk is a member of `next`, and `set` the one that is in force here: only then it is handed over
+    /// to. An address with another disk is another member.
+    pub fn is_named(&self, me: &str, set: u64, next: &Voters) -> bool {
+        let is_own = |member: &wv_inner::Member| member.addr == me && member.disk == self.disk;
+        set == self.voters.number && next.members.iter().any(is_own)
+    }
+
+    /// All that a sealed majority of `set` told stands in the store: nothing acknowledged in that set is missing here from
+    /// now on. False where another set is in force.
+    pub fn finish(&mut self, store: &mut Store, set: u64) -> Result<bool, RegError> {
         if set == 0 || set != self.voters.number {
             return Ok(false);
         }
-        store.adopt(cells)?;
         if self.whole != set {
             self.turn(store, Seat { whole: set, ..self.clone() })?;
         }
--- a/crates/wv-reg/tests/change.rs
+++ b/crates/wv-reg/tests/change.rs
@@ -1,6 +1,6 @@
 //! Stories of agreeing on the next set of voters, word by word.
 use googletest::prelude::*;
-use wv_inner::{Member, Msg, Voters};
+use wv_inner::{Handover, Member, Msg, Voters};
 use wv_reg::{plan, Change, Core, End, AWAY_US};
 
 fn set(number: u64, addrs: &[&str]) -> Voters {
@@ -21,8 +21,11 @@
 /// The set is sealed and handed over as it must be before anything is proposed.
 fn proposed(change: &mut Change, request: u64, holders: [&str; 2]) -> Option<Voters> {
     let is_settling = |msgs: &[(String, Msg)]| msgs.iter().any(|(_, msg)| matches!(msg, Msg::Settle { .. }));
+    let is_handing =
+        |msgs: &[(String, Msg)]| msgs.iter().any(|(_, msg)| matches!(msg, Msg::Handover(Handover::Fetch { .. })));
     for voter in ["a", "b"] {
-        expect_that!(is_settling(&change.tick(0).unwrap_or_default()), eq(false));
+        let msgs = change.tick(0).unwrap_or_default();
+        expect_that!(is_settling(&msgs) || is_handing(&msgs), eq(false));
         expect_that!(change.sealed(voter, request, true), none());
     }
     for member in holders {
@@ -73,3 +76,76 @@
     let five = cores(&[("a", 0, true), ("b", 0, true), ("c", 0, true), ("d", 5, true), ("e", 6, true)]);
     expect_that!(plan(&voters, &five, all_up).map(|next| (next.number, next.members.len())), some(eq((5, 5))));
 }
+
+fn core(addr: &str, zone: &str) -> Core {
+    let member = Member { addr: addr.to_owned(), disk: 0 };
+    Core { member, zone: zone.to_owned(), is_up: true, is_ready: true, is_leaving: false }
+}
+
+fn has(next: &Option<Voters>, addr: &str) -> bool {
+    next.as_ref().is_some_and(|next| next.has(addr))
+}
+
+#[gtest]
+fn given_newcomers_in_several_zones_then_the_one_whose_zone_has_fewest_voters_comes_in() {
+    let voters = set(4, &["a", "b", "c"]);
+    let away = |addr: &str| if addr == "c" { AWAY_US } else { 0 };
+    let near = [core("a", "x"), core("b", "y"), core("d", "x"), core("e", "y"), core("f", "z")];
+    let next = plan(&voters, &near, away);
+    expect_that!((has(&next, "f"), next.map_or(0, |next| next.members.len())), eq((true, 3)));
+    // Where there is no other zone a shared one is better than nobody.
+    expect_that!(has(&plan(&voters, &near[..4], away), "d"), eq(true));
+    // Also where two are added, one after the other.
+    let all = [
+        core("a", "x"),
+        core("b", "y"),
+        core("c", "z"),
+        core("d", "x"),
+        core("e", "w"),
+        core("f", "w"),
+        core("g", "v"),
+    ];
+    let next = plan(&voters, &all, |_| 0);
+    expect_that!((has(&next, "e"), has(&next, "g"), next.map_or(0, |next| next.members.len())), eq((true, true, 5)));
+}
+
+#[gtest]
+fn given_a_newcomer_that_is_not_ready_or_about_to_end_then_it_is_no_newcomer() {
+    let voters = set(4, &["a", "b", "c"]);
+    let away = |addr: &str| if addr == "c" { AWAY_US } else { 0 };
+    let [a, b, d] = [core("a", ""), core("b", ""), core("d", "")];
+    for late in
+        [Core { is_ready: false, ..d.clone() }, Core { is_leaving: true, ..d.clone() }, Core { is_up: false, ..d }]
+    {
+        expect_that!(plan(&voters, &[a.clone(), b.clone(), late], away), none());
+    }
+    // Nor is a wiped disk before it has learnt: another that is ready goes before it.
+    let wiped = Core { member: Member { addr: "b".to_owned(), disk: 9 }, is_ready: false, ..b };
+    expect_that!(plan(&voters, &[a.clone(), core("c", ""), wiped.clone()], |_| 0), none());
+    let next = plan(&voters, &[a, core("c", ""), wiped, core("d", "")], |_| 0);
+    expect_that!((has(&next, "b"), has(&next, "d")), eq((false, true)));
+}
+
+#[gtest]
+fn given_a_member_that_is_about_to_end_then_it_is_replaced_only_where_the_rest_could_not_bear_a_loss() {
+    let leaving = |addr: &str| Core { is_leaving: true, ..core(addr, "") };
+    let three = [core("a", ""), core("b", ""), leaving("c"), core("d", "")];
+    let next = plan(&set(4, &["a", "b", "c"]), &three, |_| 0);
+    expect_that!((has(&next, "c"), has(&next, "d")), eq((false, true)));
+    let five = [core("a", ""), core("b", ""), leaving("c"), core("d", ""), core("e", ""), core("f", "")];
+    expect_that!(plan(&set(4, &["a", "b", "c", "d", "e"]), &five, |_| 0), none());
+    // With another one down it is needed, but what is away for long goes first.
+    let down = [
+        Core { is_up: false, ..core("a", "") },
+        core("b", ""),
+        leaving("c"),
+        core("d", ""),
+        core("e", ""),
+        core("f", ""),
+    ];
+    let next = plan(&set(4, &["a", "b", "c", "d", "e"]), &down, |_| 0);
+    expect_that!((has(&next, "c"), has(&next, "f")), eq((false, true)));
+    let away = |addr: &str| if addr == "a" { AWAY_US } else { 0 };
+    let next = plan(&set(4, &["a", "b", "c", "d", "e"]), &down, away);
+    expect_that!((has(&next, "a"), has(&next, "c")), eq((false, true)));
+}
