--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -59,6 +59,7 @@
 }
 
 /// The duty for one service.
+#[derive(Clone, Debug)]
 pub struct Duty {
     pub(crate) step: Step,
     pub(crate) fence: Option<u64>,
--- a/crates/wv-reg/src/attempt.rs
+++ b/crates/wv-reg/src/attempt.rs
@@ -17,16 +17,27 @@
     set << ROUNDS
 }
 
+/// An edit that copies of an attempt share.
+type Shared = std::rc::Rc<dyn Fn(&Cell) -> Option<Cell>>;
+
 /// One caller's wish: a read where there is no edit.
+#[derive(Clone)]
 pub(crate) struct Op {
     pub token: u64,
-    pub edit: Option<Edit>,
+    pub edit: Option<Shared>,
     pub limit: u64,
     /// What stood before the edit, and whether the edit changed it.
     pub before: Cell,
     pub is_ours: bool,
 }
 
+impl std::fmt::Debug for Op {
+    fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(to, "{} {} {:?} {}", self.token, self.edit.is_some(), self.before, self.is_ours)
+    }
+}
+
+#[derive(Clone, Debug)]
 pub(crate) enum Phase {
     /// Copies are compared; nothing is promised.
     Looking,
@@ -49,6 +60,7 @@
     Met,
 }
 
+#[derive(Clone, Debug)]
 pub(crate) struct Attempt {
     pub ops: Vec<Op>,
     pub request: u64,
--- a/crates/wv-reg/src/change.rs
+++ b/crates/wv-reg/src/change.rs
@@ -76,6 +76,7 @@
     Some(Voters { number: voters.number + 1, members })
 }
 
+#[derive(Clone, Debug)]
 enum Phase {
     /// A majority of the set is to let this fence name its successor.
     Claiming { best: Option<(u64, Voters)> },
@@ -98,6 +99,7 @@
 }
 
 /// One attempt at agreeing on a successor.
+#[derive(Clone, Debug)]
 pub struct Change {
     request: u64,
     fence: u64,
--- a/crates/wv-reg/src/line.rs
+++ b/crates/wv-reg/src/line.rs
@@ -1,7 +1,7 @@
 //! All operations on one register at one node: one attempt at a time, and those that wait for the next one.
 use crate::attempt::{Attempt, Op, Phase};
 
-#[derive(Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Line {
     pub active: Option<Attempt>,
     pub waiting: Vec<Op>,
--- a/crates/wv-reg/src/quorum.rs
+++ b/crates/wv-reg/src/quorum.rs
@@ -19,6 +19,7 @@
 const LONG: usize = 1 << 10;
 
 /// Runs reads and edits over the voters; the caller carries the messages.
+#[derive(Clone, Debug)]
 pub struct Quorum {
     voters: Voters,
     /// Drawn at random for this life: ballots and answers of another one never pass for ours.
@@ -91,7 +92,8 @@
         if self.voters.members.is_empty() || self.lines.values().map(Line::count).sum::<usize>() >= OPS_MAX {
             return self.done.push(Done::unsure(token, key));
         }
-        let op = Op { token, edit, limit: now + LIMIT_US, before: Cell::default(), is_ours: false };
+        let op =
+            Op { token, edit: edit.map(Into::into), limit: now + LIMIT_US, before: Cell::default(), is_ours: false };
         self.lines.entry(key.to_owned()).or_default().waiting.push(op);
         self.begin(key, now);
     }
