--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -12,7 +12,7 @@
 mod keep;
 mod leaving;
 mod operate;
-mod order;
+pub mod order;
 mod outlook;
 mod own;
 mod peers;
