--- /dev/null
+++ b/crates/wv-reg/tests/change_model/act.rs
@@ -0,0 +1,204 @@
+//! What each step of a change does, with the code that it stands for.
+use super::{closed, opened, wiped, Ask, Node, Without, World, KEY, NAMES};
+use std::rc::Rc;
+use wv_inner::{Handover, Held, Member, Msg, Voters};
+use wv_reg::{Change, Core, End, AWAY_US};
+
+impl World {
+    /// Keeps what an attempt wants to send; who is asked is found out when it arrives.
+    fn drive(&mut self, at: usize, mut change: Change, request: u64) -> Result<(), End> {
+        let msgs = change.tick(0)?;
+        let hash = wv_search::hash_of(&change);
+        self.nodes[at].change = Some(Rc::new((change, request, hash)));
+        for (addr, msg) in msgs {
+            let to = NAMES.iter().position(|name| *name == addr).unwrap_or(0);
+            let ask = Ask { from: at, to, msg };
+            let hash = wv_search::hash_of(&ask);
+            if self.asks.iter().all(|known| known.1 != hash) {
+                self.asks.push(Rc::new((ask, hash)));
+            }
+        }
+        Ok(())
+    }
+
+    /// As `Core::plan_change`: the next set, or the same one again where a predecessor sealed it and went.
+    pub(super) fn plan(&mut self, at: usize, lost: Option<usize>) -> bool {
+        let voters = self.seat(at).voters.clone();
+        let is_open = self.setup.without == Without::Ready;
+        let core = |(other, node): (usize, &Node)| Core {
+            member: Member { addr: NAMES[other].to_owned(), disk: node.disk.seat.disk },
+            zone: String::new(),
+            is_up: node.is_up,
+            is_ready: node.is_ready || is_open,
+            is_leaving: lost == Some(other),
+        };
+        let cores: Vec<Core> = self.nodes.iter().enumerate().map(core).collect();
+        let is_away = |addr: &str| (0..self.nodes.len()).any(|at| NAMES[at] == addr && !self.nodes[at].is_up);
+        let away_us = |addr: &str| if is_away(addr) { AWAY_US } else { 0 };
+        let is_sealed = |at: usize| self.nodes[at].is_up && self.seat(at).sealed == voters.number;
+        let is_begun = (0..self.nodes.len()).any(is_sealed);
+        let same = || Voters { number: voters.number + 1, members: voters.members.clone() };
+        let Some(next) = wv_reg::plan(&voters, &cores, away_us).or_else(|| is_begun.then(same)) else { return false };
+        let fence = (((self.nodes[at].met.max(self.seat(at).fence) >> 16) + 1) << 16) | (at as u64 + 1);
+        self.drive(at, Change::new(fence, fence, voters, next, 0), fence).is_ok()
+    }
+
+    /// What was asked arrives; `true` and what was told to a planner that hears it.
+    pub(super) fn asked(&mut self, ask: &Ask, is_heard: bool) {
+        let without = self.setup.without;
+        let (at, me) = (ask.to, NAMES[ask.to]);
+        let change = self.nodes[ask.from].change.clone().filter(|_| self.nodes[ask.from].is_up);
+        let mut heard = change.as_ref().map(|change| change.0.clone());
+        let asking = change.as_ref().map_or(0, |change| change.1);
+        let end = match ask.msg.clone() {
+            Msg::Claim { request, set, fence } => {
+                let word = self.on_disk(at, |seat, store| seat.claim(store, me, set, fence)).and_then(Result::ok);
+                let hear = |change: &mut Change| {
+                    let claimed = word?;
+                    let next = claimed.next.filter(|_| without != Without::Accepted);
+                    change.claimed(me, request, claimed.is_ok, claimed.fence, next)
+                };
+                heard.as_mut().filter(|_| is_heard).and_then(hear)
+            }
+            Msg::Handover(Handover::Seal { request, set, fence, .. }) => {
+                let word = self.on_disk(at, |seat, store| seat.seal(store, me, (set, fence))).and_then(Result::ok);
+                let Some(is_ok) = word.filter(|_| is_heard) else { return };
+                // What it holds stands at the planner before it counts.
+                if is_ok && self.seat(ask.from).voters.number == set {
+                    self.adopt(ask.from, at);
+                }
+                heard.as_mut().and_then(|change| change.sealed(me, request, is_ok))
+            }
+            Msg::Handover(Handover::Fetch { request, set, next, .. }) => {
+                let own = Member { addr: me.to_owned(), disk: self.seat(at).disk };
+                let is_meant = set == self.seat(at).voters.number && next.members.contains(&own);
+                let is_final = change.is_some_and(|change| change.0.is_handing(request));
+                if !is_meant || !is_final || self.seat(ask.from).voters.number != set {
+                    return;
+                }
+                self.adopt(at, ask.from);
+                let is_whole = self.on_disk(at, |seat, store| seat.finish(store, set, Vec::new())).unwrap_or(false);
+                heard.iter_mut().filter(|_| is_heard && is_whole).for_each(|change| change.fetched(me, request));
+                None
+            }
+            Msg::Settle { request, set, fence, next } => {
+                let word = self.on_disk(at, |seat, store| {
+                    seat.fence = if without == Without::Fence { 0 } else { seat.fence };
+                    seat.settle(store, me, (set, fence), &next)
+                });
+                let is_ok = word.and_then(Result::ok);
+                let hear = |change: &mut Change| change.settled(me, request, is_ok?);
+                heard.as_mut().filter(|_| is_heard).and_then(hear)
+            }
+            _ => None,
+        };
+        if let Some(change) = heard.filter(|_| is_heard) {
+            self.heard(ask.from, (change, asking), end);
+        }
+    }
+
+    fn heard(&mut self, at: usize, (mut change, request): (Change, u64), end: Option<End>) {
+        if self.setup.without == Without::Handover {
+            // As if all had been sealed and had it: the next step follows at once.
+            NAMES.iter().for_each(|name| {
+                change.sealed(name, request, true);
+            });
+            NAMES.iter().for_each(|name| change.fetched(name, request));
+        }
+        match end {
+            None => self.drive(at, change, request).unwrap_or_default(),
+            Some(End::Settled(next)) => {
+                let before = self.seat(at).voters.clone();
+                self.nodes[at].change = None;
+                self.learn(at, &next, &before);
+            }
+            Some(End::Off { seen }) => {
+                self.nodes[at].change = None;
+                self.nodes[at].met = self.nodes[at].met.max(seen);
+            }
+        }
+    }
+
+    pub(super) fn learn(&mut self, at: usize, voters: &Voters, before: &Voters) {
+        let me = NAMES[at];
+        if self.on_disk(at, |seat, store| seat.learn(store, me, voters, before)).unwrap_or(false) {
+            self.nodes[at].change = None;
+            self.nodes[at].told.clear();
+            self.nodes[at].is_ready = false;
+        }
+    }
+
+    pub(super) fn tell(&mut self, from: usize, to: usize) {
+        let seat = self.seat(from).clone();
+        self.learn(to, &seat.voters, &seat.before);
+    }
+
+    fn adopt(&mut self, to: usize, from: usize) {
+        let copy: Held = self.nodes[from].disk.held.clone();
+        if copy != Held::default() {
+            self.on_disk(to, |_, store| store.adopt(vec![(KEY.to_owned(), copy)])).expect("kept");
+        }
+    }
+
+    /// As `Core::take_over` with its answers: one comparison from its beginning to its end.
+    pub(super) fn take_over(&mut self, at: usize, from: usize) {
+        let is_member = self.seat(at).is_member(NAMES[at]);
+        self.tell(at, from);
+        if self.seat(from).voters.number > self.seat(at).voters.number {
+            return self.tell(from, at);
+        }
+        let (voters, before) = (self.seat(at).voters.clone(), self.seat(at).before.clone());
+        let set = self.seat(from).set;
+        if set == 0 {
+            return;
+        }
+        self.adopt(at, from);
+        if !is_member {
+            // Only from one that votes in the newest set; others have left theirs.
+            self.nodes[at].is_ready |= self.votes_in(from) == voters.number;
+            return;
+        }
+        if set == before.number {
+            self.nodes[at].told.insert(from);
+        }
+        let has_left =
+            |other: &usize| self.nodes[at].told.contains(other) || (*other == at && self.seat(at).set == before.number);
+        let count = (0..self.nodes.len()).filter(has_left).filter(|other| before.has(NAMES[*other])).count();
+        if set == voters.number || (before.number > 0 && count >= before.majority()) {
+            self.on_disk(at, |seat, store| seat.install(store)).expect("kept");
+            self.nodes[at].told.clear();
+        }
+    }
+
+    pub(super) fn write(&mut self, at: usize) {
+        let (ballot, number) = (self.ballot(), self.writer.number);
+        let cell = wv_reg::cell(number, vec![number as u8]);
+        let is_kept = self.on_disk(at, |_, store| store.accept(KEY, ballot, &cell)).unwrap_or(false);
+        if is_kept {
+            self.writer.kept.insert(at);
+        }
+        if self.writer.kept.len() >= self.writer.set.majority() {
+            (self.writer.acknowledged, self.writer.number) = (number, number + 1);
+            self.writer.kept.clear();
+        }
+    }
+
+    pub(super) fn fall(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        (node.is_up, node.is_ready, node.change, node.met) = (false, false, None, 0);
+        node.told.clear();
+    }
+
+    pub(super) fn wipe(&mut self, at: usize) {
+        if self.setup.without != Without::Disk {
+            self.nodes[at].disk = wiped(at, 20 + at as u64);
+            return;
+        }
+        // The same member, and what it promised is gone.
+        let seat = self.seat(at).clone();
+        let (mut store, files) = opened(&wiped(at, 1).files);
+        let kept = wv_reg::Seat { fence: 0, next: None, sealed: 0, whole: 0, ..seat };
+        store.put_local("local/seat", nanoserde::SerBin::serialize_bin(&kept)).expect("kept");
+        self.nodes[at].disk = closed(store, files, kept);
+    }
+}
