--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -2,7 +2,7 @@
 use crate::types::{Fall, Hold, Link, Peer, Waiting};
 use std::collections::BTreeMap;
 use wv_feed::{Feed, Table};
-use wv_inner::{Held, Msg, News};
+use wv_inner::{Msg, News};
 use wv_reg::{Change, Quorum, Seat, Store};
 use wv_roster::Roster;
 
@@ -12,8 +12,10 @@
 pub const BODY_MAX: usize = wv_conf::BODY_MAX;
 /// How often a node has its regular turn.
 pub const TURN_US: u64 = 100_000;
-/// A majority heard within this is fresh contact.
+/// A majority that answered what was asked within this is fresh contact.
 pub const FRESH_US: u64 = 1_300_000;
+/// How long a node that has just started lets followers wait for it, and databases stay with it.
+pub const AWAIT_US: u64 = 900_000;
 
 /// Machines that start together may read one time: the place in one node's feed must never pass for another's.
 fn own_life(life: u64, me: &str) -> u64 {
@@ -33,12 +35,14 @@
     pub(crate) store: Store,
     pub(crate) is_core: bool,
     pub(crate) seat: Seat,
-    /// What members of the newest set and of the one before it hold, for a disk that is to vote.
-    pub(crate) pulls: BTreeMap<String, (u64, Vec<(String, Held)>)>,
+    /// How far this disk is with what voters hold, while it does not vote.
+    pub(crate) progress: crate::takeover::Progress,
     pub(crate) change: Option<Change>,
     /// The highest fence met over the next set.
     pub(crate) met: u64,
     pub(crate) changed: u64,
+    /// A settled set was told that this disk did not take.
+    pub(crate) is_unlearned: bool,
     pub(crate) quorum: Quorum,
     /// When this node is to be woken next.
     pub(crate) armed: u64,
@@ -68,7 +72,12 @@
     /// When this node last asked another one for a newer one.
     pub(crate) lacked: u64,
     pub(crate) is_caught_up: bool,
-    pub(crate) is_syncing: bool,
+    pub(crate) contact: crate::contact::Contact,
+    /// Orders that wait for a read.
+    pub(crate) pending: Vec<crate::judge::Pending>,
+    /// Databases whose leave stands on enough nodes.
+    pub(crate) leaves: std::collections::BTreeSet<String>,
+    pub(crate) tolerate: usize,
     pub(crate) nodes_told: u32,
     /// Since when there are fewer of them.
     pub(crate) fewer_since: u64,
@@ -106,8 +115,6 @@
     pub(crate) epoch: u64,
     /// Planned shards that are held here; those whose maps are known or being read; what holders show of theirs.
     pub(crate) shards: BTreeMap<String, crate::shards::Shard>,
-    pub(crate) synced: std::collections::BTreeSet<String>,
-    pub(crate) syncing: std::collections::BTreeSet<String>,
     pub(crate) outlooks: BTreeMap<String, String>,
 }
 
@@ -115,8 +122,8 @@
     pub fn new(start: Start, mut store: Store) -> Result<Core, wv_reg::RegError> {
         let seat = Seat::open(&mut store, &start.me, &start.seeds, start.is_first, start.disk)?;
         let mut quorum = Quorum::new(start.who);
-        store.iter().for_each(|(_, held)| quorum.see(held.promised.max(held.accepted)));
         quorum.set_voters(seat.voters.clone());
+        store.iter().for_each(|(_, held)| quorum.see(held.promised.max(held.accepted)));
         let mut peers = BTreeMap::new();
         let known = seat.voters.addrs().chain(seat.before.addrs());
         for addr in start.seeds.iter().map(String::as_str).chain(known).filter(|addr| *addr != start.me) {
@@ -134,10 +141,11 @@
             store,
             is_core: start.is_core,
             seat,
-            pulls: BTreeMap::new(),
+            progress: Default::default(),
             change: None,
             met: 0,
             changed: 0,
+            is_unlearned: false,
             quorum,
             table: Table::default(),
             links: BTreeMap::new(),
@@ -157,7 +165,10 @@
             sent_on: 0,
             lacked: 0,
             is_caught_up: false,
-            is_syncing: false,
+            contact: Default::default(),
+            pending: Vec::new(),
+            leaves: Default::default(),
+            tolerate: start.tolerate,
             nodes_told: 0,
             fewer_since: 0,
             nodes_recalled: 0,
@@ -184,8 +195,6 @@
             is_window_open: true,
             epoch: 0,
             shards: BTreeMap::new(),
-            synced: Default::default(),
-            syncing: Default::default(),
             outlooks: BTreeMap::new(),
         };
         core.roster.set_core(core.is_core);
@@ -202,15 +211,6 @@
         self.next_id
     }
 
-    /// Whether a majority of voters is in fresh contact, this node counted where it votes.
-    pub fn is_fresh(&self) -> bool {
-        let voters = self.quorum.voters();
-        let own = usize::from(voters.number > 0 && self.seat.votes_in(&self.me) == voters.number);
-        let others = voters.addrs().filter_map(|voter| self.peers.get(voter));
-        let is_heard = |peer: &&Peer| peer.is_up && peer.set == voters.number && peer.ponged + FRESH_US > self.now;
-        !voters.members.is_empty() && own + others.filter(is_heard).count() >= self.quorum.majority()
-    }
-
     pub(crate) fn send(&mut self, link: u64, msg: Msg) {
         self.acts.push(Act::Send { link, msg });
     }
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -1,12 +1,17 @@
-//! The set of voters in change: who plans it, how it is agreed on, and how a new member takes up its vote.
+//! The set of voters in change: who plans it, and how it is agreed on.
 use crate::core::{Core, FRESH_US};
-use wv_inner::{Held, Member, Msg, Voters};
-use wv_reg::{Change, End, Seat};
+use crate::types::Peer;
+use wv_inner::{Member, Msg, Voters};
+use wv_reg::{Change, End};
 
 /// The key of the duty of changing the voters.
 const DUTY: &str = "voters";
 /// Attempts follow each other no sooner.
 const PAUSE_US: u64 = 300_000;
+/// A set grows no sooner after the last change: nothing is lost while it waits.
+const GROW_US: u64 = 1_000_000;
+/// A member that is reachable and does not vote holds up the next change for no longer.
+const LATE_US: u64 = 5_000_000;
 /// Addresses that nobody has reached for this long, and that no set or seed names, are forgotten.
 const FORGOTTEN_US: u64 = 60_000_000;
 
@@ -27,14 +32,15 @@
         let now = self.now;
         let (seeds, voters) = (&self.seeds, &self.seat.voters);
         self.peers.retain(|addr, peer| {
-            peer.is_up || peer.since.max(peer.ponged) + FORGOTTEN_US > now || seeds.contains(addr) || voters.has(addr)
+            peer.is_up || peer.since.max(peer.contact) + FORGOTTEN_US > now || seeds.contains(addr) || voters.has(addr)
         });
     }
 
     /// A settled set was heard of: it counts from now on, here and for whoever is told.
     pub(crate) fn learn_voters(&mut self, voters: &Voters, before: &Voters) {
-        let is_news = self.seat.learn(&mut self.store, voters, before).unwrap_or_else(|error| {
+        let is_news = self.seat.learn(&mut self.store, &self.me, voters, before).unwrap_or_else(|error| {
             log::error!("the set of voters is not kept: {error}");
+            self.is_unlearned = true;
             false
         });
         if !is_news {
@@ -43,81 +49,25 @@
         log::warn!("voters {}: {}", voters.number, voters.addrs().collect::<Vec<_>>().join(" "));
         for addr in voters.addrs().filter(|addr| *addr != self.me) {
             let since = self.now;
-            self.peers.entry(addr.to_owned()).or_insert_with(|| crate::types::Peer { since, ..Default::default() });
+            self.peers.entry(addr.to_owned()).or_insert_with(|| Peer { since, ..Default::default() });
         }
         self.quorum.set_voters(voters.clone());
         self.change = None;
-        self.pulls.clear();
+        self.changed = self.now;
+        self.progress.restart();
         let msg = self.peers_msg();
         self.send_peers(&msg);
-        self.pull();
+        self.take_over();
         self.ping();
     }
 
-    /// A member of the newest set that does not vote in it yet asks for what it must hold.
-    pub(crate) fn pull(&mut self) {
-        let is_due = self.seat.is_member(&self.me) && self.seat.votes_in(&self.me) == 0;
-        if !is_due {
-            return;
-        }
-        let (voters, before) = (self.seat.voters.clone(), self.seat.before.clone());
-        let msg = Msg::GetAll { voters: voters.clone(), before: before.clone(), held: Seat::held(&self.store) };
-        let addrs: std::collections::BTreeSet<&str> = voters.addrs().chain(before.addrs()).collect();
-        for addr in addrs.into_iter() {
-            self.send_peer(addr, msg.clone());
-        }
-        // This disk's own word on the set before counts as any other's.
-        if self.seat.set > 0 {
-            let (me, set) = (self.me.clone(), self.seat.set);
-            self.pulled(&me, set, Vec::new());
-        }
-    }
-
-    /// A majority of the set before, each of which has left it, holds whatever was acknowledged there; so does any
-    /// single voter of the newest set, which took it from such a majority. What was acknowledged in the newest set
-    /// stands on a majority of it without this disk.
-    pub(crate) fn pulled(&mut self, addr: &str, set: u64, cells: Vec<(String, Held)>) {
-        if !self.seat.is_member(&self.me) || self.seat.votes_in(&self.me) > 0 {
-            return;
-        }
-        self.pulls.insert(addr.to_owned(), (set, cells));
-        let (voters, before) = (&self.seat.voters, &self.seat.before);
-        let has_newest = self.pulls.values().any(|held| held.0 == voters.number);
-        let has_left = |addr: &&str| self.pulls.get(*addr).is_some_and(|held| held.0 == before.number);
-        let has_before = before.number > 0 && before.addrs().filter(has_left).count() >= before.majority();
-        if !has_newest && !has_before {
-            return;
-        }
-        let cells = std::mem::take(&mut self.pulls).into_values().flat_map(|(_, cells)| cells);
-        match self.seat.install(&mut self.store, cells) {
-            Ok(()) => {
-                log::warn!("this disk votes in set {}", self.seat.set);
-                self.ping();
-            }
-            Err(error) => log::error!("the registers of the new set are not kept: {error}"),
-        }
-    }
-
-    pub(crate) fn give_all(
-        &mut self,
-        link: u64,
-        voters: &Voters,
-        before: &Voters,
-        held: &[(String, wv_inner::Ballot, u64, u32)],
-    ) {
-        // Knowing of the set is to have left the one before: only then is what is told here final.
-        self.learn_voters(voters, before);
-        if self.seat.voters.number > voters.number {
-            let msg = self.peers_msg();
-            return self.send(link, msg);
-        }
-        if self.seat.set > 0 {
-            self.send(link, Msg::GotAll { set: self.seat.set, cells: Seat::cells(&self.store, held) });
-        }
-    }
-
     /// The holder of the duty looks whether the set should change, and drives an attempt under way.
     pub(crate) fn run_voters(&mut self) {
+        // What this disk could not take is told once more to whoever speaks of an older set.
+        if std::mem::take(&mut self.is_unlearned) {
+            let msg = self.peers_msg();
+            self.send_peers(&msg);
+        }
         let due = self.change.as_mut().map(|change| change.tick(self.now));
         match due {
             Some(Ok(msgs)) => self.send_change(msgs),
@@ -126,38 +76,105 @@
         }
     }
 
+    /// Whether this node is in fresh contact with a majority of the newest set that has a say on its successor: of those
+    /// that vote, and of those that are sealed for a successor which is not settled yet.
+    fn is_seated(&self) -> bool {
+        let voters = &self.seat.voters;
+        let is_heard = |peer: &&Peer| self.is_heard(peer) && peer.set.max(peer.sealed) == voters.number;
+        let others = voters.addrs().filter_map(|addr| self.peers.get(addr)).filter(is_heard).count();
+        let own = usize::from(self.seat.sits_in(&self.me) > 0);
+        !voters.members.is_empty() && own + others >= voters.majority()
+    }
+
+    pub(crate) fn is_heard(&self, peer: &Peer) -> bool {
+        peer.is_up && peer.contact + FRESH_US > self.now
+    }
+
+    /// Of those that sit in the newest set and stay, one plans its successor: it holds nearly all that will be handed on.
+    fn is_planner(&self) -> bool {
+        let voters = &self.seat.voters;
+        let is_meant = |addr: &str| {
+            let is_member = |disk: u64| voters.members.iter().any(|member| member.addr == addr && member.disk == disk);
+            self.peers.get(addr).is_some_and(|peer| {
+                let is_seated = peer.set.max(peer.sealed) == voters.number && peer.disk.is_some_and(is_member);
+                is_seated && !peer.is_leaving
+            })
+        };
+        let is_own = self.is_core && self.seat.sits_in(&self.me) > 0 && !self.is_leaving;
+        is_own && self.roster.is_holder_among(DUTY, is_meant)
+    }
+
+    /// Whether every member that is reachable votes: before that nobody else is changed, so that what the set is meant to
+    /// bear it bears. One that does not come to vote is not waited for without end.
+    fn is_complete(&self) -> bool {
+        let number = self.seat.voters.number;
+        let is_behind = |addr: &str| self.peers.get(addr).is_some_and(|peer| self.is_heard(peer) && peer.set != number);
+        self.changed + LATE_US <= self.now || !self.seat.voters.addrs().any(is_behind)
+    }
+
     fn plan_change(&mut self) {
-        let is_ours = self.roster.is_holder(DUTY) && self.is_fresh() && self.changed + PAUSE_US <= self.now;
-        if !is_ours || self.is_leaving {
+        if self.changed + PAUSE_US > self.now || !self.is_planner() || !self.is_seated() {
             return;
         }
-        let own = self.is_core.then(|| (self.me.clone(), self.seat.disk, true));
-        let is_up = |peer: &crate::types::Peer| peer.is_up && peer.ponged + FRESH_US > self.now;
-        let others = self.peers.iter().filter_map(|(addr, peer)| Some((addr.clone(), peer.disk?, is_up(peer))));
-        let cores: Vec<wv_reg::Core> = own
-            .into_iter()
-            .chain(others)
-            .map(|(addr, disk, is_up)| wv_reg::Core { member: Member { addr, disk }, is_up })
-            .collect();
-        let away_us = |addr: &str| {
-            // What has no disk forgets with its process: it gives its place to the first that has one.
-            let is_forgetful = |peer: &crate::types::Peer| peer.ponged > 0 && peer.disk.is_none();
-            if (addr == self.me && !self.is_core) || self.peers.get(addr).is_some_and(is_forgetful) {
-                return wv_reg::AWAY_US;
-            }
-            let peer = self.peers.get(addr).filter(|peer| !is_up(peer));
-            peer.map_or(0, |peer| self.now.saturating_sub(peer.since.max(peer.ponged).max(self.born)))
+        let voters = &self.seat.voters;
+        let is_sealed = |addr: &str| self.peers.get(addr).is_some_and(|peer| peer.sealed == voters.number);
+        // A predecessor began what it could not end: the set must not stay sealed without a successor.
+        let is_begun = self.seat.votes_in(&self.me) == 0 || voters.addrs().any(is_sealed);
+        if !is_begun && !self.is_complete() {
+            return;
+        }
+        let same = || Voters { number: voters.number + 1, members: voters.members.clone() };
+        let next = self.planned().or_else(|| is_begun.then(same));
+        let is_larger = |next: &Voters| next.members.len() > voters.members.len();
+        let Some(next) = next.filter(|next| is_begun || !is_larger(next) || self.changed + GROW_US <= self.now) else {
+            return;
         };
-        let Some(next) = wv_reg::plan(&self.seat.voters, &cores, away_us) else { return };
         let own = self.me.bytes().fold(0u64, |sum, byte| (sum * 31 + u64::from(byte)) & 0xffff);
         let fence = (((self.met.max(self.seat.fence) >> 16) + 1) << 16) | own;
         log::warn!("set {} is to follow: {}", next.number, next.addrs().collect::<Vec<_>>().join(" "));
-        let request = self.quorum.next_request();
         self.changed = self.now;
-        self.change = Some(Change::new(request, fence, self.seat.voters.clone(), next, self.now));
+        // No two attempts have the same fence: it is also what answers are known by.
+        self.change = Some(Change::new(fence, fence, self.seat.voters.clone(), next, self.now));
         self.run_voters();
     }
 
+    /// The next set, if this node sees a reason for one.
+    pub(crate) fn planned(&self) -> Option<Voters> {
+        wv_reg::plan(&self.seat.voters, &self.cores(), |addr| self.away_us(addr))
+    }
+
+    /// The machines that could vote, as they are known here.
+    fn cores(&self) -> Vec<wv_reg::Core> {
+        let own = wv_reg::Core {
+            member: Member { addr: self.me.clone(), disk: self.seat.disk },
+            zone: self.zone.clone(),
+            is_up: true,
+            is_ready: self.is_ready(),
+            is_leaving: self.is_leaving,
+        };
+        let other = |(addr, peer): (&String, &Peer)| {
+            Some(wv_reg::Core {
+                member: Member { addr: addr.clone(), disk: peer.disk? },
+                zone: peer.zone.clone(),
+                is_up: self.is_heard(peer),
+                is_ready: peer.is_ready,
+                is_leaving: peer.is_leaving,
+            })
+        };
+        self.is_core.then_some(own).into_iter().chain(self.peers.iter().filter_map(other)).collect()
+    }
+
+    /// For how long nobody has answered for a member. A disk that is slow or hangs is not away: its machine answers.
+    fn away_us(&self, addr: &str) -> u64 {
+        // What has no disk forgets with its process: it gives its place to the first that has one.
+        let is_forgetful = |peer: &Peer| peer.contact > 0 && peer.disk.is_none();
+        if (addr == self.me && !self.is_core) || self.peers.get(addr).is_some_and(is_forgetful) {
+            return wv_reg::AWAY_US;
+        }
+        let peer = self.peers.get(addr).filter(|peer| !self.is_heard(peer));
+        peer.map_or(0, |peer| self.now.saturating_sub(peer.since.max(peer.contact).max(self.born)))
+    }
+
     /// Whether this node is agreeing on the next voters right now.
     pub fn is_changing(&self) -> bool {
         self.change.is_some()
@@ -188,51 +205,7 @@
         self.ret(token, 200, body.to_string());
     }
 
-    fn send_change(&mut self, msgs: Vec<(String, Msg)>) {
-        let me = self.me.clone();
-        for (voter, msg) in msgs {
-            if voter != me {
-                self.send_peer(&voter, msg);
-                continue;
-            }
-            let word = self.change_word(msg);
-            word.into_iter().for_each(|word| self.change_heard(&me, word));
-        }
-    }
-
-    /// A voter's answer to the one that changes the set.
-    pub(crate) fn change_word(&mut self, msg: Msg) -> Option<Msg> {
-        let noted = |error: wv_reg::RegError| log::error!("a word on the next voters is not kept: {error}");
-        match msg {
-            Msg::Claim { request, set, fence } => {
-                let claimed = self.seat.claim(&mut self.store, &self.me, set, fence)?.map_err(noted).ok()?;
-                Some(Msg::Claimed { request, ok: claimed.is_ok, fence: claimed.fence, next: claimed.next })
-            }
-            Msg::Settle { request, set, fence, next } => {
-                let ok = self.seat.settle(&mut self.store, &self.me, (set, fence), &next)?.map_err(noted).ok()?;
-                Some(Msg::Settled { request, ok })
-            }
-            _ => None,
-        }
-    }
-
-    pub(crate) fn change_heard(&mut self, voter: &str, msg: Msg) {
-        let end = self.change.as_mut().and_then(|change| match msg {
-            Msg::Claimed { request, ok, fence, next } => change.claimed(voter, request, ok, fence, next),
-            Msg::Settled { request, ok } => change.settled(voter, request, ok),
-            _ => None,
-        });
-        match end {
-            Some(end) => self.end_change(end),
-            // Its next step goes out at once.
-            None => {
-                let due = self.change.as_mut().map(|change| change.tick(self.now));
-                due.into_iter().flatten().for_each(|msgs| self.send_change(msgs));
-            }
-        }
-    }
-
-    fn end_change(&mut self, end: End) {
+    pub(crate) fn end_change(&mut self, end: End) {
         self.change = None;
         self.changed = self.now;
         match end {
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -1,21 +1,25 @@
 //! What windvalve's own processes say to each other: nanoserde binary in length-prefixed frames.
 mod frame;
 mod hand;
+mod handover;
 mod inst;
 mod news;
 mod nodes;
 mod register;
 mod slots;
+mod takeover;
 mod voters;
 
 pub use frame::{cut_frame, put_frame, InnerError, FRAME_MAX};
 pub use hand::Hand;
+pub use handover::Handover;
 pub use inst::Inst;
 use nanoserde::{DeBin, SerBin};
 pub use news::News;
 pub use nodes::{Owner, Session};
 pub use register::{Ballot, Cell, Held, Step, Vote};
 pub use slots::{slot, Entry, Fill, Marks, Phase, Range, SlotMap, SLOTS};
+pub use takeover::{Known, Takeover};
 pub use voters::{Member, Voters};
 
 /// Who leads a service, as far as the control side knows; `term` 0 where only beats told it.
@@ -102,15 +106,22 @@
         node: String,
         sights: Vec<Sighting>,
     },
+    /// The life that asks; the answer counts in it alone, and is dated by when this was sent.
     Ping {
+        asker: u64,
         request: u64,
     },
-    /// `disk` is the speaker's own (none where it keeps nothing), `set` the one it votes in, 0 for none.
+    /// `disk` is the speaker's own (none where it keeps nothing), `set` the one it votes in, 0 for none. `ready`: that
+    /// disk is no member of the newest set, and holds what a voter of it held but for the last moments.
     Pong {
+        asker: u64,
         request: u64,
         conf: u64,
         disk: Option<u64>,
         set: u64,
+        /// The set in which it is sealed, 0 for none.
+        sealed: u64,
+        ready: bool,
     },
     /// Calls on registers name the life that asks and the set they are counted in; voters of another one do not answer.
     Call {
@@ -150,18 +161,10 @@
         request: u64,
         ok: bool,
     },
-    /// All registers, for a member of a settled set that does not vote in it yet.
-    GetAll {
-        voters: Voters,
-        before: Voters,
-        /// What the asker holds of each. Only what is newer is returned.
-        held: Vec<(String, Ballot, u64, u32)>,
-    },
-    /// `set` is the one in which the speaker voted last.
-    GotAll {
-        set: u64,
-        cells: Vec<(String, Held)>,
-    },
+    Takeover(Takeover),
+    Handover(Handover),
+    /// The speaker is about to end: what it holds others take up now.
+    Leaving,
     /// What was accepted under this ballot stands in a register by agreement, for voters, which have it.
     Committed {
         key: String,
@@ -174,6 +177,17 @@
     InstHeld {
         request: u64,
     },
+    /// Tell what stands in no register, for one that was out of contact: databases in ranges that differ, leads, owners.
+    Recap {
+        asker: u64,
+        request: u64,
+        ranges: Vec<u64>,
+    },
+    /// That was all of it.
+    Recapped {
+        asker: u64,
+        request: u64,
+    },
     /// Repair: digests of the instance table over ranges of keys.
     Digests {
         ranges: Vec<u64>,
--- a/crates/wv-reg/src/store.rs
+++ b/crates/wv-reg/src/store.rs
@@ -19,11 +19,11 @@
     /// Bytes of all registers, about.
     size: usize,
     generation: u64,
-    /// The generation of the last attempt at a slot. One that failed may still come to stand on the disk.
-    tried: u64,
-    /// Such an attempt hides what is appended under the older generation: first a slot must be written again.
+    /// What came of the last write is not known: a slot that yet comes to stand hides what is appended under the older
+    /// generation, a torn tail all that follows. First a slot must be written again.
     is_doubtful: bool,
     log_len: usize,
+    log_min: usize,
 }
 
 fn bytes(key: &str, cell: &Cell) -> usize {
@@ -33,6 +33,11 @@
 impl Store {
     /// Reads what the disk holds; torn tails and a torn slot are passed over. Errors are those of the files.
     pub fn open(files: Box<dyn Files>) -> Result<Store, RegError> {
+        Store::open_folding(files, LOG_MIN)
+    }
+
+    /// The same with a log that is folded from `log_min` bytes on.
+    pub fn open_folding(files: Box<dyn Files>, log_min: usize) -> Result<Store, RegError> {
         let mut best: Option<(u64, State, bool)> = None;
         let mut has_slots = false;
         for name in SLOTS {
@@ -43,13 +48,13 @@
                 best = slot;
             }
         }
-        let mut store = Store { files, state: None, size: 0, generation: 0, tried: 0, is_doubtful: false, log_len: 0 };
+        let mut store = Store { files, state: None, size: 0, generation: 0, is_doubtful: false, log_len: 0, log_min };
         if has_slots && best.is_none() {
             // As good as a lost disk: it votes again once it was taken in anew.
             log::error!("no slot on this disk can be read: it counts as lost");
         }
         let Some((generation, mut state, is_present)) = best else { return Ok(store) };
-        (store.generation, store.tried) = (generation, generation);
+        store.generation = generation;
         let log = store.files.read(LOG)?.unwrap_or_default();
         let read = play(&log, generation, &mut state);
         store.size = state.cells.iter().map(|(key, held)| bytes(key, &held.cell)).sum();
@@ -104,7 +109,7 @@
         if held.is_some_and(|held| held.accepted == ballot && held.cell == *cell) {
             return Ok(true);
         }
-        self.fits(cell)?;
+        self.fits(key, cell)?;
         let change = Change { key: key.to_owned(), promised: ballot, accepted: Some((ballot, cell.clone())) };
         self.change(vec![change]).map(|()| true)
     }
@@ -114,7 +119,7 @@
     pub fn adopt(&mut self, copies: Vec<(String, Held)>) -> Result<usize, RegError> {
         let is_news = |(key, copy): &(String, Held)| self.get(key).is_none_or(|held| copy.is_newer(held));
         let news: Vec<(String, Held)> = copies.into_iter().filter(is_news).collect();
-        news.iter().try_for_each(|(_, copy)| self.fits(&copy.cell))?;
+        // No bound here: those that told it keep it, and a vote must never wait for a local hint that is shorter there.
         let change = |(key, copy): (String, Held)| Change {
             key,
             promised: copy.accepted,
@@ -132,12 +137,15 @@
     pub fn put_local(&mut self, key: &str, value: Vec<u8>) -> Result<(), RegError> {
         let round = self.get(key).map_or(1, |held| held.accepted.round + 1);
         let (ballot, cell) = (Ballot { round, who: 0 }, crate::cell(round, value));
-        self.fits(&cell)?;
+        self.fits(key, &cell)?;
         self.change(vec![Change { key: key.to_owned(), promised: ballot, accepted: Some((ballot, cell)) }])
     }
 
-    fn fits(&self, cell: &Cell) -> Result<(), RegError> {
-        let is_over = cell.value.len() > STORE_MAX / 4 || self.size + cell.value.len() > STORE_MAX;
+    fn fits(&self, key: &str, cell: &Cell) -> Result<(), RegError> {
+        let replaced = self.get(key).map_or(0, |held| held.cell.value.len());
+        // A register crosses in one frame, with some room for what stands around it.
+        let is_long = cell.value.len() > wv_inner::FRAME_MAX - (64 << 10);
+        let is_over = is_long || self.size - replaced + cell.value.len() > STORE_MAX;
         if is_over {
             return Err(RegError::Oversize(cell.value.len()));
         }
@@ -150,7 +158,7 @@
             return Err(RegError::Empty);
         }
         let record = put_record(self.generation, &changes);
-        if self.is_doubtful || self.log_len + record.len() > LOG_MIN.max(self.size) {
+        if self.is_doubtful || self.log_len + record.len() > self.log_min.max(self.size) {
             let mut changed = self.state.clone().unwrap_or_default();
             changes.into_iter().for_each(|change| change.apply(&mut changed.cells));
             return self.write_slot(changed);
@@ -178,17 +186,18 @@
 
     /// Writes the slot that does not hold the state in force; only when it stands does it take that one's place.
     fn write_slot(&mut self, state: State) -> Result<(), RegError> {
-        let mut generation = self.generation + 1;
-        while generation <= self.tried {
-            generation += 2;
-        }
-        (self.tried, self.is_doubtful) = (generation, true);
+        // One that failed is written again in its own place; until then nothing is appended.
+        let generation = self.generation + 1;
+        self.is_doubtful = true;
         self.files.write(SLOTS[generation as usize % 2], &put_slot(generation, &state))?;
         self.size = state.cells.iter().map(|(key, held)| bytes(key, &held.cell)).sum();
         (self.generation, self.state) = (generation, Some(state));
-        // Older records are passed over by their generation; emptied, the log is only shorter.
-        self.files.write(LOG, b"")?;
-        (self.log_len, self.is_doubtful) = (0, false);
+        // Older records are passed over by their generation; emptied, the log is only shorter. Until it is, nothing is
+        // appended: what failed may have left a tail there that hides all that follows.
+        match self.files.write(LOG, b"") {
+            Ok(()) => (self.log_len, self.is_doubtful) = (0, false),
+            Err(error) => log::warn!("the log is not emptied: {error}"),
+        }
         Ok(())
     }
 }
