A database that left counts until it has ended, not until it said so; the last one is never forgotten under its lead

Cause: a DELETE was taken for an end, though the database may serve on and be counted for many seconds; a departure was forgotten after one to two minutes, and by a control node that came back at once, also where it took the only copy along. Kept on the disk with the table.

--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -89,7 +89,7 @@
         self.is_table_due |= !insts.is_empty();
         for inst in insts {
             if inst.gone {
-                self.left.insert(inst.id.clone(), self.now);
+                self.left.insert(inst.id.clone(), crate::departed::Departure::new(self.now));
             }
             self.publish(News::Inst(inst.clone()));
             self.fold_lead(inst, is_own_word);
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -91,7 +91,7 @@
     /// The live control nodes when words were last handed over.
     pub(crate) holders: Vec<String>,
     /// When databases left, and when each service last came to be led by another.
-    pub(crate) left: BTreeMap<String, u64>,
+    pub(crate) left: BTreeMap<String, crate::departed::Departure>,
     pub(crate) led: BTreeMap<String, u64>,
     /// Shards whose change of hands is being written, and when one was last moved without need.
     pub(crate) owning: Vec<String>,
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -2,7 +2,7 @@
 use crate::core::{Act, Core};
 use crate::types::Waiting;
 use wv_inner::{Lead, Msg, News, Sight, Sighting};
-use wv_promo::{Event, Left, Order, Seat, Silent, View, Word};
+use wv_promo::{Event, Order, Seat, Silent, View, Word};
 use wv_reg::Outcome;
 
 /// A node that has just started, or was out of contact, first hears who is there.
@@ -38,20 +38,15 @@
     /// The databases of a service, and those that left it under the present lead.
     fn seats(&self, service: &str, lead: Option<&str>) -> Vec<Seat> {
         let led = self.led.get(service).copied().unwrap_or(0);
-        let left = |inst: &wv_inner::Inst| {
-            let at = self.left.get(&inst.id).copied().unwrap_or(self.now);
-            let heir = self.table.of(service).find(|new| !new.gone && new.addr == inst.addr).map(|new| new.id.clone());
-            Left { ago_us: self.now.saturating_sub(at), heir }
-        };
         let is_counted = |inst: &&wv_inner::Inst| {
-            let is_left = inst.gone && self.left.get(&inst.id).is_some_and(|at| *at > led);
+            let is_left = inst.gone && self.left.get(&inst.id).is_some_and(|held| held.at >= led);
             !inst.gone || (is_left && Some(inst.id.as_str()) != lead)
         };
         let seat = |inst: &wv_inner::Inst| Seat {
             id: inst.id.clone(),
             is_draining: inst.draining,
             refused_us: self.refused_us(&inst.id),
-            left: inst.gone.then(|| left(inst)),
+            left: inst.gone.then(|| self.departed(inst)),
         };
         self.table.of(service).filter(is_counted).map(seat).collect()
     }
@@ -89,6 +84,7 @@
         let services: Vec<String> = conf.services.keys().filter(is_meant).cloned().collect();
         self.duties.retain(|service, _| conf.services.contains_key(service));
         services.iter().for_each(|service| self.run_duty(service));
+        self.watch_departed();
     }
 
     fn run_duty(&mut self, service: &str) {
@@ -152,7 +148,7 @@
         }
     }
 
-    fn ask_db(&mut self, service: &str, id: String, text: String) {
+    pub(crate) fn ask_db(&mut self, service: &str, id: String, text: String) {
         match self.table.get(&id).map(|inst| inst.addr.clone()) {
             Some(addr) => self.acts.push(Act::Request { service: service.to_owned(), id, addr, text }),
             None => self.duty_event(service, Event::Row { id, word: Err(Silent::Refused) }),
@@ -163,6 +159,7 @@
     pub fn row(&mut self, service: &str, id: &str, word: Word, now: u64) {
         self.at(now);
         log::info!("duty {service}: row of {id}: {word:?}");
+        self.note_ended(id, word);
         self.duty_event(service, Event::Row { id: id.to_owned(), word });
         self.run_quorum();
     }
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -3,6 +3,7 @@
 mod conf;
 mod contact;
 mod core;
+mod departed;
 mod duties;
 mod exec;
 mod falls;
--- a/crates/wv-control/src/recall.rs
+++ b/crates/wv-control/src/recall.rs
@@ -22,8 +22,9 @@
         if !std::mem::take(&mut self.is_table_due) {
             return;
         }
+        let needed = self.needed();
         let kept = Kept {
-            insts: self.table.iter().filter(|inst| !inst.gone).cloned().collect(),
+            insts: self.table.iter().filter(|inst| !inst.gone || needed.contains(&inst.id)).cloned().collect(),
             leads: self.feed.leads().cloned().collect(),
             nodes: self.nodes_told,
         };
@@ -44,7 +45,14 @@
         // Until all had time to come back the nodes share the connections as before: all returning at once,
         // each with a share counted over the few that are already here, would overrun the databases.
         self.nodes_recalled = kept.nodes;
-        for inst in kept.insts {
+        // One that left may have held what nobody else does, also if this node has only just come back.
+        let (gone, here): (Vec<Inst>, Vec<Inst>) = kept.insts.into_iter().partition(|inst| inst.gone);
+        for inst in gone {
+            self.left.insert(inst.id.clone(), Default::default());
+            self.table.offer(Inst { gone: false, ..inst.clone() });
+            self.table.offer(inst);
+        }
+        for inst in here {
             let changed = self.table.offer(inst);
             changed.into_iter().for_each(|inst| self.publish(News::Inst(inst)));
         }
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -43,7 +43,8 @@
         }
         if self.forgot + FORGET_US <= self.now {
             self.forgot = self.now;
-            self.table.forget();
+            let needed = self.needed();
+            self.table.forget(&needed);
             let table = &self.table;
             self.left.retain(|id, _| table.get(id).is_some());
             self.leaves.retain(|id| table.get(id).is_some());
--- a/crates/wv-feed/src/table.rs
+++ b/crates/wv-feed/src/table.rs
@@ -109,10 +109,10 @@
         self.insts.values().filter(|inst| range(&inst.id) == wanted).cloned().collect()
     }
 
-    /// Drops the entries that had left already at the last call: nobody speaks of them any more.
-    pub fn forget(&mut self) {
+    /// Drops the entries that had left already at the last call: nobody speaks of them any more. But for `needed`.
+    pub fn forget(&mut self, needed: &std::collections::BTreeSet<String>) {
         let left = std::mem::take(&mut self.left);
-        self.insts.retain(|id, inst| !(inst.gone && left.contains(id)));
+        self.insts.retain(|id, inst| !(inst.gone && left.contains(id)) || needed.contains(id));
         let insts = &self.insts;
         self.services.retain(|_, ids| {
             ids.retain(|id| insts.contains_key(id));
--- a/crates/wv-promo/src/choice.rs
+++ b/crates/wv-promo/src/choice.rs
@@ -43,16 +43,19 @@
     // Still refused, and refused since before a fenced sighting of the primary that the best one has reached: all that was
     // acknowledged before stands there, and nothing since can have been acknowledged by one that was down.
     let is_harmless = |seat: &Seat| {
-        let is_refused = rows.get(&seat.id) == Some(&Err(Silent::Refused)) || seat.left.is_some();
         // Who took over the place of one that left has its log, and has told what stands in it.
         let heir = seat.left.as_ref().and_then(|left| left.heir.as_ref());
         if heir.and_then(|heir| rows.get(heir)).is_some_and(Result::is_ok) {
             return true;
         }
-        is_refused
-            && seat.left.as_ref().map(|left| left.ago_us).or(seat.refused_us).is_some_and(|refused| {
-                fenced.is_some_and(|(ago, place)| refused > ago.saturating_add(MARGIN_US) && received >= place)
-            })
+        // To say that one leaves is not to end: it may go on receiving for many seconds.
+        let refused = match &seat.left {
+            Some(left) => left.ended_us,
+            None => seat.refused_us.filter(|_| rows.get(&seat.id) == Some(&Err(Silent::Refused))),
+        };
+        refused.is_some_and(|refused| {
+            fenced.is_some_and(|(ago, place)| refused > ago.saturating_add(MARGIN_US) && received >= place)
+        })
     };
     if sync_replicas > 0 && seats.iter().filter(is_silent).any(|seat| !is_harmless(seat)) {
         return Verdict::Blocked;
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -236,7 +236,7 @@
 pub(crate) fn replicas(view: &View<'_>) -> Vec<String> {
     view.seats
         .iter()
-        .filter(|seat| Some(seat.id.as_str()) != view.lead && seat.left.is_none())
+        .filter(|seat| Some(seat.id.as_str()) != view.lead && seat.is_asked())
         .map(|seat| seat.id.clone())
         .collect()
 }
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -15,17 +15,24 @@
     pub is_draining: bool,
     /// Whoever looks at it from an access node says its connections are refused, and has said so for this long.
     pub refused_us: Option<u64>,
-    /// It left since the present lead came to lead: no longer to be asked, but what it had received still counts.
+    /// It left since the present lead came to lead. What it had received counts; it may serve on, and receive, until it ends.
     pub left: Option<Left>,
 }
 
-/// A database that left: how long ago, and which one took over its place and with it its log.
+/// A database that left: for how long it is known to have ended, and which one took over its place and with it its log.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Left {
-    pub ago_us: u64,
+    pub ended_us: Option<u64>,
     pub heir: Option<String>,
 }
 
+impl Seat {
+    /// Whether it may still receive, and say what it has.
+    pub fn is_asked(&self) -> bool {
+        self.left.as_ref().is_none_or(|left| left.ended_us.is_none())
+    }
+}
+
 /// What the duty reads at each turn.
 pub struct View<'a> {
     pub now: u64,
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -26,7 +26,7 @@
             // Whatever the return, the fence was seen, or the next call's return will say that it was not.
             (Step::Fencing { .. }, Event::Posted(Some(_))) => self.look_all(view),
             (Step::Fencing { .. }, Event::Posted(None)) => self.give_up(now),
-            (Step::Looking { .. }, Event::Row { id, word }) => {
+            (Step::Looking { .. }, Event::Row { id, word }) if self.asked.contains(&id) => {
                 self.rows.insert(id, word);
                 if self.rows.len() >= self.asked.len() {
                     self.looked(view);
