A hand is known by its opener's life, its number and its ask, on its own link

An end for an unknown guest's hand was taken for one of this node's own hands of the same number: two nodes that hand over to each other count alike, and the crossing of an end and a refusal broke off another client's request. Returns and refusals were believed on any link, a second answer was taken for that to the next ask, a refusal in the middle of a transaction began half of it anew, and an error to the owner's own lines was passed over.

HandId carries the life that opened the hand, each ask its number; a return names one ask.

--- a/crates/wv-access/src/ends.rs
+++ b/crates/wv-access/src/ends.rs
@@ -67,7 +67,7 @@
         let Some(client) = self.clients.remove(&id) else { return };
         client.hand.into_iter().for_each(|hand| self.drop_hand(hand));
         if let Some(guest) = client.guest {
-            self.hands.guests.remove(&guest);
+            self.hands.guests.remove(&(guest.link, guest.hand));
         }
         if client.database.is_some() {
             self.unseat_session(client.tenant);
--- a/crates/wv-access/src/guests.rs
+++ b/crates/wv-access/src/guests.rs
@@ -1,7 +1,8 @@
 //! The owner's side: other nodes' clients are served here as this node's own, but never handed on.
 use crate::core::Core;
 use crate::types::Act;
-use wv_inner::Hand;
+use crate::types::Guest;
+use wv_inner::{Hand, HandId};
 use wv_wire::{Code, Text};
 
 const GUESTS_MAX: usize = 8192;
@@ -18,49 +19,70 @@
         self.now = self.now.max(now);
         match msg {
             Hand::Open { hand, host, who } => self.open_guest(link, hand, host, who),
-            Hand::Request { hand, lines } => self.guest_request(link, hand, &lines),
-            Hand::Return { hand, bytes } => self.hand_returned(hand, &bytes),
-            Hand::Refused { hand } => self.hand_refused(hand),
+            Hand::Request { hand, ask, lines } => self.guest_request(link, (hand, ask), &lines),
+            Hand::Return { hand, ask, bytes } => {
+                self.own_hand(link, hand).into_iter().for_each(|hand| self.hand_returned(hand, ask, &bytes));
+            }
+            Hand::Refused { hand, ask } => {
+                self.own_hand(link, hand).into_iter().for_each(|hand| self.hand_refused(hand, ask));
+            }
             Hand::End { hand } => match self.hands.guests.get(&(link, hand)).copied() {
                 Some(client) => self.client_gone(client, now),
-                None => self.hand_ended(hand),
+                None => self.own_hand(link, hand).into_iter().for_each(|hand| self.hand_ended(hand)),
             },
         }
     }
 
-    fn open_guest(&mut self, link: u64, hand: u64, host: String, who: String) {
+    /// A hand that this life opened on this link. Another node's hand, or one that went over another link, may have the
+    /// same number.
+    fn own_hand(&self, link: u64, hand: HandId) -> Option<u64> {
+        let is_own = |number: &u64| self.hands.out.get(number).is_some_and(|out| out.link == link);
+        Some(hand.number).filter(|number| hand.life == self.slots.life && is_own(number))
+    }
+
+    fn open_guest(&mut self, link: u64, hand: HandId, host: String, who: String) {
+        if self.hands.guests.contains_key(&(link, hand)) {
+            return;
+        }
         let is_known = self.conf.as_ref().is_some_and(|conf| conf.route(&host).is_some());
         if !is_known || self.hands.guests.len() >= GUESTS_MAX {
-            return self.acts.push(Act::SendHand { link, msg: Hand::Refused { hand } });
+            return self.acts.push(Act::SendHand { link, msg: Hand::Refused { hand, ask: 0 } });
         }
         let id = self.client_open(self.now);
         if let Some(client) = self.clients.get_mut(&id) {
-            (client.database, client.who, client.guest) = (Some(host), who, Some((link, hand)));
+            (client.database, client.who, client.guest) = (Some(host), who, Some(Guest { link, hand, ask: 0 }));
         }
         self.hands.guests.insert((link, hand), id);
         if !self.seat_session(id) {
-            self.refuse_guest(link, hand, id);
+            self.refuse_guest(link, (hand, 0), id);
         }
     }
 
-    fn refuse_guest(&mut self, link: u64, hand: u64, id: u64) {
-        self.acts.push(Act::SendHand { link, msg: Hand::Refused { hand } });
+    fn refuse_guest(&mut self, link: u64, (hand, ask): (HandId, u64), id: u64) {
+        self.acts.push(Act::SendHand { link, msg: Hand::Refused { hand, ask } });
         // Forgotten first: a client that leaves is not to be told of its end as well.
         self.clients.get_mut(&id).into_iter().for_each(|client| client.guest = None);
         self.hands.guests.remove(&(link, hand));
         self.client_gone(id, self.now);
     }
 
-    fn guest_request(&mut self, link: u64, hand: u64, lines: &[u8]) {
+    fn guest_request(&mut self, link: u64, (hand, ask): (HandId, u64), lines: &[u8]) {
         let Some(id) = self.hands.guests.get(&(link, hand)).copied() else {
             // Refused before, or unknown: nothing of this has run or will.
-            return self.acts.push(Act::SendHand { link, msg: Hand::Refused { hand } });
+            return self.acts.push(Act::SendHand { link, msg: Hand::Refused { hand, ask } });
         };
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        let Some(guest) = client.guest.as_mut().filter(|guest| guest.ask < ask) else { return };
+        // One ask at a time and none left out: what is out of turn might run beside, or without, what came before it.
+        if guest.ask + 1 != ask || client.request.is_open || !client.inbuf.is_empty() {
+            return self.close_client(id);
+        }
+        guest.ask = ask;
         let is_resting = |client: &crate::types::Client| client.txn.is_none() && !client.request.is_open;
         let is_new = self.clients.get(&id).is_some_and(is_resting);
         // What has begun here ends here; new work goes to whoever owns the shard now.
         if is_new && (!self.owns(id) || self.is_leaving()) {
-            return self.refuse_guest(link, hand, id);
+            return self.refuse_guest(link, (hand, ask), id);
         }
         self.client_data(id, lines, self.now);
     }
@@ -89,7 +111,7 @@
     /// What a guest would have heard goes back to the node that handed it over.
     pub fn take_guest_out(&mut self, id: u64) -> Option<(u64, Hand)> {
         let client = self.clients.get_mut(&id)?;
-        let (link, hand) = client.guest?;
-        Some((link, Hand::Return { hand, bytes: std::mem::take(&mut client.out) }))
+        let Guest { link, hand, ask } = client.guest?;
+        Some((link, Hand::Return { hand, ask, bytes: std::mem::take(&mut client.out) }))
     }
 }
--- a/crates/wv-access/src/hands.rs
+++ b/crates/wv-access/src/hands.rs
@@ -2,16 +2,24 @@
 use crate::core::{Core, Map};
 use crate::types::{Act, Verb};
 use wv_conf::Category;
-use wv_inner::{Hand, Owner};
+use wv_inner::{Hand, HandId, Owner};
 use wv_wire::put_query;
 
+/// What was asked of an owner in one go: answers that are nothing of the client's, and then the client's, if any.
+pub(crate) struct Asked {
+    pub ask: u64,
+    pub own: u32,
+    pub is_client: bool,
+}
+
 /// A client's session at an owner.
 pub(crate) struct Out {
     pub client: u64,
     pub link: u64,
     tie: wv_pool::Tie,
-    /// Returns that answer nothing of the client's.
-    pub swallow: u32,
+    /// The newest ask, and those that are not wholly answered yet.
+    pub ask: u64,
+    pub open: std::collections::VecDeque<Asked>,
     pub buf: Vec<u8>,
     /// An error line is being read; its code and text.
     pub error: Option<(wv_wire::Code, Vec<u8>)>,
@@ -34,7 +42,7 @@
     pub out: Map<u64, Out>,
     pub ways: Map<String, Way>,
     /// Sessions here of other nodes' clients: by link and hand, the client they are here.
-    pub guests: Map<(u64, u64), u64>,
+    pub guests: Map<(u64, HandId), u64>,
     /// Requests handed over since the start.
     pub count: u64,
 }
@@ -116,18 +124,26 @@
     fn open_hand(&mut self, id: u64, link: u64) -> u64 {
         self.end_hand(id);
         let hand = self.fresh_id();
-        let out = Out { client: id, link, tie: Default::default(), swallow: 0, buf: Vec::new(), error: None };
+        let (tie, open) = Default::default();
+        let out = Out { client: id, link, tie, ask: 0, open, buf: Vec::new(), error: None };
         self.hands.out.insert(hand, out);
         if let Some(client) = self.clients.get_mut(&id) {
             client.hand = Some(hand);
             let (host, who) = (client.database.clone().unwrap_or_default(), client.who.clone());
+            let hand = self.hand_id(hand);
             self.acts.push(Act::SendHand { link, msg: Hand::Open { hand, host, who } });
         }
         hand
     }
 
+    /// How the owner knows a session that was opened there.
+    pub(crate) fn hand_id(&self, number: u64) -> HandId {
+        HandId { life: self.slots.life, number }
+    }
+
     /// The client's session values and shapes, the beginning of its transaction where it is none yet, and its request.
     fn hand_request(&mut self, id: u64, hand: u64) {
+        let name = self.hand_id(hand);
         let (Some(client), Some(out)) = (self.clients.get_mut(&id), self.hands.out.get_mut(&hand)) else {
             return self.retry_here(id);
         };
@@ -135,19 +151,22 @@
         (request.hand, request.queued) = (Some(hand), None);
         request.ret.clear();
         let mut lines = Vec::new();
-        out.swallow += wv_pool::sync(&mut lines, &mut out.tie, &client.session, request.shape, &self.shapes) as u32;
+        let mut own = wv_pool::sync(&mut lines, &mut out.tie, &client.session, request.shape, &self.shapes) as u32;
         if let Some(txn) = client.txn.as_mut() {
             if txn.hand.is_none() {
                 let begin: &[u8] = if txn.only_reads { b"BEGIN READ" } else { b"BEGIN" };
                 put_query(&mut lines, &txn.begin_id, &[begin]);
-                out.swallow += 1;
+                own += 1;
                 txn.hand = Some(hand);
             }
             txn.may_have_written |= request.verb() == Verb::Write;
         }
         put_query(&mut lines, &request.id, &[&request.text]);
         self.hands.count += 1;
-        self.acts.push(Act::SendHand { link: out.link, msg: Hand::Request { hand, lines } });
+        out.ask += 1;
+        out.open.push_back(Asked { ask: out.ask, own, is_client: true });
+        let msg = Hand::Request { hand: name, ask: out.ask, lines };
+        self.acts.push(Act::SendHand { link: out.link, msg });
     }
 
     /// Ends the client's session at an owner; what is open there is rolled back.
@@ -158,17 +177,21 @@
 
     pub(crate) fn drop_hand(&mut self, hand: u64) {
         if let Some(out) = self.hands.out.remove(&hand) {
+            let hand = self.hand_id(hand);
             self.acts.push(Act::SendHand { link: out.link, msg: Hand::End { hand } });
         }
     }
 
     /// Rolls a handed-over transaction back, and keeps the session there.
     pub(crate) fn abort_hand(&mut self, hand: u64) {
+        let name = self.hand_id(hand);
         if let Some(out) = self.hands.out.get_mut(&hand) {
             let mut lines = Vec::new();
             put_query(&mut lines, b"-", &[b"ABORT"]);
-            out.swallow += 1;
-            self.acts.push(Act::SendHand { link: out.link, msg: Hand::Request { hand, lines } });
+            out.ask += 1;
+            out.open.push_back(Asked { ask: out.ask, own: 1, is_client: false });
+            let msg = Hand::Request { hand: name, ask: out.ask, lines };
+            self.acts.push(Act::SendHand { link: out.link, msg });
         }
     }
 }
--- a/crates/wv-access/src/returns.rs
+++ b/crates/wv-access/src/returns.rs
@@ -81,7 +81,15 @@
         self.strand_hand(hand);
     }
 
-    pub(crate) fn hand_refused(&mut self, hand: u64) {
+    /// Nothing of this ask has run or will. Believed of the one ask that is open, and where its transaction began with it.
+    pub(crate) fn hand_refused(&mut self, hand: u64, ask: u64) {
+        let is_its = |out: &crate::hands::Out| out.open.len() == 1 && (ask == 0 || out.ask == ask);
+        let Some(out) = self.hands.out.get(&hand) else { return };
+        let is_begun =
+            self.clients.get(&out.client).and_then(|client| client.txn.as_ref()).is_some_and(|txn| txn.is_begun);
+        if !is_its(out) || is_begun {
+            return self.break_hand(hand);
+        }
         let Some(out) = self.hands.out.remove(&hand) else { return };
         let Some(client) = self.clients.get_mut(&out.client) else { return };
         client.hand = client.hand.filter(|held| *held != hand);
@@ -90,6 +98,15 @@
         }
     }
 
+    /// What came makes no sense: nothing more on this hand can be trusted, and what is open there ends.
+    fn break_hand(&mut self, hand: u64) {
+        if let Some(out) = self.hands.out.get(&hand) {
+            let msg = wv_inner::Hand::End { hand: self.hand_id(hand) };
+            self.acts.push(crate::Act::SendHand { link: out.link, msg });
+        }
+        self.strand_hand(hand);
+    }
+
     /// The open request is over its limit while an owner works on it; its return may still come and is then nobody's.
     pub(crate) fn expire_hand(&mut self, id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
@@ -105,14 +122,16 @@
         self.strand_request(id, number);
     }
 
-    /// Bytes that an owner returned.
-    pub(crate) fn hand_returned(&mut self, hand: u64, bytes: &[u8]) {
+    /// Bytes that an owner returned to one ask: those before it are answered wholly, those after it not at all.
+    pub(crate) fn hand_returned(&mut self, hand: u64, ask: u64, bytes: &[u8]) {
         let Some(out) = self.hands.out.get_mut(&hand) else { return };
-        out.buf.extend_from_slice(bytes);
+        match out.open.front().map_or(out.ask + 1, |asked| asked.ask) {
+            first if ask < first => return,
+            first if ask > first => return self.break_hand(hand),
+            _ => out.buf.extend_from_slice(bytes),
+        }
         if out.buf.len() > wv_wire::MESSAGE_MAX * 2 {
-            let client = out.client;
-            self.strand_hand(hand);
-            return self.end_hand(client);
+            return self.break_hand(hand);
         }
         while let Some(out) = self.hands.out.get_mut(&hand) {
             let Some((line, len)) = wv_wire::cut_line(&out.buf) else { return };
@@ -125,11 +144,26 @@
                 _ => None,
             };
             let raw: Vec<u8> = out.buf.drain(..len).collect();
-            let (is_own, id) = (out.swallow > 0, out.client);
+            let Some(asked) = out.open.front_mut().filter(|asked| asked.ask == ask) else {
+                // More than was asked for.
+                return self.break_hand(hand);
+            };
+            let (is_own, id) = (asked.own > 0, out.client);
             match parsed {
-                Some(_) if is_own => (out.swallow, out.error) = (out.swallow - 1, None),
+                // The session there is not what it should be: what follows in it may have run otherwise than meant.
+                Some(_) if is_own && out.error.is_some() => return self.break_hand(hand),
+                Some(_) if is_own => {
+                    asked.own -= 1;
+                    if asked.own == 0 && !asked.is_client {
+                        out.open.pop_front();
+                    }
+                }
                 Some((state, pos)) => {
                     let error = out.error.take();
+                    out.open.pop_front();
+                    if !out.buf.is_empty() {
+                        return self.break_hand(hand);
+                    }
                     self.hand_done(id, hand, error, state, pos);
                 }
                 None if is_own || out.error.is_some() => {}
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -121,6 +121,14 @@
     pub rests_since: u64,
 }
 
+/// Whose session here this client is: the link and hand it came over, and the ask that is open or was answered last.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Guest {
+    pub link: u64,
+    pub hand: wv_inner::HandId,
+    pub ask: u64,
+}
+
 pub struct Client {
     pub database: Option<String>,
     /// The word after the database's name, and the tenant that both make it one of.
@@ -128,7 +136,7 @@
     pub tenant: u16,
     /// Its session at an owner, and the link and hand that it came over itself.
     pub hand: Option<u64>,
-    pub guest: Option<(u64, u64)>,
+    pub guest: Option<Guest>,
     /// The database it asked for before this node had a configuration.
     pub awaited: Option<String>,
     pub inbuf: Vec<u8>,
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -1,4 +1,11 @@
 //! What windvalve's own processes say to each other: nanoserde binary in length-prefixed frames.
+//!
+//! An answer belongs to its question by what it carries, not by the link that it comes over: the life that asked (a
+//! number drawn at random for each life of a process), the question's number in that life, and what it was about (the
+//! register, the set of voters, the database, the shard and its try, the hand and its ask). Whoever asked passes over
+//! all that does not match in each of these, and counts each speaker once. So an answer to an earlier question, to an
+//! earlier life or to somebody else means nothing, however late, however often and wherever it comes. A link adds one
+//! thing: what was asked over it is not answered any more once it has ended.
 mod frame;
 mod hand;
 mod handover;
@@ -11,7 +18,7 @@
 mod voters;
 
 pub use frame::{cut_frame, put_frame, InnerError, FRAME_MAX};
-pub use hand::Hand;
+pub use hand::{Hand, HandId};
 pub use handover::Handover;
 pub use inst::Inst;
 use nanoserde::{DeBin, SerBin};
