--- a/crates/wv-control/src/departed.rs
+++ b/crates/wv-control/src/departed.rs
@@ -5,8 +5,11 @@
 use wv_inner::Inst;
 use wv_promo::{Left, Silent, Word};
 
-/// One that left is looked at no more often.
+/// One that left is looked at no more often, at first and when it serves on: most end soon, and what was seen of the
+/// primary counts only from then on.
+const WATCH_FIRST_US: u64 = 200_000;
 const WATCH_US: u64 = 500_000;
+const FIRST_US: u64 = 3_000_000;
 /// One that left and has not answered for this long has ended: its machine is gone with it.
 const DARK_US: u64 = 20_000_000;
 
@@ -45,7 +48,8 @@
                 let is_later = self.led.get(service).is_none_or(|led| held.at >= *led);
                 is_later && self.roster.is_holder(service)
             });
-            held.ended.is_none() && held.looked + WATCH_US <= now && is_counted
+            let gap = if held.at + FIRST_US > now { WATCH_FIRST_US } else { WATCH_US };
+            held.ended.is_none() && held.looked + gap <= now && is_counted
         };
         let due: Vec<String> = self.left.iter().filter(is_due).map(|(id, _)| id.clone()).collect();
         for id in due {
