--- a/crates/wv-control/src/takeover.rs
+++ b/crates/wv-control/src/takeover.rs
@@ -186,8 +186,11 @@
         if !self.is_taking_over() {
             return;
         }
+        // Who has not voted in either set yet knows no more than this disk: others come first.
         if held.set == before.number {
             self.progress.told.insert(held.source);
+        } else if held.set != voters.number {
+            return self.progress.silent.push(held.source);
         }
         // This disk's own word on the set before counts as any other's.
         let has_left =
