Contact is dated by what was asked, and catching up ends with it

Cause: a control node counted a Pong from when it was read, so that one that had stood still read old answers and believed itself in contact; once caught up it stayed so through a cut; alone it confirmed leaves by itself; it refused orders by the slot maps that it happened to know.

Change: pings carry the life that asks, a Pong dates contact by when its Ping was sent, others count for nothing. When contact is lost, catching up falls with it and comes back with reads begun after contact did: configuration, slot maps, and from a majority of the voters databases, leads and owners. Leaves are acknowledged once a majority of the voters holds them and more nodes than may be lost; beats, configurations and calls on planned shards get 503 without contact. A plan is dropped only after its map was read at a majority.

--- a/crates/windvalve/examples/change.rs
+++ b/crates/windvalve/examples/change.rs
@@ -52,6 +52,7 @@
         seeds: vec![me],
         is_first: true,
         is_core: true,
+        tolerate: 1,
         disk: 1,
         who: 1,
     };
--- a/crates/wv-check/src/lib.rs
+++ b/crates/wv-check/src/lib.rs
@@ -61,12 +61,15 @@
 
     /// Takes what the feed says of a database.
     pub fn inst(&mut self, inst: &wv_inner::Inst, now: u64) -> Option<Spot> {
+        // One that is gone and was never known here needs no seat. Whoever tells of it may not know its service.
+        if inst.gone {
+            let spot = self.spot(&inst.id)?;
+            let gone = wv_inner::Inst { gone: true, ..self.member(spot)?.inst.clone() };
+            self.checker_mut(spot.service)?.seat(Some(spot.seat), &gone, now);
+            return Some(spot);
+        }
         let service = self.service(&inst.service);
         let known = self.spot(&inst.id).filter(|spot| spot.service == service);
-        // One that is gone and was never known here needs no seat.
-        if known.is_none() && inst.gone {
-            return None;
-        }
         let checker = self.checkers.get_mut(service as usize)?;
         let (seat, freed) = checker.seat(known.map(|spot| spot.seat), inst, now)?;
         if let Some(id) = freed {
--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -8,6 +8,8 @@
 const HOLD_US: u64 = 700_000;
 const BEAT_BYTES: usize = 16 << 10;
 
+const UNHEARD: &str = "{\"cause\":\"no majority of the voters hears this node\"}";
+
 fn read_beat(id: &str, body: &[u8]) -> Result<Inst, String> {
     let value: serde_json::Value = serde_json::from_slice(body).map_err(|error| error.to_string())?;
     let reader = wv_conf::Reader::new(&value);
@@ -37,37 +39,43 @@
         };
         match read_beat(id, body) {
             Ok(inst) => {
-                let is_kept = inst.draining && self.table.get(id).is_none_or(|held| !held.draining);
-                self.take_beat(token, inst, is_kept);
+                let is_leave = inst.draining && !self.leaves.contains(id);
+                self.take_beat(token, inst, is_leave);
             }
             Err(text) => self.ret(token, 400, cause(&text)),
         }
     }
 
+    /// One that is not known here may be known elsewhere: its leave is told to others like any.
     pub(crate) fn delete_inst(&mut self, token: u64, id: &str) {
-        let Some(held) = self.table.get(id).cloned() else { return self.ret(token, 200, "{}") };
+        let held = self.table.get(id).cloned().unwrap_or_else(|| Inst { id: id.to_owned(), ..Inst::default() });
         self.take_beat(token, Inst { gone: true, ..held }, true);
     }
 
-    /// Ordinary beats are acknowledged at once; a leave only when its news outlives the loss of this node.
+    /// What a database says is kept and told on in any case. It is acknowledged only by a node that a majority hears: at
+    /// once where the database stays, and where it leaves once enough others hold it too.
     fn take_beat(&mut self, token: u64, inst: Inst, is_leave: bool) {
         let changed = self.table.offer(inst.clone());
         self.announce(&changed, true);
         // Also a beat that changes nothing says who leads, where nobody is known to.
         self.fold_lead(&inst, false);
-        if !is_leave {
-            if !changed.is_empty() {
-                self.spread(&changed);
+        if !is_leave && !changed.is_empty() {
+            self.spread(&changed);
+        }
+        // While all are starting nobody is in contact; the database need not go round among them.
+        if !self.is_fresh() && (is_leave || !self.is_young()) {
+            if is_leave {
+                self.spread(&[inst]);
             }
-            return self.ret(token, 200, "{}");
+            return self.ret(token, 503, UNHEARD);
         }
-        let request = self.quorum.next_request();
-        let told = self.send_peers(&Msg::Inst { request, inst });
-        let wanted = told.min(1 + self.peers.len() / 2);
-        if wanted == 0 {
+        if !is_leave {
             return self.ret(token, 200, "{}");
         }
-        self.holds.push(Hold { token, request, wanted: 1.max(wanted.min(2)), got: 0, limit: self.now + HOLD_US });
+        let (request, id) = (self.quorum.next_request(), inst.id.clone());
+        self.send_peers(&Msg::Inst { request, inst });
+        self.holds.push(Hold { token, request, id, held: Default::default(), limit: self.now + HOLD_US });
+        self.settle_holds();
     }
 
     fn spread(&mut self, insts: &[Inst]) {
@@ -107,13 +115,32 @@
         self.announce(&changed, true);
     }
 
-    pub(crate) fn inst_held(&mut self, request: u64) {
-        let Some(at) = self.holds.iter().position(|hold| hold.request == request) else { return };
-        self.holds[at].got += 1;
-        if self.holds[at].got >= self.holds[at].wanted {
-            let hold = self.holds.swap_remove(at);
+    pub(crate) fn inst_held(&mut self, addr: &str, request: u64) {
+        let hold = self.holds.iter_mut().find(|hold| hold.request == request);
+        hold.into_iter().for_each(|hold| {
+            hold.held.insert(addr.to_owned());
+        });
+        self.settle_holds();
+    }
+
+    /// Whether a leave stands on a majority of the voters, of whom any node that comes back asks as many, and on more
+    /// nodes than may be lost at once, where there are that many.
+    fn is_settled_leave(&self, hold: &Hold) -> bool {
+        let voters = self.quorum.voters();
+        let own = usize::from(self.sits());
+        let held = hold.held.iter().filter(|addr| voters.has(addr)).count();
+        let others = self.peers.values().filter(|peer| peer.is_up).count();
+        own + held >= self.quorum.majority() && hold.held.len() >= self.tolerate.min(others)
+    }
+
+    fn settle_holds(&mut self) {
+        let (settled, rest) = std::mem::take(&mut self.holds).into_iter().partition(|hold| self.is_settled_leave(hold));
+        self.holds = rest;
+        let settled: Vec<Hold> = settled;
+        settled.into_iter().for_each(|hold| {
+            self.leaves.insert(hold.id);
             self.ret(hold.token, 200, "{}");
-        }
+        });
     }
 
     /// Leaves that too few nodes hold are not acknowledged: the database calls another node.
@@ -122,11 +149,7 @@
         let (over, held) = std::mem::take(&mut self.holds).into_iter().partition(|hold| hold.limit <= now);
         self.holds = held;
         let over: Vec<Hold> = over;
-        over.into_iter().for_each(|hold| {
-            // One other copy outlives the loss of this node.
-            let status = if hold.got > 0 { 200 } else { 503 };
-            self.ret(hold.token, status, "{}");
-        });
+        over.into_iter().for_each(|hold| self.ret(hold.token, 503, UNHEARD));
     }
 
     pub(crate) fn list_insts(&mut self, token: u64) {
@@ -142,6 +165,6 @@
                 })
             })
             .collect();
-        self.ret(token, 200, serde_json::json!({ "instances": list }).to_string());
+        self.ret(token, 200, serde_json::json!({ "instances": list, "fresh": self.is_caught_up() }).to_string());
     }
 }
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -1,6 +1,6 @@
 //! The operator's calls: configurations go onto a majority of disks before anyone hears of them.
 use crate::core::{Core, CONF};
-use crate::order::{digest, take, Decided, Order, Verdict};
+use crate::order::{Decided, Order, Verdict};
 use crate::types::Waiting;
 use wv_reg::{Done, Outcome};
 
@@ -10,6 +10,11 @@
         if let Some((status, body)) = self.head(method, path, now) {
             return self.ret(token, status, body);
         }
+        // Nothing is sent where it cannot come to an end: the caller goes elsewhere at once, and nothing is in doubt.
+        let is_conf = path.split('?').next().is_some_and(|path| path.trim_matches('/') == "configuration");
+        if is_conf && matches!(method, "PUT" | "GET") && !self.is_fresh() && !self.is_young() {
+            return self.ret(token, 503, "{\"cause\":\"no majority of the voters is in contact\"}");
+        }
         let steps: Vec<&str> = path.split('?').next().unwrap_or(path).trim_matches('/').split('/').collect();
         match (method, &steps[..]) {
             ("PUT", ["configuration"]) => self.put_conf(token, body),
@@ -35,7 +40,7 @@
         }
     }
 
-    fn put_conf(&mut self, token: u64, body: Option<&[u8]>) {
+    pub(crate) fn put_conf(&mut self, token: u64, body: Option<&[u8]>) {
         let Some(body) = body.filter(|body| body.len() <= crate::core::BODY_MAX) else {
             return self.ret(token, 413, "{\"cause\":\"the configuration is over the bound\"}");
         };
@@ -44,27 +49,7 @@
             Ok(conf) => conf,
             Err(error) => return self.ret(token, 400, cause(&error.to_string())),
         };
-        // What has moved is found only through its plan.
-        let is_kept = |shard: &String| conf.plans.iter().any(|plan| plan.shard == *shard);
-        let moved = self.feed.slots().values().filter(|map| !map.moved.is_empty()).map(|map| &map.shard);
-        if let Some(shard) = moved.into_iter().find(|shard| !is_kept(shard)).filter(|_| conf.version > self.published) {
-            let text = format!("shardPlans: slots of {shard} have moved, so its plan has to stay");
-            return self.ret(token, 400, cause(&text));
-        }
-        let order = Order { number: conf.version, digest: digest(body) };
-        self.waiting.insert(token, Waiting::Put(order));
-        self.quorum.start(token, CONF, Some(take(order, self.packs.pack(body))), self.now);
-        self.run_quorum();
-    }
-
-    /// Reads the register to learn what stands in force.
-    pub(crate) fn sync_conf(&mut self) {
-        if !std::mem::replace(&mut self.is_syncing, true) {
-            let token = self.fresh_id();
-            self.waiting.insert(token, Waiting::Sync);
-            self.quorum.start(token, CONF, None, self.now);
-            self.run_quorum();
-        }
+        self.judge(token, &conf, body);
     }
 
     pub(crate) fn quorum_done(&mut self, done: Done) {
@@ -73,6 +58,7 @@
             Waiting::Claim(service) => return self.duty_claimed(service, done.outcome, &done.before),
             Waiting::Confirm(service) => return self.duty_confirmed(service, done.outcome),
             Waiting::Swept => return,
+            Waiting::Judge(token, shard) => return self.judged(token, &shard, done.outcome),
             Waiting::Own(service) => return self.own_kept(&service, done.outcome),
             Waiting::Keep(shard, keep) => return self.kept(shard, keep, done.outcome),
             waiting => waiting,
@@ -99,11 +85,7 @@
                     Err(error) => self.ret(done.token, 500, cause(&error.to_string())),
                 }
             }
-            (Waiting::Sync, outcome) => {
-                self.is_syncing = false;
-                self.is_caught_up |= matches!(outcome, Outcome::Read(_));
-                self.serve_follows();
-            }
+            (Waiting::Sync(spell), outcome) => self.conf_synced(spell, matches!(outcome, Outcome::Read(_))),
             (_, _) => self.ret(done.token, 503, "{\"cause\":\"no majority of the voters answers\"}"),
         }
     }
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -12,8 +12,10 @@
 pub const BODY_MAX: usize = wv_conf::BODY_MAX;
 /// How often a node has its regular turn.
 pub const TURN_US: u64 = 100_000;
-/// A majority heard within this is fresh contact.
+/// A majority that answered what was asked within this is fresh contact.
 pub const FRESH_US: u64 = 1_300_000;
+/// How long a node that has just started lets followers wait for it, and databases stay with it.
+pub const AWAIT_US: u64 = 900_000;
 
 /// Machines that start together may read one time: the place in one node's feed must never pass for another's.
 fn own_life(life: u64, me: &str) -> u64 {
@@ -70,7 +72,12 @@
     /// When this node last asked another one for a newer one.
     pub(crate) lacked: u64,
     pub(crate) is_caught_up: bool,
-    pub(crate) is_syncing: bool,
+    pub(crate) contact: crate::contact::Contact,
+    /// Orders that wait for a read.
+    pub(crate) pending: Vec<crate::judge::Pending>,
+    /// Databases whose leave stands on enough nodes.
+    pub(crate) leaves: std::collections::BTreeSet<String>,
+    pub(crate) tolerate: usize,
     pub(crate) nodes_told: u32,
     /// Since when there are fewer of them.
     pub(crate) fewer_since: u64,
@@ -108,8 +115,6 @@
     pub(crate) epoch: u64,
     /// Planned shards that are held here; those whose maps are known or being read; what holders show of theirs.
     pub(crate) shards: BTreeMap<String, crate::shards::Shard>,
-    pub(crate) synced: std::collections::BTreeSet<String>,
-    pub(crate) syncing: std::collections::BTreeSet<String>,
     pub(crate) outlooks: BTreeMap<String, String>,
 }
 
@@ -160,7 +165,10 @@
             sent_on: 0,
             lacked: 0,
             is_caught_up: false,
-            is_syncing: false,
+            contact: Default::default(),
+            pending: Vec::new(),
+            leaves: Default::default(),
+            tolerate: start.tolerate,
             nodes_told: 0,
             fewer_since: 0,
             nodes_recalled: 0,
@@ -187,8 +195,6 @@
             is_window_open: true,
             epoch: 0,
             shards: BTreeMap::new(),
-            synced: Default::default(),
-            syncing: Default::default(),
             outlooks: BTreeMap::new(),
         };
         core.roster.set_core(core.is_core);
@@ -205,15 +211,6 @@
         self.next_id
     }
 
-    /// Whether a majority of voters is in fresh contact, this node counted where it votes.
-    pub fn is_fresh(&self) -> bool {
-        let voters = self.quorum.voters();
-        let own = usize::from(voters.number > 0 && self.seat.votes_in(&self.me) == voters.number);
-        let others = voters.addrs().filter_map(|voter| self.peers.get(voter));
-        let is_heard = |peer: &&Peer| peer.is_up && peer.set == voters.number && peer.ponged + FRESH_US > self.now;
-        !voters.members.is_empty() && own + others.filter(is_heard).count() >= self.quorum.majority()
-    }
-
     pub(crate) fn send(&mut self, link: u64, msg: Msg) {
         self.acts.push(Act::Send { link, msg });
     }
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -5,7 +5,7 @@
 use wv_promo::{Event, Left, Order, Seat, Silent, View, Word};
 use wv_reg::Outcome;
 
-/// A node that has just started first hears who is there.
+/// A node that has just started, or was out of contact, first hears who is there.
 const SETTLE_US: u64 = 800_000;
 
 /// How long nodes may count on a writer after the platform was called.
@@ -63,7 +63,7 @@
         let service_conf = self.conf.as_ref().and_then(|conf| conf.services.get(service));
         let view = View {
             now: self.now,
-            is_holder: self.roster.is_holder(service) && self.is_fresh() && self.born + SETTLE_US <= self.now,
+            is_holder: self.roster.is_holder(service) && self.is_settled(SETTLE_US),
             lead: lead.as_deref(),
             sync_replicas: service_conf.map_or(1, |held| held.sync_replicas),
             seats: &seats,
@@ -161,7 +161,7 @@
 
     /// A database's row came, or did not.
     pub fn row(&mut self, service: &str, id: &str, word: Word, now: u64) {
-        self.now = self.now.max(now);
+        self.at(now);
         log::info!("duty {service}: row of {id}: {word:?}");
         self.duty_event(service, Event::Row { id: id.to_owned(), word });
         self.run_quorum();
@@ -169,7 +169,7 @@
 
     /// The platform's return came, or did not.
     pub fn posted(&mut self, service: &str, code: Option<u16>, now: u64) {
-        self.now = self.now.max(now);
+        self.at(now);
         log::info!("duty {service}: platform returned {code:?}");
         self.duty_event(service, Event::Posted(code));
         self.run_quorum();
--- a/crates/wv-control/src/head.rs
+++ b/crates/wv-control/src/head.rs
@@ -8,7 +8,7 @@
     /// and go out again to each voter. So those who write or read one are sent to a voter (307), and elsewhere (503)
     /// while no voter is in contact. A `place` of a 307 is a whole address, since callers follow it as it stands.
     pub fn head(&mut self, method: &str, path: &str, now: u64) -> Option<(u16, String)> {
-        self.now = self.now.max(now);
+        self.at(now);
         let path = path.split('?').next().unwrap_or(path).trim_matches('/');
         let is_conf = path == "configuration" && matches!(method, "PUT" | "GET");
         (is_conf && self.is_thin()).then(|| match self.voter_place() {
@@ -22,7 +22,7 @@
         self.sent_on = self.sent_on.wrapping_add(1);
         let voters = self.quorum.voters();
         let is_heard = |addr: &&str| {
-            let is_near = |peer: &crate::types::Peer| peer.is_up && peer.ponged + FRESH_US > self.now;
+            let is_near = |peer: &crate::types::Peer| peer.is_up && peer.contact + FRESH_US > self.now;
             self.peers.get(*addr).is_some_and(|peer| is_near(peer) && peer.set == voters.number)
         };
         let heard: Vec<&str> = voters.addrs().filter(is_heard).collect();
--- a/crates/wv-control/src/keep.rs
+++ b/crates/wv-control/src/keep.rs
@@ -11,7 +11,8 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Keep {
     /// A control node that has just started, or a new plan: what stands, and whether its writer still holds the ballot.
-    SyncSlots,
+    /// Read in this spell of contact.
+    SyncSlots(u64),
     /// The map taken under a ballot of one's own; then the counts and the parts of the names.
     Slots,
     Fill,
@@ -60,12 +61,12 @@
 
     /// Slot maps that are not known here yet are read before anyone follows.
     pub(crate) fn sync_slots(&mut self) {
-        let Some(conf) = &self.conf else { return };
-        let is_new = |shard: &String| !self.synced.contains(shard) && !self.syncing.contains(shard);
+        let Some(conf) = self.conf.as_ref().filter(|_| self.contact.is_held) else { return };
+        let is_new = |shard: &String| !self.contact.synced.contains(shard) && !self.contact.syncing.contains(shard);
         let new: Vec<String> = conf.plans.iter().map(|plan| plan.shard.clone()).filter(is_new).collect();
         for shard in new {
-            self.syncing.insert(shard.clone());
-            self.start_keep(&shard, "slots", Keep::SyncSlots, None);
+            self.contact.syncing.insert(shard.clone());
+            self.start_keep(&shard, "slots", Keep::SyncSlots(self.contact.spell), None);
         }
     }
 
@@ -95,20 +96,21 @@
 
     pub(crate) fn kept(&mut self, shard: String, keep: Keep, outcome: Outcome) {
         match (keep, outcome) {
-            (Keep::SyncSlots, Outcome::Read(cell)) if cell.value.is_empty() => self.slots_synced(&shard),
-            (Keep::SyncSlots, Outcome::Read(cell)) => {
+            (Keep::SyncSlots(spell), Outcome::Read(cell)) if cell.value.is_empty() => self.slots_synced(&shard, spell),
+            (Keep::SyncSlots(spell), Outcome::Read(cell)) => {
                 match <SlotMap as nanoserde::DeBin>::deserialize_bin(&cell.value) {
                     Ok(map) => {
                         let is_standing = map.number >> 16 == cell.version >> 16;
                         self.slots_told(if is_standing { map } else { locked(&map) });
-                        self.slots_synced(&shard);
+                        self.slots_synced(&shard, spell);
                     }
                     Err(error) => log::error!("the slot map of {shard}: {error}"),
                 }
             }
-            (Keep::SyncSlots, _) => {
-                self.syncing.remove(&shard);
+            (Keep::SyncSlots(spell), _) if spell == self.contact.spell => {
+                self.contact.syncing.remove(&shard);
             }
+            (Keep::SyncSlots(_), _) => {}
             (Keep::Slots, Outcome::Written(cell)) => self.ballot_had(&shard, &cell),
             (Keep::Fill, Outcome::Written(cell)) => {
                 let fill = nanoserde::DeBin::deserialize_bin(&cell.value).ok();
@@ -144,10 +146,13 @@
         parts.for_each(|part| self.start_keep(shard, &part, Keep::Things, Some(raise_to(ballot))));
     }
 
-    fn slots_synced(&mut self, shard: &str) {
-        self.syncing.remove(shard);
-        self.synced.insert(shard.to_owned());
-        self.serve_follows();
+    /// A read that was begun before contact was lost says nothing of now.
+    fn slots_synced(&mut self, shard: &str, spell: u64) {
+        if spell == self.contact.spell {
+            self.contact.syncing.remove(shard);
+            self.contact.synced.insert(shard.to_owned());
+            self.catch_up();
+        }
     }
 
     fn put_kept(&mut self, shard: &str, keep: Keep, is_ours: bool) {
@@ -167,7 +172,6 @@
         let held = self.feed.slots().get(&map.shard).map_or(0, |held| held.number);
         if map.number > held {
             log::info!("slots of {}: {:?} under term {}, number {}", map.shard, map.phase, map.term, map.number);
-            self.synced.insert(map.shard.clone());
             self.publish(News::Slots(map));
         }
     }
--- a/crates/wv-control/src/leaving.rs
+++ b/crates/wv-control/src/leaving.rs
@@ -6,7 +6,7 @@
     /// SIGTERM: sessions are sent elsewhere, duties, splits and shards go to others at once, and a voter whose set could
     /// not bear one more loss is replaced where somebody stands ready. Calls are served on until the end.
     pub fn leave(&mut self, now: u64) {
-        self.now = self.now.max(now);
+        self.at(now);
         self.is_leaving = true;
         // Where all others have no disk, they hold what there is to hold from now on.
         self.roster.set_core(false);
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control role: register, configuration, beats, feed and duties. Logic without sockets; `run` executes.
 mod beats;
 mod conf;
+mod contact;
 mod core;
 mod duties;
 mod exec;
@@ -9,6 +10,7 @@
 mod force;
 mod handover;
 mod head;
+mod judge;
 mod keep;
 mod leaving;
 mod operate;
--- a/crates/wv-control/src/outlook.rs
+++ b/crates/wv-control/src/outlook.rs
@@ -69,7 +69,7 @@
     /// `GET /forecast` and `GET /splits`: all planned shards, as their holders last told of them.
     pub(crate) fn list_outlooks(&mut self, token: u64) {
         let Some(conf) = self.conf.as_ref() else {
-            return self.ret(token, 404, cause("no configuration has been taken yet"));
+            return self.ret_none(token);
         };
         let told = |plan: &wv_conf::ShardPlan| {
             let text = self.outlooks.get(&plan.shard)?;
@@ -78,14 +78,15 @@
         let unknown = |shard: &str| serde_json::json!({ "shard": shard, "forecast": forecast_json(None) });
         let list: Vec<serde_json::Value> =
             conf.plans.iter().map(|plan| told(plan).unwrap_or_else(|| unknown(&plan.shard))).collect();
-        self.ret(token, 200, serde_json::json!({ "shards": list }).to_string());
+        self.ret(token, 200, serde_json::json!({ "shards": list, "fresh": self.is_caught_up() }).to_string());
     }
 
     /// Calls that change something of a planned shard are its holder's: others send the caller there.
     pub(crate) fn call_shard(&mut self, token: u64, method: &str, path: (&str, &str), body: Option<&[u8]>) {
         let (part, shard) = path;
-        if self.conf.is_none() {
-            return self.ret(token, 503, cause("this node has just started, call again"));
+        // Also that there is no such plan is said only by a node that knows the newest configuration.
+        if self.conf.is_none() || !self.is_caught_up() {
+            return self.ret(token, 503, cause("no majority of the voters is in contact, call again"));
         }
         if self.shard_plan(shard).is_none() {
             return self.ret(token, 404, cause("no such planned shard"));
--- a/crates/wv-control/src/own.rs
+++ b/crates/wv-control/src/own.rs
@@ -7,7 +7,7 @@
 
 /// Moves that only even out the portions follow each other no sooner, from this node.
 const PACE_US: u64 = 300_000;
-/// A node that has just started first hears who is there.
+/// A node that has just started, or was out of contact, first hears who is there.
 const SETTLE_US: u64 = 1_500_000;
 
 fn key(service: &str) -> String {
@@ -18,7 +18,7 @@
     /// Gives shards to those that are to own them, as far as their keys are held here.
     pub(crate) fn run_owners(&mut self) {
         let Some(conf) = self.conf.as_ref().filter(|conf| !conf.partners.is_empty()) else { return };
-        if self.born + SETTLE_US > self.now || !self.is_fresh() || self.is_leaving {
+        if !self.is_settled(SETTLE_US) || self.is_leaving {
             return;
         }
         let members = self.roster.members(self.now);
@@ -106,7 +106,7 @@
     /// `GET /shards`: who owns what, under which number, and how the portions stand.
     pub(crate) fn list_shards(&mut self, token: u64) {
         let Some(conf) = self.conf.as_ref() else {
-            return self.ret(token, 404, "{\"cause\":\"no configuration has been taken yet\"}");
+            return self.ret_none(token);
         };
         let members = self.roster.members(self.now);
         let nodes: BTreeSet<&str> = members.keys().map(String::as_str).collect();
@@ -142,6 +142,10 @@
                 })
             })
             .collect();
-        self.ret(token, 200, serde_json::json!({ "shards": shards, "partners": partners }).to_string());
+        self.ret(
+            token,
+            200,
+            serde_json::json!({ "shards": shards, "partners": partners, "fresh": self.is_caught_up() }).to_string(),
+        );
     }
 }
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -3,13 +3,10 @@
 use crate::types::Link;
 use wv_inner::{Inst, Msg};
 
-/// How long a node that has just started lets followers wait for it.
-const AWAIT_US: u64 = 900_000;
-
 impl Core {
     /// A link came in.
     pub fn link_in(&mut self, now: u64) -> u64 {
-        self.now = self.now.max(now);
+        self.at(now);
         let link = self.fresh_id();
         self.links.insert(link, Link { peer: None, node: None, is_follower: false, awaited: None });
         link
@@ -17,7 +14,7 @@
 
     /// A link this side dialled stands.
     pub fn link_up(&mut self, link: u64, now: u64) {
-        self.now = self.now.max(now);
+        self.at(now);
         let Some(addr) = self.links.get(&link).and_then(|held| held.peer.clone()) else { return };
         self.peers.get_mut(&addr).into_iter().for_each(|peer| peer.is_up = true);
         self.send(
@@ -34,9 +31,12 @@
         if self.is_leaving {
             self.send(link, Msg::Leaving);
         }
-        let request = self.quorum.next_request();
-        self.send(link, Msg::Ping { request });
-        self.send(link, Msg::Digests { ranges: self.table.digests() });
+        let ping = self.ping_msg();
+        self.send(link, ping);
+        // Before there is contact nothing is compared: then all of it is asked for.
+        if self.contact.is_held {
+            self.send(link, Msg::Digests { ranges: self.table.digests() });
+        }
         self.send(link, Msg::Sessions { nodes: self.roster.sessions(self.now) });
         // Whoever was away hears which shards changed hands meanwhile.
         let owners: Vec<Msg> = self.feed.owners().values().cloned().map(Msg::Owner).collect();
@@ -47,7 +47,7 @@
     }
 
     pub fn link_down(&mut self, link: u64, now: u64) {
-        self.now = self.now.max(now);
+        self.at(now);
         let Some(held) = self.links.remove(&link) else { return };
         if let Some(peer) = held.peer.and_then(|addr| self.peers.get_mut(&addr)).filter(|peer| peer.link == Some(link))
         {
@@ -60,7 +60,7 @@
     }
 
     pub fn msg(&mut self, link: u64, msg: Msg, now: u64) {
-        self.now = self.now.max(now);
+        self.at(now);
         let Some(held) = self.links.get(&link) else { return };
         let (peer, node) = (held.peer.clone(), held.node.clone());
         if let Some(addr) = &peer {
@@ -118,8 +118,8 @@
     /// Followers are served once a majority is in fresh contact. Without one what is known here may be old: they ask
     /// elsewhere, unless this node has only just started, when all others may be no further.
     pub(crate) fn serve_follows(&mut self) {
-        let is_ready = self.is_fresh() && self.is_caught_up && self.syncing.is_empty() && !self.is_leaving;
-        let is_young = self.now < self.born + AWAIT_US && !self.is_leaving;
+        let is_ready = self.is_caught_up() && self.contact.syncing.is_empty() && !self.is_leaving;
+        let is_young = self.is_young() && !self.is_leaving;
         if !is_ready && is_young {
             return;
         }
@@ -149,23 +149,27 @@
             Msg::Sessions { nodes } => {
                 self.roster.peer_sessions(addr, nodes, self.now);
             }
-            Msg::Ping { request } => {
+            Msg::Ping { asker, request } => {
                 let conf = self.store.get(crate::core::CONF).map_or(0, |held| held.cell.version);
                 let disk = self.is_core.then_some(self.seat.disk);
                 let set = self.seat.votes_in(&self.me);
                 let ready = self.is_ready();
                 let sealed = if set == 0 { self.seat.sits_in(&self.me) } else { 0 };
-                self.send(link, Msg::Pong { request, conf, disk, set, sealed, ready });
+                self.send(link, Msg::Pong { asker, request, conf, disk, set, sealed, ready });
             }
-            Msg::Pong { conf, disk, set, sealed, ready, .. } => {
+            Msg::Pong { asker, request, conf, disk, set, sealed, ready } => {
+                let Some(sent) = self.ping_sent(asker, request) else { return };
                 let is_leaving = self.peers.get(addr).is_some_and(|peer| peer.is_leaving);
                 self.roster.peer_core(addr, disk.is_some() && !is_leaving);
-                if let Some(peer) = self.peers.get_mut(addr) {
-                    (peer.ponged, peer.disk, peer.set) = (self.now, disk, set);
+                if let Some(peer) = self.peers.get_mut(addr).filter(|peer| peer.contact <= sent) {
+                    (peer.contact, peer.disk, peer.set) = (sent, disk, set);
                     (peer.sealed, peer.is_ready) = (sealed, ready);
                 }
+                self.reckon_contact();
                 self.hear_version(addr, conf);
             }
+            Msg::Recap { asker, request, ranges } => self.give_recap(link, (asker, request), &ranges),
+            Msg::Recapped { asker, request } => self.recapped(addr, asker, request),
             Msg::Call { asker, request, set, key, step } => {
                 let vote = self.vote(set, &key, &step);
                 vote.into_iter()
@@ -191,7 +195,7 @@
                     self.send(link, Msg::InstHeld { request });
                 }
             }
-            Msg::InstHeld { request } => self.inst_held(request),
+            Msg::InstHeld { request } => self.inst_held(addr, request),
             Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
             Msg::Lead(lead) => self.lead_told(lead),
             Msg::Owner(owner) => self.owner_told(owner),
@@ -216,7 +220,7 @@
     }
 
     /// Sends what stands here in the ranges whose digests differ.
-    fn compare(&mut self, link: u64, theirs: &[u64]) {
+    pub(crate) fn compare(&mut self, link: u64, theirs: &[u64]) {
         let ours = self.table.digests();
         for (range, sum) in ours.iter().enumerate() {
             if theirs.get(range).is_some_and(|their| their != sum) {
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -108,6 +108,7 @@
         seeds,
         is_first: settings.initial_start,
         is_core: settings.data_dir.is_some(),
+        tolerate: settings.tolerate_machines as usize,
         disk: wv_proc::draw(),
         who: wv_proc::draw(),
     };
--- a/crates/wv-control/src/shards.rs
+++ b/crates/wv-control/src/shards.rs
@@ -4,7 +4,7 @@
 use wv_inner::{Marks, Msg, SlotMap};
 use wv_split::{Event, Names, Order, Plan, Side, Split, View};
 
-/// A holder that has just started first hears who is there.
+/// A holder that has just started, or was out of contact, first hears who is there.
 const SETTLE_US: u64 = 1_000_000;
 
 pub(crate) fn key(part: &str, shard: &str) -> String {
@@ -104,8 +104,7 @@
         let (source, target) = (lead(shard), plan.as_ref().and_then(|plan| lead(&plan.target)));
         let capacity = source.as_ref().and_then(|(id, _)| self.table.get(id)).map_or(1, |inst| inst.capacity);
         let first = self.first_slots(shard);
-        let is_holder =
-            self.is_shard_holder(shard) && self.is_fresh() && self.born + SETTLE_US <= self.now && !self.is_leaving;
+        let is_holder = self.is_shard_holder(shard) && self.is_settled(SETTLE_US) && !self.is_leaving;
         let view = View {
             now: self.now,
             epoch_us: self.epoch_us(),
@@ -154,7 +153,7 @@
 
     /// What came of texts that were run at a database.
     pub fn ran(&mut self, run: u64, replies: Option<Vec<wv_split::Reply>>, now: u64) {
-        self.now = self.now.max(now);
+        self.at(now);
         let found = self.shards.iter_mut().find_map(|(shard, held)| Some((shard.clone(), held.runs.remove(&run)?)));
         if let Some((shard, token)) = found {
             self.shard_event(&shard, Event::Ran { token, replies });
--- a/crates/wv-control/src/takeover.rs
+++ b/crates/wv-control/src/takeover.rs
@@ -97,7 +97,7 @@
             let peer = self.peers.get(*addr).filter(|peer| peer.is_up && !self.progress.told.contains(*addr))?;
             let silent = self.progress.silent.iter().filter(|silent| silent == addr).count();
             let is_voter = peer.set == voters.number;
-            (is_voter || is_urgent).then_some((silent, !is_voter, std::cmp::Reverse(peer.ponged)))
+            (is_voter || is_urgent).then_some((silent, !is_voter, std::cmp::Reverse(peer.contact)))
         };
         let ordered = addrs.into_iter().filter_map(|addr| Some((order(&addr)?, addr)));
         ordered.min().map(|(_, addr)| addr.to_owned())
--- a/crates/wv-control/src/thin.rs
+++ b/crates/wv-control/src/thin.rs
@@ -1,6 +1,6 @@
 //! Control nodes that keep nothing, on thin links: they follow the configuration in force as access nodes do, by what
 //! differs. Reading the register would bring each voter's copy of it over the link, again with each try.
-use crate::core::{Core, FRESH_US};
+use crate::core::Core;
 use wv_inner::{Msg, News};
 
 /// What was asked for is there by then, or is asked for again: a packed configuration takes a fifth of a second over
@@ -27,7 +27,7 @@
             self.lack(addr, self.published);
         }
         // Whatever was acknowledged stands on a majority: nothing newer than what is here, if a majority has nothing.
-        self.is_caught_up |= self.has_newest();
+        self.catch_up();
     }
 
     /// The version of the configuration in force here, 0 for none.
@@ -35,15 +35,6 @@
         self.published
     }
 
-    fn has_newest(&self) -> bool {
-        let voters = self.quorum.voters();
-        let is_heard = |peer: &&crate::types::Peer| {
-            peer.is_up && peer.set == voters.number && peer.ponged + FRESH_US > self.now && peer.conf <= self.published
-        };
-        let heard = voters.addrs().filter_map(|voter| self.peers.get(voter)).filter(is_heard);
-        !voters.members.is_empty() && heard.count() >= self.quorum.majority()
-    }
-
     /// Asks for what is newer than `version`; not again while the answer may be under way.
     fn lack(&mut self, addr: &str, version: u64) {
         if self.lacked + LACK_US <= self.now {
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -20,15 +20,18 @@
 impl Core {
     /// Regular work, ten times a second.
     pub fn tick(&mut self, now: u64) {
-        self.now = self.now.max(now);
+        self.at(now);
         if self.born == 0 {
             self.born = self.now;
         }
+        // A node that is its own majority asks nobody.
+        self.reckon_contact();
         self.dial();
         if self.pinged + PING_US <= self.now {
             self.ping();
             self.tell_sessions();
             self.beat_followers();
+            self.ask_recap(usize::MAX);
             self.forget_words();
         }
         // Outside its window a sweep is rarer, never absent; links that come up compare at once in any case.
@@ -43,11 +46,10 @@
             self.table.forget();
             let table = &self.table;
             self.left.retain(|id, _| table.get(id).is_some());
+            self.leaves.retain(|id| table.get(id).is_some());
             self.forget_peers();
         }
-        if !self.is_caught_up && self.is_fresh() && !self.is_thin() {
-            self.sync_conf();
-        }
+        self.keep_contact();
         self.tell_conf();
         self.serve_follows();
         self.keep_table();
@@ -63,12 +65,13 @@
         self.quorum.tick(self.now);
         self.run_quorum();
         self.end_holds();
+        self.end_pending();
     }
 
     pub(crate) fn ping(&mut self) {
         self.pinged = self.now;
-        let request = self.quorum.next_request();
-        self.send_peers(&Msg::Ping { request });
+        let msg = self.ping_msg();
+        self.send_peers(&msg);
     }
 
     fn dial(&mut self) {
@@ -101,7 +104,7 @@
     }
 
     pub(crate) fn beat_followers(&mut self) {
-        let fresh = self.is_fresh() && self.is_caught_up && !self.is_leaving;
+        let fresh = self.is_caught_up() && !self.is_leaving;
         // Who still waits for this young node is told nothing yet.
         let is_told = |link: &Link| link.node.is_some() && link.awaited.is_none();
         let followers: Vec<u64> = self.links.iter().filter(|(_, link)| is_told(link)).map(|(id, _)| *id).collect();
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -57,6 +57,8 @@
     pub is_first: bool,
     /// Whether what this node keeps outlives its process, so that it may vote.
     pub is_core: bool,
+    /// How many machines may be lost at once with all rules kept.
+    pub tolerate: usize,
     /// A number drawn at random for a disk that is written for the first time.
     pub disk: u64,
     /// Drawn at random for this life: proposals and answers of another one never pass for those of this one.
@@ -79,7 +81,8 @@
     pub link: Option<u64>,
     pub is_up: bool,
     pub dialed: u64,
-    pub ponged: u64,
+    /// When the ping was sent that it answered last, 0 for none.
+    pub contact: u64,
     /// The set it votes in and its disk, as it last said; `since` when it was first heard of.
     pub set: u64,
     pub disk: Option<u64>,
@@ -99,7 +102,10 @@
     /// An order to take a configuration.
     Put(crate::order::Order),
     Get,
-    Sync,
+    /// Begun in this spell of contact.
+    Sync(u64),
+    /// The map of a shard whose plan an order drops.
+    Judge(u64, String),
     Claim(String),
     Confirm(String),
     Own(String),
@@ -116,10 +122,11 @@
     pub is_down: bool,
 }
 
+/// A leave that waits until enough others hold it.
 pub(crate) struct Hold {
     pub token: u64,
     pub request: u64,
-    pub wanted: usize,
-    pub got: usize,
+    pub id: String,
+    pub held: std::collections::BTreeSet<String>,
     pub limit: u64,
 }
--- a/crates/wv-control/src/voter.rs
+++ b/crates/wv-control/src/voter.rs
@@ -74,7 +74,7 @@
 
     /// The time that was asked for is over.
     pub fn wake(&mut self, now: u64) {
-        self.now = self.now.max(now);
+        self.at(now);
         self.run_quorum();
     }
 }
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -32,7 +32,7 @@
         let now = self.now;
         let (seeds, voters) = (&self.seeds, &self.seat.voters);
         self.peers.retain(|addr, peer| {
-            peer.is_up || peer.since.max(peer.ponged) + FORGOTTEN_US > now || seeds.contains(addr) || voters.has(addr)
+            peer.is_up || peer.since.max(peer.contact) + FORGOTTEN_US > now || seeds.contains(addr) || voters.has(addr)
         });
     }
 
@@ -87,7 +87,7 @@
     }
 
     pub(crate) fn is_heard(&self, peer: &Peer) -> bool {
-        peer.is_up && peer.ponged + FRESH_US > self.now
+        peer.is_up && peer.contact + FRESH_US > self.now
     }
 
     /// Of those that sit in the newest set and stay, one plans its successor: it holds nearly all that will be handed on.
@@ -167,12 +167,12 @@
     /// For how long nobody has answered for a member. A disk that is slow or hangs is not away: its machine answers.
     fn away_us(&self, addr: &str) -> u64 {
         // What has no disk forgets with its process: it gives its place to the first that has one.
-        let is_forgetful = |peer: &Peer| peer.ponged > 0 && peer.disk.is_none();
+        let is_forgetful = |peer: &Peer| peer.contact > 0 && peer.disk.is_none();
         if (addr == self.me && !self.is_core) || self.peers.get(addr).is_some_and(is_forgetful) {
             return wv_reg::AWAY_US;
         }
         let peer = self.peers.get(addr).filter(|peer| !self.is_heard(peer));
-        peer.map_or(0, |peer| self.now.saturating_sub(peer.since.max(peer.ponged).max(self.born)))
+        peer.map_or(0, |peer| self.now.saturating_sub(peer.since.max(peer.contact).max(self.born)))
     }
 
     /// Whether this node is agreeing on the next voters right now.
--- a/crates/wv-feed/src/table.rs
+++ b/crates/wv-feed/src/table.rs
@@ -71,8 +71,11 @@
                 }
                 Some(inst)
             }
-            // That one left which was never known changes nothing here.
-            None if inst.gone => return Vec::new(),
+            // That one left which was never known is remembered, so that an older word of another node does not bring it in.
+            None if inst.gone => {
+                self.keep(inst);
+                return Vec::new();
+            }
             None => Some(inst),
         };
         let Some(inst) = changed else { return Vec::new() };
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -120,6 +120,7 @@
             seeds: node.seeds.clone(),
             is_first,
             is_core: node.is_core,
+            tolerate: 1,
             // Drawn at random in a process; here no two are ever the same.
             disk: self.life + 1000,
             who: self.life.wrapping_mul(0x9e37_79b9_7f4a_7c15),
