--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -121,8 +121,7 @@
             is_first,
             is_core: node.is_core,
             tolerate: 1,
-            // Drawn at random in a process; here no two are ever the same.
-            disk: self.life + 1000,
+            disk: self.life + 1000, // random in a process; here no two are ever the same
             who: self.life.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         };
         let store = wv_reg::Store::open(Box::new(node.files.clone()));
