--- a/crates/wv-control/src/contact.rs
+++ b/crates/wv-control/src/contact.rs
@@ -103,8 +103,9 @@
         (self.contact.synced, self.contact.syncing) = Default::default();
         self.is_caught_up = false;
         self.refuse_pending();
-        // Followers go elsewhere at once: what is published from here on may be old.
+        // Followers go elsewhere at once, and hear nothing more: what is published from here on may be old.
         self.beat_followers();
+        self.links.values_mut().for_each(|link| link.is_follower = false);
     }
 
     /// Everything that may have changed meanwhile is read anew, by reads that begin now.
--- a/crates/wv-control/tests/alone/mod.rs
+++ b/crates/wv-control/tests/alone/mod.rs
@@ -19,6 +19,11 @@
 
 impl Node {
     pub fn new() -> Node {
+        Node::bearing(1)
+    }
+
+    /// One whose settings say how many machines may be lost at once.
+    pub fn bearing(tolerate: usize) -> Node {
         let seeds: Vec<String> = (1..4).map(|at| format!("10.0.0.{at}:80")).collect();
         let start = Start {
             me: ME.to_owned(),
@@ -28,7 +33,7 @@
             seeds,
             is_first: true,
             is_core: true,
-            tolerate: 1,
+            tolerate,
             disk: 1,
             who: WHO,
         };
@@ -62,6 +67,15 @@
         self.acts();
     }
 
+    /// An access node comes on a link of its own and follows.
+    pub fn follow(&mut self) {
+        let link = self.core.link_in(self.now);
+        self.links.insert("a0".to_owned(), link);
+        let (node, place) = ("a0".to_owned(), String::new());
+        self.hear("a0", Msg::Hello { node, control: String::new(), zone: String::new(), place, life: 5 });
+        self.hear("a0", Msg::Follow { life: 0, place: 0 });
+    }
+
     /// Its turns for so long; nothing is answered.
     pub fn run(&mut self, us: u64) {
         let end = self.now + us;
--- a/crates/wv-control/tests/contact.rs
+++ b/crates/wv-control/tests/contact.rs
@@ -137,3 +137,42 @@
         not(is_empty())
     );
 }
+
+#[gtest]
+fn given_a_set_too_small_for_what_may_be_lost_then_leaves_want_as_many_others_as_there_are() {
+    let mut node = Node::bearing(2);
+    node.serve(2 * S);
+    expect_that!(node.call("PUT", "/instances/i-1", DRAIN), none());
+    let told = node.take(|msg| matches!(msg, Msg::Inst { .. }));
+    node.hear(&told[0].0, reply(&told[0].1).expect("held"));
+    expect_that!(node.returns.values().collect::<Vec<_>>(), is_empty());
+    node.hear(&told[1].0, reply(&told[1].1).expect("held"));
+    expect_that!(node.returns.values().collect::<Vec<_>>(), elements_are![eq(&&200)]);
+}
+
+#[gtest]
+fn given_contact_that_ends_then_followers_hear_so_at_the_next_turn_and_nothing_after_it() {
+    let mut node = Node::new();
+    node.serve(2 * S);
+    node.follow();
+    let is_to_follower = |node: &mut Node| -> Vec<Msg> {
+        let (told, rest) = std::mem::take(&mut node.sent).into_iter().partition(|(to, _)| to == "a0");
+        node.sent = rest;
+        let told: Vec<(String, Msg)> = told;
+        told.into_iter().map(|(_, msg)| msg).collect()
+    };
+    expect_that!(is_to_follower(&mut node).iter().any(|msg| matches!(msg, Msg::Snapshot { .. })), eq(true));
+    let (asked, pings) = node.pings();
+    for (from, msg) in &pings {
+        node.hear(from, reply(msg).expect("a pong"));
+    }
+    node.run(asked + 1200 * MS - node.now);
+    let before = is_to_follower(&mut node);
+    expect_that!(before.iter().any(|msg| matches!(msg, Msg::Beat { fresh: false })), eq(false));
+    node.run(100 * MS);
+    expect_that!(is_to_follower(&mut node), contains(eq(&Msg::Beat { fresh: false })));
+    // What databases say is known here on, and told to no follower.
+    node.call("PUT", "/instances/i-7", BEAT);
+    let after = is_to_follower(&mut node);
+    expect_that!(after.iter().any(|msg| matches!(msg, Msg::Change { .. } | Msg::Snapshot { .. })), eq(false));
+}
--- a/crates/wv-fleet/tests/split.rs
+++ b/crates/wv-fleet/tests/split.rs
@@ -1,9 +1,9 @@
 //! Stories of shards that are split while they serve: every record arrives once, whatever happens meanwhile.
 mod common;
 
-use common::Story;
+use common::{conf, Story};
 use googletest::prelude::*;
-use wv_fleet::{MS, S};
+use wv_fleet::{World, MS, S};
 use wv_inner::Phase;
 
 #[gtest]
@@ -137,3 +137,62 @@
     expect_that!(story.moves_within(60 * S), eq(true));
     expect_that!(story.end(), is_empty());
 }
+
+/// What comes of an order at this node, repeated while it is put off.
+fn order(world: &mut World, at: usize, body: &[u8]) -> u16 {
+    let end = world.now + 4 * S;
+    while world.now < end {
+        let token = world.call(at, "PUT", "/configuration", body);
+        world.run(100 * MS);
+        match world.returns.get(&token).map_or(0, |ret| ret.0) {
+            0 | 503 => {}
+            code => return code,
+        }
+    }
+    503
+}
+
+fn unplanned(version: u64) -> Vec<u8> {
+    let planned = conf(version, |_| {});
+    let mut value: serde_json::Value = serde_json::from_slice(&planned).expect("the stories' own");
+    value["shardPlans"] = serde_json::json!([]);
+    value.to_string().into_bytes()
+}
+
+#[gtest]
+fn given_a_node_in_contact_that_missed_a_move_then_an_order_without_its_plan_is_refused_by_what_a_majority_holds() {
+    let mut story = Story::begin();
+    let holder = story.holder();
+    let other = (holder + 1) % 3;
+    // It hears the third node, so that it has contact, and nothing of the one that moves the slots.
+    story.world.one_way.insert((format!("c{holder}"), format!("c{other}")));
+    story.request();
+    assert_that!(story.moves_within(20 * S), eq(true));
+    let known = story.world.controls[other].core.as_ref().and_then(|core| core.slot_map("s"));
+    expect_that!(known.is_none_or(|map| map.moved.is_empty()), eq(true));
+    expect_that!(order(&mut story.world, other, &unplanned(9)), eq(400));
+    story.world.one_way.clear();
+    expect_that!(story.end(), is_empty());
+}
+
+#[gtest]
+fn given_a_node_cut_off_during_a_move_then_an_order_without_its_plan_is_refused_from_the_first_moment_on() {
+    let mut story = Story::begin();
+    let holder = story.holder();
+    let other = (holder + 2) % 3;
+    for at in (0..3).filter(|at| *at != other) {
+        story.world.cut.insert((format!("c{other}"), format!("c{at}")));
+    }
+    story.request();
+    assert_that!(story.moves_within(20 * S), eq(true));
+    story.world.cut.clear();
+    expect_that!(order(&mut story.world, other, &unplanned(9)), eq(400));
+    expect_that!(story.end(), is_empty());
+}
+
+#[gtest]
+fn given_a_plan_under_which_nothing_has_moved_then_it_may_go() {
+    let mut story = Story::begin();
+    expect_that!(order(&mut story.world, 1, &unplanned(9)), eq(200));
+    expect_that!(story.end(), is_empty());
+}
