--- a/crates/wv-control/tests/alone/mod.rs
+++ b/crates/wv-control/tests/alone/mod.rs
@@ -128,7 +128,9 @@
 
 pub fn reply(msg: &Msg) -> Option<Msg> {
     match msg.clone() {
-        Msg::Ping { asker, request } => Some(Msg::Pong { asker, request, conf: 0, disk: Some(0), set: 1, ready: true }),
+        Msg::Ping { asker, request } => {
+            Some(Msg::Pong { asker, request, conf: 0, disk: Some(0), set: 1, sealed: 0, ready: true })
+        }
         Msg::Call { asker, request, key, step, .. } => {
             let vote = match step {
                 Step::Accept { .. } => Vote::Accepted,
--- a/crates/wv-control/tests/contact.rs
+++ b/crates/wv-control/tests/contact.rs
@@ -49,8 +49,8 @@
     let mut node = Node::new();
     node.run(500 * MS);
     for (from, msg) in node.take(is_ping) {
-        let Some(Msg::Pong { request, conf, disk, set, ready, .. }) = reply(&msg) else { continue };
-        node.hear(&from, Msg::Pong { asker: WHO + 1, request, conf, disk, set, ready });
+        let Some(Msg::Pong { request, conf, disk, set, sealed, ready, .. }) = reply(&msg) else { continue };
+        node.hear(&from, Msg::Pong { asker: WHO + 1, request, conf, disk, set, sealed, ready });
     }
     expect_that!(node.core.is_fresh(), eq(false));
     node.serve(500 * MS);
@@ -66,8 +66,8 @@
     let late = pings.pop().expect("two voters");
     node.hear(&pings[0].0, reply(&pings[0].1).expect("a pong"));
     node.run(asked + 1200 * MS - node.now);
-    let Some(Msg::Pong { asker, request, disk, set, ready, .. }) = reply(&late.1) else { return };
-    node.hear(&late.0, Msg::Pong { asker, request, conf: 9, disk, set, ready });
+    let Some(Msg::Pong { asker, request, disk, set, sealed, ready, .. }) = reply(&late.1) else { return };
+    node.hear(&late.0, Msg::Pong { asker, request, conf: 9, disk, set, sealed, ready });
     expect_that!(node.core.is_caught_up(), eq(true));
     let is_look = |msg: &Msg| matches!(msg, Msg::Call { key, .. } if key == "conf");
     let looks = node.take(is_look);
