--- a/crates/wv-control/tests/takeover.rs
+++ b/crates/wv-control/tests/takeover.rs
@@ -28,6 +28,7 @@
             seeds,
             is_first,
             is_core: true,
+            tolerate: 1,
             disk: 1,
             who: 1,
         };
@@ -60,7 +61,7 @@
 
     /// The set in which it says that it votes.
     fn votes_in(&mut self) -> u64 {
-        let said = self.hear("b", Msg::Ping { request: 1 });
+        let said = self.hear("b", Msg::Ping { asker: 7, request: 1 });
         said.into_iter()
             .find_map(|(_, msg)| if let Msg::Pong { set, .. } = msg { Some(set) } else { None })
             .unwrap_or(0)
