--- a/crates/wv-access/tests/common/mod.rs
+++ b/crates/wv-access/tests/common/mod.rs
@@ -80,7 +80,7 @@
         let end = self.now + us;
         while self.now < end {
             self.now += MS;
-            if self.now % (100 * MS) == 0 {
+            if self.now.is_multiple_of(100 * MS) {
                 self.core.housekeep(self.now);
             }
             self.core.tick(self.now);
