One holder: a call leaves only under a fence that was confirmed in its turn; a successor looks who leads before it shows its own

Cause: a call was confirmed and then waited for its turn in the pace; a successor named the old primary to the platform to show its fence, unconfirmed, which would have led it again where a predecessor's call had gone through; an event heard by a node that had lost its contact was still gone on with. Change: the pace is the core's; a call whose turn comes later is confirmed anew then, and none leaves over 0.25 s after its confirmation was begun. Claimed, looked, confirmed, shown, looked: one round more in a succession. A new holder's first look ends the matter where one leads under a newer term. A holder that ends brings its promotion to an end first.

--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -56,6 +56,7 @@
         let Some(waiting) = self.waiting.remove(&done.token) else { return };
         let waiting = match waiting {
             Waiting::Claim(service) => return self.duty_claimed(service, done.outcome, &done.before),
+            Waiting::Call(call) => return self.call_confirmed(*call, done.outcome),
             Waiting::Confirm(service) => return self.duty_confirmed(service, done.outcome),
             Waiting::Swept => return,
             Waiting::Judge(token, shard) => return self.judged(token, &shard, done.outcome),
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -86,6 +86,7 @@
     pub(crate) conf: Option<wv_conf::Conf>,
     pub(crate) duties: BTreeMap<String, wv_promo::Duty>,
     pub(crate) fences: BTreeMap<String, u64>,
+    pub(crate) calls: crate::post::Calls,
     /// What each node last said of each database, and when.
     pub(crate) sights: BTreeMap<String, BTreeMap<String, (u64, wv_inner::Sighting)>>,
     /// The live control nodes when words were last handed over.
@@ -108,6 +109,7 @@
     pub(crate) swept: u64,
     pub(crate) unnamed: BTreeMap<String, u64>,
     pub(crate) is_leaving: bool,
+    pub(crate) is_leave_told: bool,
     pub(crate) sessions_told: Vec<wv_inner::Session>,
     pub(crate) sessions_age: u32,
     pub(crate) is_window_open: bool,
@@ -175,6 +177,7 @@
             conf: None,
             duties: BTreeMap::new(),
             fences: BTreeMap::new(),
+            calls: Default::default(),
             sights: BTreeMap::new(),
             holders: Vec::new(),
             left: BTreeMap::new(),
@@ -190,6 +193,7 @@
             swept: 0,
             unnamed: BTreeMap::new(),
             is_leaving: false,
+            is_leave_told: false,
             sessions_told: Vec::new(),
             sessions_age: 0,
             is_window_open: true,
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -8,9 +8,6 @@
 /// A node that has just started, or was out of contact, first hears who is there.
 const SETTLE_US: u64 = 800_000;
 
-/// How long nodes may count on a writer after the platform was called.
-const PROMOTING_US: u64 = 1_500_000;
-
 fn key(service: &str) -> String {
     format!("duty/{service}")
 }
@@ -109,20 +106,15 @@
         log::info!("duty {service}: {order:?}");
         match order {
             Order::Claim => self.claim_duty(service),
-            Order::Confirm => self.ask_register(service, Waiting::Confirm(service.to_owned()), None),
+            Order::Confirm => {
+                self.calls.confirms.insert(service.to_owned(), self.now);
+                self.ask_register(service, Waiting::Confirm(service.to_owned()), None);
+            }
             Order::Look { id } => self.ask_db(service, id, "ENQUIRY".to_owned()),
             Order::Suspend { id, term } => self.ask_db(service, id, format!("SUSPEND {term}")),
             Order::Continue { id } => self.ask_db(service, id, "CONTINUE".to_owned()),
             Order::Yield { id, term } => self.ask_db(service, id, format!("YIELD {term}")),
-            Order::Post { id, fence } => {
-                let is_new = self.feed.lead(service).is_none_or(|lead| lead.id != id);
-                if is_new {
-                    let (service, id, us) = (service.to_owned(), id.clone(), PROMOTING_US);
-                    self.send_peers(&Msg::Promoting { service: service.clone(), id: id.clone(), us });
-                    self.publish(News::Promoting { service, id, us });
-                }
-                self.acts.push(Act::Post { service: service.to_owned(), id, fence });
-            }
+            Order::Post { id, fence } => self.post(service, id, fence),
             Order::Led { id, term } => {
                 let lead = Lead { service: service.to_owned(), id, term };
                 self.send_peers(&Msg::Lead(lead.clone()));
@@ -172,7 +164,7 @@
         self.run_quorum();
     }
 
-    fn ask_register(&mut self, service: &str, waiting: Waiting, edit: Option<wv_reg::Edit>) {
+    pub(crate) fn ask_register(&mut self, service: &str, waiting: Waiting, edit: Option<wv_reg::Edit>) {
         let token = self.fresh_id();
         self.waiting.insert(token, waiting);
         self.quorum.start(token, &key(service), edit, self.now);
@@ -180,6 +172,7 @@
 
     /// Takes the duty in one change: the next fence, in this node's name. No two changes make the same fence.
     fn claim_duty(&mut self, service: &str) {
+        self.calls.confirms.insert(service.to_owned(), self.now);
         let name = self.me.clone().into_bytes();
         let edit: wv_reg::Edit = Box::new(move |held| Some(wv_reg::cell(held.version + 1, name.clone())));
         self.ask_register(service, Waiting::Claim(service.to_owned()), Some(edit));
@@ -199,10 +192,14 @@
         self.duty_event(&service, Event::Claimed(fence.map(|fence| (fence, is_succession))));
     }
 
+    /// Whether the register still names this node under its own last fence.
+    pub(crate) fn is_ours(&self, service: &str, outcome: &Outcome) -> bool {
+        let fence = self.fences.get(service).copied();
+        matches!(outcome, Outcome::Read(cell) if Some(cell.version) == fence && cell.value == self.me.as_bytes())
+    }
+
     pub(crate) fn duty_confirmed(&mut self, service: String, outcome: Outcome) {
-        let fence = self.fences.get(&service).copied();
-        let is_ours = matches!(&outcome, Outcome::Read(cell)
-            if Some(cell.version) == fence && cell.value == self.me.as_bytes());
+        let is_ours = self.is_ours(&service, &outcome);
         self.duty_event(&service, Event::Confirmed(is_ours));
     }
 }
--- a/crates/wv-control/src/exec.rs
+++ b/crates/wv-control/src/exec.rs
@@ -24,19 +24,17 @@
     inner_port: u16,
     pub(crate) name: String,
     pub(crate) platform: Option<wv_settings::Platform>,
-    pub(crate) pace: Rc<RefCell<crate::request::Pace>>,
     epoch: std::time::Instant,
 }
 
 impl Node {
-    pub fn new(core: Core, settings: &wv_settings::Settings) -> Node {
+    pub fn new(mut core: Core, settings: &wv_settings::Settings) -> Node {
         let rate = settings.platform.as_ref().map_or(1.0, |platform| platform.duty_rate).max(0.1);
         // Each node keeps well within the rate that all of them share.
-        let pace = crate::request::Pace { gap_us: (8e6 / rate) as u64, next: 0 };
+        core.set_pace((8e6 / rate) as u64);
         Node {
             name: settings.node.clone(),
             platform: settings.platform.clone(),
-            pace: Rc::new(RefCell::new(pace)),
             core: Rc::new(RefCell::new(core)),
             links: Default::default(),
             returns: Default::default(),
@@ -79,8 +77,8 @@
             Act::Run { run, service, id, addr, texts } => {
                 tokio::task::spawn_local(self.clone().run_texts(run, service, (id, addr), texts));
             }
-            Act::Post { service, id, fence } => {
-                tokio::task::spawn_local(self.clone().post(service, id, fence));
+            Act::Post { service, id, fence, until } => {
+                tokio::task::spawn_local(self.clone().post(service, id, fence, until));
             }
             Act::Wake { us } => {
                 let node = self.clone();
--- a/crates/wv-control/src/handover.rs
+++ b/crates/wv-control/src/handover.rs
@@ -61,7 +61,7 @@
     }
 
     fn is_whole(&mut self, set: u64) -> bool {
-        self.seat.finish(&mut self.store, set, Vec::new()).map_err(noted).unwrap_or(false)
+        self.seat.finish(&mut self.store, set).map_err(noted).unwrap_or(false)
     }
 
     pub(crate) fn hear_handover(&mut self, link: u64, addr: &str, msg: Handover) {
--- a/crates/wv-control/src/leaving.rs
+++ b/crates/wv-control/src/leaving.rs
@@ -2,16 +2,32 @@
 use crate::core::Core;
 use wv_inner::{Member, Msg};
 
+/// After its last call to the platform a holder keeps its duties for so long, if it lives.
+const TURNS_US: u64 = 1_500_000;
+
 impl Core {
-    /// SIGTERM: sessions are sent elsewhere, duties, splits and shards go to others at once, and a voter whose set could
-    /// not bear one more loss is replaced where somebody stands ready. Calls are served on until the end.
+    /// SIGTERM: sessions are sent elsewhere. Duties, splits and shards go to others, and a voter whose set could not bear
+    /// one more loss is replaced where somebody stands ready. Calls are served on until the end.
     pub fn leave(&mut self, now: u64) {
         self.at(now);
         self.is_leaving = true;
+        self.beat_followers();
+        self.run_leaving();
+    }
+
+    /// A promotion that is under way is brought to its end first, and two holders that are in touch do not call the
+    /// platform one right after the other.
+    pub(crate) fn run_leaving(&mut self) {
+        let is_under_way = |duty: &wv_promo::Duty| duty.is_engaged() && !duty.is_resting();
+        let is_busy = self.duties.values().any(is_under_way)
+            || (self.calls.made_at > 0 && self.calls.made_at + TURNS_US > self.now);
+        if !self.is_leaving || self.is_leave_told || is_busy {
+            return;
+        }
+        self.is_leave_told = true;
         // Where all others have no disk, they hold what there is to hold from now on.
         self.roster.set_core(false);
         self.send_peers(&Msg::Leaving);
-        self.beat_followers();
         self.run_duties();
     }
 
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -19,6 +19,7 @@
 mod outlook;
 mod own;
 mod peers;
+mod post;
 mod recall;
 mod request;
 mod run;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -28,7 +28,7 @@
             },
         );
         self.send(link, self.peers_msg());
-        if self.is_leaving {
+        if self.is_leave_told {
             self.send(link, Msg::Leaving);
         }
         let ping = self.ping_msg();
--- /dev/null
+++ b/crates/wv-control/src/post.rs
@@ -0,0 +1,113 @@
+//! Calls to the platform: each in its turn, and only while the fence is confirmed at a majority. Where the platform
+//! doesn't check fences, this is all that keeps an old holder's call from coming after a new one's.
+use crate::core::{Act, Core};
+use crate::types::Waiting;
+use std::collections::BTreeMap;
+use wv_inner::{Msg, News};
+use wv_promo::Event;
+use wv_reg::Outcome;
+
+/// How long nodes may count on a writer after the platform was called.
+const PROMOTING_US: u64 = 1_500_000;
+/// A call leaves within this of the moment in which its confirmation was begun, or not at all. Another holder takes longer
+/// than this from its claim to its first call in all but the quickest cases, and its higher fence is met by the next
+/// confirmation in those.
+const CONFIRMED_US: u64 = 250_000;
+
+/// Spaces the calls to the platform: all nodes together stay within its rate.
+#[derive(Default)]
+struct Pace {
+    gap_us: u64,
+    next: u64,
+}
+
+impl Pace {
+    /// How long the next call has to wait.
+    fn turn(&mut self, now: u64) -> u64 {
+        let at = self.next.max(now);
+        self.next = at + self.gap_us;
+        at - now
+    }
+}
+
+/// What a node keeps of its calls.
+#[derive(Default)]
+pub(crate) struct Calls {
+    /// When each service's fence was last begun to be confirmed.
+    pub confirms: BTreeMap<String, u64>,
+    waiting: Vec<Call>,
+    pace: Pace,
+    /// When one was made last, of whichever service.
+    pub made_at: u64,
+}
+
+/// A call that waits for its turn, and is confirmed anew in it.
+pub(crate) struct Call {
+    due: u64,
+    service: String,
+    id: String,
+    fence: u64,
+}
+
+impl Core {
+    /// Calls to the platform leave this node no closer to each other.
+    pub fn set_pace(&mut self, gap_us: u64) {
+        self.calls.pace.gap_us = gap_us;
+    }
+
+    pub(crate) fn post(&mut self, service: &str, id: String, fence: u64) {
+        if self.feed.lead(service).is_none_or(|lead| lead.id != id) {
+            let (service, id, us) = (service.to_owned(), id.clone(), PROMOTING_US);
+            self.send_peers(&Msg::Promoting { service: service.clone(), id: id.clone(), us });
+            self.publish(News::Promoting { service, id, us });
+        }
+        let wait = self.calls.pace.turn(self.now);
+        let began = self.calls.confirms.get(service).copied().unwrap_or(0);
+        if wait == 0 && began + CONFIRMED_US > self.now {
+            return self.call_platform(service, id, fence, began);
+        }
+        self.calls.waiting.push(Call { due: self.now + wait, service: service.to_owned(), id, fence });
+        self.acts.push(Act::Wake { us: wait.max(1) });
+    }
+
+    fn call_platform(&mut self, service: &str, id: String, fence: u64, began: u64) {
+        self.calls.made_at = self.now;
+        let until = began + CONFIRMED_US;
+        self.acts.push(Act::Post { service: service.to_owned(), id, fence, until });
+    }
+
+    /// Those whose turn has come are confirmed from here on.
+    pub(crate) fn run_calls(&mut self) {
+        let now = self.now;
+        let (due, rest) = std::mem::take(&mut self.calls.waiting).into_iter().partition(|call| call.due <= now);
+        self.calls.waiting = rest;
+        let due: Vec<Call> = due;
+        for call in due {
+            self.calls.confirms.insert(call.service.clone(), now);
+            let service = call.service.clone();
+            self.ask_register(&service, Waiting::Call(Box::new(call)), None);
+        }
+    }
+
+    pub(crate) fn call_confirmed(&mut self, call: Call, outcome: Outcome) {
+        let began = self.calls.confirms.get(&call.service).copied().unwrap_or(0);
+        let is_ours = self.is_ours(&call.service, &outcome) && self.fences.get(&call.service) == Some(&call.fence);
+        if is_ours && began + CONFIRMED_US > self.now {
+            return self.call_platform(&call.service, call.id, call.fence, began);
+        }
+        self.unsent(&call.service);
+    }
+
+    /// The call was not made: its confirmation is too old, or its fence another's.
+    fn unsent(&mut self, service: &str) {
+        self.duty_event(service, Event::Confirmed(false));
+    }
+
+    /// The same, from the one that was to make it.
+    pub fn late(&mut self, service: &str, now: u64) {
+        self.at(now);
+        log::warn!("duty {service}: no call under a confirmation that is over");
+        self.unsent(service);
+        self.run_quorum();
+    }
+}
--- a/crates/wv-control/src/request.rs
+++ b/crates/wv-control/src/request.rs
@@ -70,28 +70,15 @@
         self.with(|core, now| core.row(&service, &id, word, now));
     }
 
-    pub(crate) async fn post(self, service: String, id: String, fence: u64) {
+    pub(crate) async fn post(self, service: String, id: String, fence: u64, until: u64) {
         let Some(platform) = self.platform.clone() else { return };
-        let pause = self.pace.borrow_mut().turn(self.now());
-        tokio::time::sleep(std::time::Duration::from_micros(pause)).await;
+        // A process that stood still since must not make a call that another holder may have overtaken.
+        if self.now() > until {
+            return self.with(|core, now| core.late(&service, now));
+        }
         let headers = [("X-Duty-Holder", self.name.clone()), ("X-Fence-Number", fence.to_string())];
         let body = serde_json::json!({ "destination": service, "id": id }).to_string().into_bytes();
         let code = wv_http::call(platform.addr, "POST", "/promotion", &headers, body, POST).await.ok();
         self.with(|core, now| core.posted(&service, code, now));
     }
 }
-
-/// Spaces the calls to the platform: all nodes together stay within its rate.
-pub(crate) struct Pace {
-    pub gap_us: u64,
-    pub next: u64,
-}
-
-impl Pace {
-    /// How long the next call has to wait.
-    fn turn(&mut self, now: u64) -> u64 {
-        let at = self.next.max(now);
-        self.next = at + self.gap_us;
-        at - now
-    }
-}
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -59,6 +59,8 @@
         self.settle_holders();
         self.run_voters();
         self.run_duties();
+        self.run_calls();
+        self.run_leaving();
         self.run_owners();
         self.run_shards();
         self.run_sweep();
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -44,6 +44,8 @@
         service: String,
         id: String,
         fence: u64,
+        /// It is not to leave after this.
+        until: u64,
     },
 }
 
@@ -108,6 +110,8 @@
     Judge(u64, String),
     Claim(String),
     Confirm(String),
+    /// A call to the platform whose turn has come.
+    Call(Box<crate::post::Call>),
     Own(String),
     /// A register of what is gone was emptied.
     Swept,
--- a/crates/wv-control/src/voter.rs
+++ b/crates/wv-control/src/voter.rs
@@ -75,6 +75,7 @@
     /// The time that was asked for is over.
     pub fn wake(&mut self, now: u64) {
         self.at(now);
+        self.run_calls();
         self.run_quorum();
     }
 }
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -244,7 +244,7 @@
                 self.put(wait, Ev::Row { control: at, service, id, word });
             }
             ControlAct::Run { run, id, texts, .. } => self.run_texts(at, run, &id, &texts),
-            ControlAct::Post { service, id, fence } => self.post(at, service, id, fence),
+            ControlAct::Post { service, id, fence, .. } => self.post(at, service, id, fence),
         }
     }
 }
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -33,6 +33,11 @@
     Claiming {
         limit: u64,
     },
+    /// The fence is confirmed, to be shown to the platform.
+    Showing {
+        lead: String,
+        limit: u64,
+    },
     /// A predecessor may have a call under way: the platform is shown the new fence first.
     Fencing {
         limit: u64,
@@ -70,6 +75,8 @@
     pub(crate) is_relooked: bool,
     /// The last attempt that suspended unseen led nowhere: look first.
     pub(crate) is_cautious: bool,
+    /// The look under way comes before the platform is shown the new fence.
+    pub(crate) is_fencing: bool,
     pub(crate) term: u64,
     pause: u64,
     was_holder: bool,
@@ -86,6 +93,7 @@
             suspended: Vec::new(),
             is_relooked: false,
             is_cautious: false,
+            is_fencing: false,
             term: 0,
             pause: PAUSE_FIRST_US,
             was_holder: false,
@@ -147,7 +155,12 @@
                     self.step = Step::Watching { nominee, next: now + WATCH_GAP_US, limit };
                 }
             }
-            Step::Claiming { limit } | Step::Fencing { limit } | Step::Confirming { limit, .. } if limit <= now => {
+            Step::Claiming { limit }
+            | Step::Showing { limit, .. }
+            | Step::Fencing { limit }
+            | Step::Confirming { limit, .. }
+                if limit <= now =>
+            {
                 self.give_up(now)
             }
             // Silence of the platform is no no: first it is looked at what came of the call.
@@ -183,6 +196,7 @@
     }
 
     pub(crate) fn claim(&mut self, now: u64) {
+        self.is_fencing = false;
         self.orders.push(Order::Claim);
         self.step = Step::Claiming { limit: now + CLAIM_US };
     }
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -5,6 +5,10 @@
 impl Duty {
     pub fn event(&mut self, event: Event, view: &View<'_>) {
         let now = view.now;
+        // What was begun under a contact that is lost is not gone on with.
+        if !view.is_holder {
+            return self.tick(view);
+        }
         match (self.step.clone(), event) {
             (Step::Probing { .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => match word {
                 // It lives, or does not lead and beats will tell who does: the doubt of some nodes is looked into more
@@ -14,12 +18,13 @@
             },
             (Step::Claiming { .. }, Event::Claimed(Some((fence, is_succession)))) => {
                 self.fence = Some(fence);
-                match view.lead.filter(|_| is_succession) {
-                    Some(lead) => {
-                        self.orders.push(Order::Post { id: lead.to_owned(), fence });
-                        self.step = Step::Fencing { limit: now + POST_US };
-                    }
-                    None => self.look_or_suspend(view),
+                // The call of a predecessor may have gone through: before anybody is named to the platform, be it only to
+                // show it the fence, it is looked at who leads.
+                self.is_fencing = view.lead.is_some() && is_succession;
+                if self.is_fencing {
+                    self.look_all(view);
+                } else {
+                    self.look_or_suspend(view);
                 }
             }
             (Step::Claiming { .. }, Event::Claimed(None)) => self.give_up(now),
@@ -38,13 +43,23 @@
                     self.settle(view);
                 }
             }
+            (Step::Showing { lead, .. }, Event::Confirmed(true)) => {
+                if let Some(fence) = self.fence {
+                    self.orders.push(Order::Post { id: lead, fence });
+                    self.step = Step::Fencing { limit: now + POST_US };
+                }
+            }
             (Step::Confirming { nominee, .. }, Event::Confirmed(true)) => {
                 if let Some(fence) = self.fence {
                     self.orders.push(Order::Post { id: nominee.clone(), fence });
                     self.step = Step::Posting { nominee, limit: now + POST_US };
                 }
             }
-            (Step::Confirming { .. }, Event::Confirmed(false)) => self.give_up(now),
+            // Another has it; or a call was not made, because its confirmation was over when its turn came.
+            (
+                Step::Showing { .. } | Step::Confirming { .. } | Step::Fencing { .. } | Step::Posting { .. },
+                Event::Confirmed(false),
+            ) => self.give_up(now),
             (Step::Posting { nominee, .. }, Event::Posted(code)) => match code {
                 Some(200..=299) | None => self.watch(nominee, now),
                 _ => self.give_up(now),
@@ -75,24 +90,37 @@
     pub(crate) fn looked(&mut self, view: &View<'_>) {
         let newest = self.rows.values().flatten().map(|status| status.term.max(status.held)).max().unwrap_or(0);
         self.term = self.term.max(newest);
-        // The fence is not ours: this was a new holder's look at what was left behind.
-        let Some(_) = self.fence else {
+        // Only a place in a log proves a term: terms of suspensions and of calls may never have come to be, and a rightful
+        // primary must not be told to yield for them.
+        let known = view.fenced.map_or(0, |(_, place)| place.term);
+        // One that leads already ends the matter: a predecessor's call went through. Without a fence of one's own only a
+        // term counts that is newer than any that was seen.
+        let least = if self.fence.is_some() { known } else { known.max(view.term) + 1 };
+        let is_led = |word: &crate::Word| word.is_ok_and(|status| status.is_primary && status.term >= least);
+        let led = self.rows.iter().find(|(_, word)| is_led(word)).map(|(id, word)| (id.clone(), *word));
+        if self.fence.is_some() {
+            // A primary of a term that is over is told so.
+            let is_stray = |word: &crate::Word| word.is_ok_and(|status| status.is_primary && status.term < known);
+            let strays = self.rows.iter().filter(|(_, word)| is_stray(word)).map(|(id, _)| id.clone());
+            self.orders.extend(strays.map(|id| Order::Yield { id, term: known }));
+        }
+        if self.fence.is_none() {
             let held = |id: &String| self.rows.get(id).is_some_and(|word| word.is_ok_and(|status| status.held > 0));
             self.suspended = std::mem::take(&mut self.suspended).into_iter().filter(held).collect();
+        }
+        if let Some((id, status)) = led {
+            return self.done(&id, status.ok().map(|status| status.term), view.now);
+        }
+        // The fence is not ours: this was a new holder's look at what was left behind.
+        let Some(_) = self.fence else {
             self.release(None);
             return self.rest(view.now);
         };
-        // A primary of a term that is over is told so. Only a place in a log proves a term: terms of suspensions and
-        // of calls may never have come to be, and a rightful primary must not be told to yield for them.
-        let known = view.fenced.map_or(0, |(_, place)| place.term);
-        let is_stray = |word: &crate::Word| word.is_ok_and(|status| status.is_primary && status.term < known);
-        let strays = self.rows.iter().filter(|(_, word)| is_stray(word)).map(|(id, _)| id.clone());
-        self.orders.extend(strays.map(|id| Order::Yield { id, term: known }));
-        // One that leads already ends the matter: a predecessor's call went through.
-        let is_led = |word: &crate::Word| word.is_ok_and(|status| status.is_primary && status.term >= known);
-        let led = self.rows.iter().find(|(_, word)| is_led(word));
-        if let Some((id, status)) = led.map(|(id, status)| (id.clone(), *status)) {
-            return self.done(&id, status.ok().map(|status| status.term), view.now);
+        // To show the fence is a call like any other: not once somebody has a higher one.
+        if let Some(lead) = view.lead.filter(|_| std::mem::take(&mut self.is_fencing)) {
+            self.orders.push(Order::Confirm);
+            self.step = Step::Showing { lead: lead.to_owned(), limit: view.now + CLAIM_US };
+            return;
         }
         let lead = view.lead;
         let verdict = nominate(view.seats, lead, &self.rows, view.sync_replicas, view.fenced, view.is_lead_down);
--- a/crates/wv-promo/tests/fence_model/mod.rs
+++ b/crates/wv-promo/tests/fence_model/mod.rs
@@ -82,6 +82,8 @@
     now: u64,
     tries: u8,
     is_holder: bool,
+    /// Another has the duty, and this one has not noticed.
+    is_overtaken: bool,
     /// The fence of its last claim.
     fence: u64,
     /// Asked of the register: `true` a claim, `false` a confirmation.
@@ -114,6 +116,7 @@
             now: 1_000_000,
             tries: setup.tries,
             is_holder: at == 0,
+            is_overtaken: false,
             fence: 0,
             asked: Vec::new(),
             events: Vec::new(),
--- a/crates/wv-reg/src/seal.rs
+++ b/crates/wv-reg/src/seal.rs
@@ -1,6 +1,6 @@
 //! Sealing a set: its voters stop, what they hold is final, and the next set has it before it is settled.
 use crate::{RegError, Seat, Store};
-use wv_inner::{Held, Voters};
+use wv_inner::Voters;
 
 impl Seat {
     /// Votes no more in the registers of `set`, unless a higher fence was seen. Kept before it is answered: what is told
@@ -22,14 +22,12 @@
         set == self.voters.number && next.members.iter().any(is_own)
     }
 
-    /// With `cells`, the last of it, all that a sealed majority of `set` told stands in the store: nothing acknowledged in
-    /// that set is missing here from now on. The copies come first, the word that rests on them second. False where
-    /// another set is in force.
-    pub fn finish(&mut self, store: &mut Store, set: u64, cells: Vec<(String, Held)>) -> Result<bool, RegError> {
+    /// All that a sealed majority of `set` told stands in the store: nothing acknowledged in that set is missing here from
+    /// now on. False where another set is in force.
+    pub fn finish(&mut self, store: &mut Store, set: u64) -> Result<bool, RegError> {
         if set == 0 || set != self.voters.number {
             return Ok(false);
         }
-        store.adopt(cells)?;
         if self.whole != set {
             self.turn(store, Seat { whole: set, ..self.clone() })?;
         }
