--- /dev/null
+++ b/crates/wv-fleet/src/controls.rs
@@ -0,0 +1,92 @@
+//! Control nodes in the world: started, killed, and their cores driven.
+use crate::nodes::End;
+use crate::world::{Ev, World, HOP};
+use crate::MS;
+use wv_control::Act as ControlAct;
+
+impl World {
+    pub fn start_control(&mut self, at: usize, is_first: bool) {
+        self.life += 1;
+        let node = &mut self.controls[at];
+        let is_new = std::mem::replace(&mut node.life, self.life) == 0;
+        node.far.clear();
+        let start = wv_control::Start {
+            me: node.addr.clone(),
+            node: node.name.clone(),
+            zone: format!("z{}", at % 3),
+            // As in a process: the time of the start, the same for all that start together.
+            life: self.now.saturating_add_signed(node.clock_us),
+            seeds: node.seeds.clone(),
+            is_first,
+            is_core: node.is_core,
+            tolerate: self.tolerate,
+            disk: self.life + 1000, // random in a process; here no two are ever the same
+            who: self.life.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        };
+        let store = wv_reg::Store::open(Box::new(crate::disk::Disk::new(node.files.clone(), node.faults.clone())));
+        node.core = store.and_then(|store| wv_control::Core::new(start, store)).ok();
+        if is_new {
+            self.put(MS * (1 + at as u64), Ev::ControlTick(at));
+        }
+    }
+
+    pub fn kill_control(&mut self, at: usize) {
+        self.controls[at].core = None;
+        let far: Vec<End> = std::mem::take(&mut self.controls[at].far).into_values().collect();
+        far.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
+    }
+
+    pub(crate) fn with_control<T>(
+        &mut self,
+        at: usize,
+        event: impl FnOnce(&mut wv_control::Core, u64) -> T,
+    ) -> Option<T> {
+        let now = self.now;
+        let core = self.controls[at].core.as_mut()?;
+        let ret = event(core, now);
+        let acts = core.take_acts();
+        // Power went in the middle of a write: nothing that followed from it was said.
+        if self.controls[at].faults.is_dead() {
+            self.power_control(at, 0);
+            return None;
+        }
+        acts.into_iter().for_each(|act| self.control_act(at, act));
+        Some(ret)
+    }
+
+    fn control_act(&mut self, at: usize, act: ControlAct) {
+        match act {
+            ControlAct::Send { link, msg } => {
+                self.note_owner(&msg);
+                if let Some(to) = self.controls[at].far.get(&link).copied() {
+                    self.put(HOP, Ev::Link { to, msg });
+                }
+            }
+            ControlAct::Close { link } => {
+                let far = self.controls[at].far.remove(&link);
+                far.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
+            }
+            ControlAct::Dial { link, addr } => self.dial(at, link, &addr),
+            ControlAct::Wake { us } => self.put(us, Ev::ControlWake(at, self.controls[at].life)),
+            ControlAct::Return { token, status, body } => {
+                self.returns.insert(token, (status, body));
+            }
+            ControlAct::Request { service, id, text, .. } => {
+                let is_open = |base: &usize| {
+                    let held = &self.bases[*base];
+                    !held.is_dark && !self.is_cut(&self.controls[at].name, &held.id)
+                };
+                let word = match self.base(&id).filter(is_open) {
+                    None => Err(wv_promo::Silent::Dark),
+                    Some(base) if !self.bases[base].is_up => Err(wv_promo::Silent::Refused),
+                    Some(base) => self.bases[base].request(&text).ok_or(wv_promo::Silent::Dark),
+                };
+                self.note(format!("{} requests {id}: {text}", self.controls[at].name));
+                let wait = if word.is_ok() { 15 * MS } else { 100 * MS };
+                self.put(wait, Ev::Row { control: at, life: self.controls[at].life, service, id, word });
+            }
+            ControlAct::Run { run, id, texts, .. } => self.run_texts(at, run, &id, &texts),
+            ControlAct::Post { service, id, fence } => self.post(at, service, id, fence),
+        }
+    }
+}
--- a/crates/wv-fleet/src/events.rs
+++ b/crates/wv-fleet/src/events.rs
@@ -59,12 +59,14 @@
     },
     Row {
         control: usize,
+        life: u64,
         service: String,
         id: String,
         word: wv_promo::Word,
     },
     Posted {
         control: usize,
+        life: u64,
         service: String,
         code: Option<u16>,
     },
@@ -113,6 +115,23 @@
         run: u64,
         replies: Option<Vec<wv_split::Reply>>,
     },
+    /// A call of an operator or a database that waited for its node.
+    Call {
+        control: usize,
+        life: u64,
+        token: u64,
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    },
+    /// A slow process comes to it now.
+    Late(Box<Ev>),
+    /// A connection to a database may have been silent for too long.
+    Mute {
+        access: usize,
+        db: u64,
+        life: u64,
+    },
     HandUp {
         at: usize,
         link: u64,
@@ -148,7 +167,10 @@
             }
             Ev::ControlWake(..) => {}
             Ev::ControlTick(at) => {
-                let epoch = self.epoch_us + self.now;
+                if self.is_wild {
+                    self.end_silent(at);
+                }
+                let epoch = (self.epoch_us + self.now).saturating_add_signed(self.controls[at].clock_us);
                 self.with_control(at, |core, now| {
                     core.tick(now);
                     core.set_epoch(epoch);
@@ -180,16 +202,24 @@
                 self.with_control(control, |core, now| core.link_up(link, now));
             }
             Ev::LinkDown { end } => self.link_down(end),
-            Ev::Row { control, service, id, word } => {
+            Ev::Row { control, life, .. } | Ev::Posted { control, life, .. } if self.controls[control].life != life => {
+            }
+            Ev::Row { control, service, id, word, .. } => {
                 self.with_control(control, |core, now| core.row(&service, &id, word, now));
             }
-            Ev::Posted { control, service, code } => {
+            Ev::Posted { control, service, code, .. } => {
                 self.with_control(control, |core, now| core.posted(&service, code, now));
             }
             Ev::Promote { base } => self.promote(base),
             Ev::Free { base, conn } => {
                 self.bases[base].busy.remove(&conn);
             }
+            Ev::Call { control, life, token, method, path, body } if self.controls[control].life == life => {
+                self.with_control(control, |core, now| core.call(token, &method, &path, Some(&body), now));
+            }
+            Ev::Call { .. } => {}
+            Ev::Late(event) => self.happen(*event),
+            Ev::Mute { access, db, life } => self.mute(access, db, life),
             Ev::HandUp { at, link, life } => {
                 self.with_hand(at, life, |core, now| core.hand_up(link, now));
             }
--- a/crates/wv-fleet/src/freeze.rs
+++ b/crates/wv-fleet/src/freeze.rs
@@ -29,21 +29,13 @@
         !self.frozen.is_empty() || !self.frozen_controls.is_empty()
     }
 
-    fn is_control_held_back(&self, event: &Ev) -> bool {
-        let at = match event {
-            Ev::ControlTick(at) | Ev::ControlWake(at, _) => Some(*at),
-            Ev::Link { to: crate::nodes::End::Control { at, .. }, .. } => Some(*at),
-            Ev::LinkDown { end: crate::nodes::End::Control { at, .. } } => Some(*at),
-            Ev::LinkUp { control, .. } | Ev::Row { control, .. } => Some(*control),
-            Ev::Posted { control, .. } | Ev::Ran { control, .. } => Some(*control),
-            _ => None,
-        };
-        at.is_some_and(|at| self.frozen_controls.contains(&at))
-    }
-
     /// Whether the event is a frozen node's to handle, or still its own to send.
     pub(crate) fn is_held_back(&self, event: &Ev) -> bool {
+        if let Some(crate::walls::Node::Control(at)) = self.whose(event) {
+            return self.frozen_controls.contains(&at);
+        }
         let at = match event {
+            Ev::Late(event) => return self.is_held_back(event),
             Ev::Care(at) | Ev::Timer(at) | Ev::Session(at) => Some(*at),
             Ev::DbOpened { access, .. } | Ev::DbOut { access, .. } | Ev::DbEnd { access, .. } => Some(*access),
             Ev::DbIn { base, conn, .. } => self.owner(*base, *conn).map(|(access, _)| access),
@@ -52,6 +44,6 @@
             Ev::Say { client, .. } => Some(self.clients[*client].node),
             _ => None,
         };
-        at.is_some_and(|at| self.frozen.contains(&at)) || self.is_control_held_back(event)
+        at.is_some_and(|at| self.frozen.contains(&at))
     }
 }
--- a/crates/wv-fleet/src/lib.rs
+++ b/crates/wv-fleet/src/lib.rs
@@ -2,6 +2,8 @@
 //! operator and clients. The same story gives the same course every time.
 mod base;
 mod clients;
+mod controls;
+mod disk;
 mod events;
 mod falls;
 mod freeze;
@@ -10,12 +12,14 @@
 mod links;
 mod load;
 mod log;
+pub mod nemesis;
 mod nodes;
 mod oracle;
 mod service;
 mod splits;
 mod states;
 mod tries;
+mod walls;
 mod world;
 
 pub use base::{Base, Conn, Entry, Write};
@@ -24,6 +28,7 @@
 pub use load::Load;
 pub use log::Answer;
 pub use oracle::Oracle;
+pub use walls::Node;
 pub use world::{Crossed, World};
 
 /// Virtual milliseconds in whole microseconds.
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -78,6 +78,7 @@
     pub(crate) fn link_msg(&mut self, to: End, msg: Msg) {
         match to {
             End::Control { at, link, life } if self.controls[at].life == life => {
+                self.controls[at].heard.insert(link, self.now);
                 let far = self.controls[at].far.get(&link).copied();
                 let is_cut = far.is_some_and(|far| self.is_lost(far, to));
                 if !is_cut {
@@ -92,10 +93,13 @@
                     return;
                 }
                 self.access[at].heard = self.now;
+                if matches!(msg, Msg::Beat { fresh: false }) {
+                    let far = self.access[at].session.take();
+                    return far.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
+                }
                 let name = self.access[at].name.clone();
                 self.weigh(&name, &msg);
                 match msg {
-                    Msg::Beat { fresh: false } => self.access[at].heard = 0,
                     Msg::Beat { .. } | Msg::Peers { .. } => {}
                     Msg::Marked { shard, attempt, serial, .. } => {
                         self.with_access(at, |core, now| core.marked(&shard, attempt, serial, now));
@@ -140,7 +144,7 @@
             End::Control { at, .. } => &self.controls[at].name,
             End::Access { at, .. } => &self.access[at].name,
         };
-        self.is_cut(name(from), name(to)) || self.one_way.contains(&(name(from).clone(), name(to).clone()))
+        self.is_lossy(name(from), name(to)) || self.one_way.contains(&(name(from).clone(), name(to).clone()))
     }
 
     /// Which control node each access node is in session with.
--- a/crates/wv-fleet/src/load.rs
+++ b/crates/wv-fleet/src/load.rs
@@ -186,7 +186,11 @@
         if load.asked.is_none() || load.texts.is_empty() {
             return;
         }
-        load.asked = None;
+        let asked = load.asked.take().unwrap_or_default();
+        let stamps = lines.iter().filter_map(|line| line.strip_prefix("COMPLETE stamp."));
+        if let Some(stamp) = stamps.into_iter().find(|stamp| !stamp.ends_with(&format!(".{asked}"))) {
+            self.oracle.broken.push(format!("MIXED: {asked} is answered by {stamp}"));
+        }
         let error = lines
             .iter()
             .find_map(|line| line.strip_prefix("ERROR "))
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -3,7 +3,6 @@
 use crate::{MS, S};
 use std::collections::BTreeMap;
 use wv_access::Act as AccessAct;
-use wv_control::Act as ControlAct;
 use wv_inner::Msg;
 
 /// One end of a link between nodes.
@@ -35,6 +34,11 @@
     pub is_core: bool,
     pub(crate) life: u64,
     pub(crate) far: BTreeMap<u64, End>,
+    /// When something last came over each link.
+    pub(crate) heard: BTreeMap<u64, u64>,
+    pub faults: crate::disk::Faults,
+    /// How far its time of day is off.
+    pub clock_us: i64,
 }
 
 impl Access {
@@ -64,6 +68,9 @@
             is_core: true,
             life: 0,
             far: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            faults: Default::default(),
+            clock_us: 0,
         }
     }
 }
@@ -95,7 +102,9 @@
         let session = self.access[at].session.take();
         session.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
         // Sessions of a recorded hour notice, and go elsewhere.
-        let cut = self.clients.iter().filter(|client| client.node == at && client.session.is_some());
+        let is_load = |client: &crate::clients::Client| self.is_wild && client.load.is_some();
+        let is_told = |client: &&crate::clients::Client| client.session.is_some() || is_load(client);
+        let cut = self.clients.iter().filter(|client| client.node == at).filter(is_told);
         let cut: Vec<u64> = cut.filter_map(|client| client.id).collect();
         cut.into_iter().for_each(|id| self.client_closed(at, id));
         let keys: Vec<(usize, u64)> = self.db_conns.keys().filter(|key| key.0 == at).copied().collect();
@@ -106,37 +115,6 @@
         }
     }
 
-    pub fn start_control(&mut self, at: usize, is_first: bool) {
-        self.life += 1;
-        let node = &mut self.controls[at];
-        let is_new = std::mem::replace(&mut node.life, self.life) == 0;
-        node.far.clear();
-        let start = wv_control::Start {
-            me: node.addr.clone(),
-            node: node.name.clone(),
-            zone: format!("z{}", at % 3),
-            // As in a process: the time of the start, the same for all that start together.
-            life: self.now,
-            seeds: node.seeds.clone(),
-            is_first,
-            is_core: node.is_core,
-            tolerate: 1,
-            disk: self.life + 1000, // random in a process; here no two are ever the same
-            who: self.life.wrapping_mul(0x9e37_79b9_7f4a_7c15),
-        };
-        let store = wv_reg::Store::open(Box::new(node.files.clone()));
-        node.core = store.and_then(|store| wv_control::Core::new(start, store)).ok();
-        if is_new {
-            self.put(MS * (1 + at as u64), Ev::ControlTick(at));
-        }
-    }
-
-    pub fn kill_control(&mut self, at: usize) {
-        self.controls[at].core = None;
-        let far: Vec<End> = std::mem::take(&mut self.controls[at].far).into_values().collect();
-        far.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
-    }
-
     pub(crate) fn with_access<T>(
         &mut self,
         at: usize,
@@ -184,7 +162,7 @@
                 let out = core.and_then(|core| core.db_out(db)).map(std::mem::take).unwrap_or_default();
                 let name = self.access[at].name.clone();
                 if let Some((base, conn)) = self.db_conns.get(&(at, db)).copied() {
-                    if !self.is_cut(&name, &self.bases[base].id.clone()) {
+                    if !self.is_lossy(&name, &self.bases[base].id.clone()) {
                         self.put(HOP, Ev::DbIn { base, conn, bytes: out });
                     }
                 }
@@ -198,53 +176,4 @@
             AccessAct::OpenDb { db, addr } => self.open_db(at, db, &addr),
         }
     }
-
-    pub(crate) fn with_control<T>(
-        &mut self,
-        at: usize,
-        event: impl FnOnce(&mut wv_control::Core, u64) -> T,
-    ) -> Option<T> {
-        let now = self.now;
-        let core = self.controls[at].core.as_mut()?;
-        let ret = event(core, now);
-        let acts = core.take_acts();
-        acts.into_iter().for_each(|act| self.control_act(at, act));
-        Some(ret)
-    }
-
-    fn control_act(&mut self, at: usize, act: ControlAct) {
-        match act {
-            ControlAct::Send { link, msg } => {
-                self.note_owner(&msg);
-                if let Some(to) = self.controls[at].far.get(&link).copied() {
-                    self.put(HOP, Ev::Link { to, msg });
-                }
-            }
-            ControlAct::Close { link } => {
-                let far = self.controls[at].far.remove(&link);
-                far.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
-            }
-            ControlAct::Dial { link, addr } => self.dial(at, link, &addr),
-            ControlAct::Wake { us } => self.put(us, Ev::ControlWake(at, self.controls[at].life)),
-            ControlAct::Return { token, status, body } => {
-                self.returns.insert(token, (status, body));
-            }
-            ControlAct::Request { service, id, text, .. } => {
-                let is_open = |base: &usize| {
-                    let held = &self.bases[*base];
-                    !held.is_dark && !self.is_cut(&self.controls[at].name, &held.id)
-                };
-                let word = match self.base(&id).filter(is_open) {
-                    None => Err(wv_promo::Silent::Dark),
-                    Some(base) if !self.bases[base].is_up => Err(wv_promo::Silent::Refused),
-                    Some(base) => self.bases[base].request(&text).ok_or(wv_promo::Silent::Dark),
-                };
-                self.note(format!("{} requests {id}: {text}", self.controls[at].name));
-                let wait = if word.is_ok() { 15 * MS } else { 100 * MS };
-                self.put(wait, Ev::Row { control: at, service, id, word });
-            }
-            ControlAct::Run { run, id, texts, .. } => self.run_texts(at, run, &id, &texts),
-            ControlAct::Post { service, id, fence } => self.post(at, service, id, fence),
-        }
-    }
 }
--- a/crates/wv-fleet/src/service.rs
+++ b/crates/wv-fleet/src/service.rs
@@ -61,7 +61,7 @@
         let Some((access, db)) = self.owner(base, conn) else { return };
         let life = self.access[access].life;
         let name = self.access[access].name.clone();
-        if !self.bases[base].is_dark && !self.is_cut(&name, &self.bases[base].id.clone()) {
+        if !self.bases[base].is_dark && !self.is_lossy(&name, &self.bases[base].id.clone()) {
             self.put(after + HOP, Ev::DbOut { access, db, bytes: text.into_bytes(), life });
         }
     }
@@ -196,7 +196,7 @@
 
     pub(crate) fn beat(&mut self, base: usize) {
         let held = &mut self.bases[base];
-        if !held.is_up || held.is_dark || held.is_left {
+        if !held.is_up || held.is_dark || held.is_left || self.gone.contains(&base) {
             return;
         }
         held.sequence += 1;
--- a/crates/wv-fleet/src/states.rs
+++ b/crates/wv-fleet/src/states.rs
@@ -37,6 +37,23 @@
         at
     }
 
+    /// A control node without a disk, told of the first three.
+    pub fn add_thin(&mut self) -> usize {
+        let at = self.controls.len();
+        let seeds: Vec<String> = self.controls.iter().take(3).map(|node| node.addr.clone()).collect();
+        self.controls.push(Control::new(at, &format!("10.1.0.{}:80", at + 1), &seeds));
+        self.controls[at].is_core = false;
+        self.start_control(at, false);
+        at
+    }
+
+    /// An access node whose process ended comes back.
+    pub fn start_access_anew(&mut self, at: usize) {
+        if self.access[at].core.is_none() {
+            self.start_access(at);
+        }
+    }
+
     /// Whether this control node is agreeing on the next voters.
     pub fn is_changing(&self, at: usize) -> bool {
         self.controls[at].core.as_ref().is_some_and(|core| core.is_changing())
@@ -92,11 +109,13 @@
             self.fences.insert(service.clone(), fence.max(seen));
         }
         self.note(format!("promotion of {id} under {fence}: {code:?}"));
+        let life = self.controls[control].life;
         self.posts.push((service.clone(), id, fence, code));
+        self.posted_by.push((self.now, control, life));
         if let Some(base) = base.filter(|_| code == Some(200)) {
             self.put(self.promote_us, Ev::Promote { base });
         }
-        self.put(if code.is_some() { 3 * MS } else { 1200 * MS }, Ev::Posted { control, service, code });
+        self.put(if code.is_some() { 3 * MS } else { 1200 * MS }, Ev::Posted { control, life, service, code });
     }
 
     /// A call of the operator or of a database to one control node.
@@ -104,11 +123,13 @@
         let (method, path, body) = (method.to_owned(), path.to_owned(), body.to_vec());
         // A node that was started anew counts anew: its calls are not those of its earlier life.
         let life = (control as u64) << 48 | (self.controls[control].life & 0xffff) << 32;
-        self.with_control(control, |core, now| {
-            let token = core.fresh_id() | life;
-            core.call(token, &method, &path, Some(&body), now);
-            token
-        })
-        .unwrap_or(0)
+        let core = self.controls[control].core.as_mut();
+        let Some(token) = core.map(|core| core.fresh_id() | life) else { return 0 };
+        let call = Ev::Call { control, life: self.controls[control].life, token, method, path, body };
+        match self.frozen_controls.contains(&control) {
+            true => self.held_back.push(call),
+            false => self.put_off(call).into_iter().for_each(|call| self.happen(call)),
+        }
+        token
     }
 }
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -56,6 +56,18 @@
     pub(crate) frozen: BTreeSet<usize>,
     pub(crate) frozen_controls: BTreeSet<usize>,
     pub(crate) held_back: Vec<Ev>,
+    /// Walls by direction, and what waits for them to fall.
+    pub(crate) walls: BTreeMap<(String, String), u32>,
+    pub(crate) walled: Vec<crate::walls::Held>,
+    /// How long each event takes a slow process to come to, and when it comes to the last one.
+    pub(crate) slow: BTreeMap<crate::walls::Node, (u64, u64)>,
+    /// Databases that have said that they are gone, and say nothing more.
+    pub gone: BTreeSet<usize>,
+    /// Links fall silent as the executors' do; stories that only drop messages do without.
+    pub(crate) is_wild: bool,
+    pub(crate) tolerate: usize,
+    /// Which control node, of which life, made each of the posts.
+    pub(crate) posted_by: Vec<(u64, usize, u64)>,
     /// How long own texts are on their way.
     pub run_us: u64,
     /// The same for those that write copies.
@@ -78,6 +90,11 @@
 
     /// The same with services of other names, three databases each.
     pub fn of(access: usize, controls: usize, services: &[String]) -> World {
+        World::bearing(access, controls, services, 1)
+    }
+
+    /// The same, told that so many machines may be lost at once.
+    pub fn bearing(access: usize, controls: usize, services: &[String], tolerate: usize) -> World {
         let mut world = World {
             now: S,
             turn: 0,
@@ -110,6 +127,13 @@
             frozen: BTreeSet::new(),
             frozen_controls: BTreeSet::new(),
             held_back: Vec::new(),
+            walls: BTreeMap::new(),
+            walled: Vec::new(),
+            slow: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            is_wild: false,
+            tolerate,
+            posted_by: Vec::new(),
             run_us: 2 * MS,
             copy_us: 2 * MS,
             epoch_us: 0,
@@ -136,6 +160,11 @@
     }
 
     pub fn is_cut(&self, one: &str, other: &str) -> bool {
+        self.is_lossy(one, other) || self.is_walled(one, other)
+    }
+
+    /// Whether what is under way between the two is lost, other than at a wall.
+    pub(crate) fn is_lossy(&self, one: &str, other: &str) -> bool {
         self.cut.contains(&(one.to_owned(), other.to_owned())) || self.cut.contains(&(other.to_owned(), one.to_owned()))
     }
 
@@ -149,7 +178,7 @@
                 self.held_back.push(event);
                 continue;
             }
-            self.happen(event);
+            self.put_off(event).into_iter().for_each(|event| self.happen(event));
         }
         self.now = end;
     }
