--- a/crates/windvalve/src/cli.rs
+++ b/crates/windvalve/src/cli.rs
@@ -76,12 +76,35 @@
 }
 
 fn replay() -> Command {
-    let file = Arg::new("file").value_name("FILE").num_args(1..).required_unless_present("generate");
+    let file = Arg::new("file").value_name("FILE").num_args(1..).required_unless_present_any(["generate", "hunt"]);
     let many = |name: &'static str, value: &'static str, help: &'static str| {
         Arg::new(name).long(name).value_name(value).action(ArgAction::Append).help(help)
     };
     Command::new("replay")
         .about("Plays a recorded day or hour through the in-memory fleet with the real logic")
+        .arg(
+            Arg::new("hunt")
+                .long("hunt")
+                .value_name("N")
+                .value_parser(clap::value_parser!(u64).range(1..=10_000_000))
+                .conflicts_with_all(["file", "generate"])
+                .help("Play so many days drawn from seeds, mixing any troubles; a broken rule is status 1"),
+        )
+        .arg(
+            Arg::new("out")
+                .long("out")
+                .value_name("FILE")
+                .requires("hunt")
+                .help("Hunt: where the shortest day that breaks a rule goes (default nemesis.day)"),
+        )
+        .arg(
+            Arg::new("jobs")
+                .long("jobs")
+                .value_name("N")
+                .requires("hunt")
+                .value_parser(clap::value_parser!(u64).range(1..=64))
+                .help("Hunt: threads (default 1)"),
+        )
         .arg(file.help("A day, an hour (one merged file, or those of several nodes), or with --from-log a log"))
         .arg(number("until", "S", "Stop at this second"))
         .arg(Arg::new("service").long("service").value_name("NAME").help("Day: leave out what concerns other services"))
@@ -91,7 +114,7 @@
         .arg(many("offset", "NODE=S", "Hour: add this to the times of a node whose clock is known to be off"))
         .arg(many("drop", "NODE@S[:S]", "Hour: drop an access node, c0 … or a database then, back at the second time"))
         .arg(number("from", "S", "Hour: begin at this second, with the sessions that are open then"))
-        .arg(number("seed", "N", "Hour: the seed of what is drawn (default 1)"))
+        .arg(number("seed", "N", "Hour: the seed of what is drawn; hunt: the first seed (default 1)"))
         .arg(number("control", "N", "Hour: control nodes (default 3)"))
         .arg(number("work-ms", "MS", "Hour: how long a statement takes a database (default 3)"))
         .arg(number("browse-ms", "MS", "Hour: what is tolerated of browsing at the 99th (default: the route's aim)"))
--- a/crates/windvalve/src/main.rs
+++ b/crates/windvalve/src/main.rs
@@ -1,6 +1,7 @@
 //! windvalve: a database pooler with failover. One program; the role is a subcommand.
 mod cli;
 mod hour;
+mod hunt;
 mod ring;
 
 use clap::ArgMatches;
@@ -18,6 +19,10 @@
     Data(String, wv_reg::RegError),
     #[error("{0}: {1}")]
     Replay(String, wv_replay::ReplayError),
+    #[error("{0}: {1}")]
+    Nemesis(String, wv_fleet::nemesis::DayError),
+    #[error("--out {0}: {1}")]
+    Write(String, std::io::Error),
     #[error(transparent)]
     Hour(#[from] wv_replay::HourError),
     #[error("--{0}: {1} is not within {2}")]
@@ -87,11 +92,17 @@
     if let Some(users) = text(found, "generate") {
         return hour::generate(found, users);
     }
+    if let Some(days) = found.get_one::<u64>("hunt").copied() {
+        return hunt::run(found, days);
+    }
     let paths: Vec<String> = found.get_many::<String>("file").unwrap_or_default().cloned().collect();
     let path = paths.first().map(String::as_str).unwrap_or_default();
     if !found.get_flag("from-log") && hour::is_hour(path)? {
         return hour::run(found, &paths);
     }
+    if !found.get_flag("from-log") && hunt::is_day(path)? {
+        return hunt::play(found, path);
+    }
     let body = String::from_utf8_lossy(&read(path)?).into_owned();
     if found.get_flag("from-log") {
         print!("{}", wv_replay::from_ring(&body));
--- a/crates/wv-replay/src/lib.rs
+++ b/crates/wv-replay/src/lib.rs
@@ -1,6 +1,7 @@
 //! Replay of recorded days: a documented line format played through the in-memory fleet with the real logic.
 mod day;
 mod hour;
+mod hunt;
 mod make;
 mod play;
 mod rerun;
@@ -9,6 +10,7 @@
 
 pub use day::{Day, Event, What};
 pub use hour::{kind_text, Entry, Hour, HourError, Noted, VERSION};
+pub use hunt::{hunt, shortest, Caught, Hunt, Played};
 pub use make::{make, Recipe};
 pub use play::{play, Line, Report};
 pub use rerun::{rerun, Course, Drop};
