A duty's answers after their step's limit count for nothing, also where they are heard before the clock is looked at

The model of duty and fence found it: a node stands still while it confirms, reads the answer before its next turn and calls on it, however old it is. Duty::event looks at the limit first and goes the way a turn at the limit goes.

--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -2,9 +2,35 @@
 use crate::duty::{replicas, Step, CLAIM_US, POST_US, ROWS_US};
 use crate::{nominate, Duty, Event, Order, Verdict, View};
 
+impl Step {
+    /// From then on nothing that was asked for in it counts any more.
+    fn limit(&self) -> Option<u64> {
+        match self {
+            Step::Rest { .. } => None,
+            Step::Probing { limit }
+            | Step::Agreeing { limit }
+            | Step::Claiming { limit }
+            | Step::Fencing { limit }
+            | Step::Looking { limit }
+            | Step::Suspending { limit }
+            | Step::Confirming { limit, .. }
+            | Step::Posting { limit, .. }
+            | Step::Watching { limit, .. } => Some(*limit),
+        }
+    }
+}
+
 impl Duty {
+    fn is_over(&self, now: u64) -> bool {
+        self.step.limit().is_some_and(|limit| limit <= now)
+    }
+
     pub fn event(&mut self, event: Event, view: &View<'_>) {
         let now = view.now;
+        // A node that stood still hears the answers first and looks at its clock afterwards: they come too late.
+        if self.is_over(now) {
+            return self.tick(view);
+        }
         match (self.step.clone(), event) {
             (Step::Probing { .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => match word {
                 // It lives, or does not lead and beats will tell who does: the doubt of some nodes is looked into more
--- a/crates/wv-promo/tests/fence_model/mod.rs
+++ b/crates/wv-promo/tests/fence_model/mod.rs
@@ -3,7 +3,6 @@
 //! a node that is frozen is one of which nothing happens. What the register's answers mean stands for `duties.rs` of
 //! wv-control, the wait before a call for `request.rs`.
 mod steps;
-
 use wv_promo::{Duty, Event, Order, Seat, Silent, View};
 use wv_wire::{Pos, Status};
 
@@ -28,7 +27,7 @@
     pub nodes: usize,
     /// The platform refuses what is below a fence that it has seen.
     pub is_fencing: bool,
-    /// Nothing comes between a confirmation and its call: neither a freeze nor a wait.
+    /// Nothing comes between a confirmation and its call.
     pub is_prompt: bool,
     /// How often the duty changes hands, and how often all limits run out.
     pub turns: u8,
@@ -88,6 +87,8 @@
     asked: Vec<bool>,
     events: Vec<Event>,
     calls: Vec<(String, u64)>,
+    /// When it last asked the register.
+    asked_at: u64,
     lead: &'static str,
 }
 
@@ -118,6 +119,7 @@
             asked: Vec::new(),
             events: Vec::new(),
             calls: Vec::new(),
+            asked_at: 0,
             lead: "p",
         };
         World {
@@ -163,6 +165,9 @@
             busy: 0,
             connections: 0,
         };
+        if matches!(order, Order::Claim | Order::Confirm) {
+            self.nodes[at].asked_at = self.nodes[at].now;
+        }
         match order {
             Order::Claim => self.nodes[at].asked.push(true),
             Order::Confirm if self.setup.without == Without::Confirm => {
@@ -179,13 +184,16 @@
                 self.nodes[at].events.push(Event::Row { id, word });
             }
             Order::Post { id, fence } => {
+                if self.nodes[at].now - self.nodes[at].asked_at >= LAPSE_US {
+                    return Err("a call rests on an answer that came after its limit".to_owned());
+                }
                 self.nodes[at].calls.push((id, fence));
                 if self.setup.is_prompt {
                     return self.call(at, self.nodes[at].calls.len() - 1);
                 }
             }
             Order::Led { id, .. } => self.nodes[at].lead = if id == "r" { "r" } else { "p" },
-            Order::Continue { .. } | Order::Yield { .. } => {}
+            _ => {}
         }
         Ok(())
     }
