--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -2,11 +2,35 @@
 use crate::duty::{replicas, Step, CLAIM_US, POST_US, ROWS_US};
 use crate::{nominate, Duty, Event, Order, Verdict, View};
 
+impl Step {
+    /// From then on nothing that was asked for in it counts any more.
+    fn limit(&self) -> Option<u64> {
+        match self {
+            Step::Rest { .. } => None,
+            Step::Probing { limit }
+            | Step::Agreeing { limit }
+            | Step::Claiming { limit }
+            | Step::Fencing { limit }
+            | Step::Looking { limit }
+            | Step::Suspending { limit }
+            | Step::Showing { limit, .. }
+            | Step::Confirming { limit, .. }
+            | Step::Posting { limit, .. }
+            | Step::Watching { limit, .. } => Some(*limit),
+        }
+    }
+}
+
 impl Duty {
+    fn is_over(&self, now: u64) -> bool {
+        self.step.limit().is_some_and(|limit| limit <= now)
+    }
+
     pub fn event(&mut self, event: Event, view: &View<'_>) {
         let now = view.now;
-        // What was begun under a contact that is lost is not gone on with.
-        if !view.is_holder {
+        // What was begun under a contact that is lost is not gone on with. And a node that stood still hears the answers
+        // first and looks at its clock afterwards: they come too late.
+        if !view.is_holder || self.is_over(now) {
             return self.tick(view);
         }
         match (self.step.clone(), event) {
