A deposed primary's beats undo no promotion; who was promoted is told on each new link

Cause: right after a promotion the feed's lead was not a primary in the table yet, so any beat of the one that was deposed, which still said primary, put it back as the lead under the new term; so did a late beat, or one that changed something else. Change: under a term only a database counts that was seen as a replica and has come to lead since, or the one that was promoted itself; others where the lead has left, or has not said for 4 s that it leads. Nodes tell whom they know as promoted when a link comes up.

--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -6,10 +6,21 @@
 
 /// A database waits a second for its acknowledgement.
 const HOLD_US: u64 = 700_000;
+/// Within this a database that was promoted says so itself.
+const LED_US: u64 = 4_000_000;
 const BEAT_BYTES: usize = 16 << 10;
 
 const UNHEARD: &str = "{\"cause\":\"no majority of the voters hears this node\"}";
 
+/// What beats and the control side said of who leads.
+#[derive(Default)]
+pub(crate) struct Claims {
+    /// Databases that last said they do not lead.
+    pub replicas: std::collections::BTreeSet<String>,
+    /// Whom the control side last told to lead each service, and under which term.
+    pub promoted: std::collections::BTreeMap<String, Lead>,
+}
+
 fn read_beat(id: &str, body: &[u8]) -> Result<Inst, String> {
     let value: serde_json::Value = serde_json::from_slice(body).map_err(|error| error.to_string())?;
     let reader = wv_conf::Reader::new(&value);
@@ -91,17 +102,32 @@
             if inst.gone {
                 self.left.insert(inst.id.clone(), crate::departed::Departure::new(self.now));
             }
+            let was_replica = self.claims.replicas.remove(&inst.id);
+            if !inst.primary && !inst.gone {
+                self.claims.replicas.insert(inst.id.clone());
+            }
             self.publish(News::Inst(inst.clone()));
-            self.fold_lead(inst, is_own_word);
+            self.fold_lead(inst, is_own_word && was_replica);
         }
         self.watch_places(insts);
     }
 
-    fn fold_lead(&mut self, inst: &Inst, is_own_word: bool) {
+    /// Beats say who leads where the control side does not know it. Under a term it does: then only the one that was
+    /// promoted counts, one that was seen as a replica and has come to lead since, or any where the one that led has
+    /// left or had time enough to say that it leads. Who was deposed goes on saying what it said before.
+    fn fold_lead(&mut self, told: &Inst, is_raised: bool) {
+        // A late beat counts no more than it does in the table.
+        let Some(inst) = self.table.get(&told.id).filter(|inst| inst.primary && !inst.gone) else { return };
         let lead = self.feed.lead(&inst.service);
-        let is_led = lead.is_some_and(|lead| self.table.get(&lead.id).is_some_and(|held| held.primary && !held.gone));
-        let is_new = lead.is_none_or(|lead| lead.id != inst.id);
-        if inst.primary && !inst.gone && is_new && (is_own_word || !is_led) {
+        let is_open = lead.is_none_or(|lead| {
+            let held = self.table.get(&lead.id);
+            let promoted = self.claims.promoted.get(&inst.service).filter(|held| held.term == lead.term);
+            let led = self.led.get(&inst.service).map_or(0, |at| at + LED_US);
+            held.is_some_and(|held| held.gone)
+                || (held.is_none_or(|held| !held.primary) && (lead.term == 0 || led <= self.now))
+                || promoted.is_some_and(|held| held.id == inst.id)
+        });
+        if lead.is_none_or(|lead| lead.id != inst.id) && (is_raised || is_open) {
             let term = lead.map_or(0, |lead| lead.term);
             let lead = Lead { service: inst.service.clone(), id: inst.id.clone(), term };
             self.note_led(&lead);
@@ -110,6 +136,11 @@
         }
     }
 
+    /// Who leads a service, as this node tells it.
+    pub fn lead(&self, service: &str) -> Option<&Lead> {
+        self.feed.lead(service)
+    }
+
     pub(crate) fn inst_from_peer(&mut self, inst: Inst) {
         let changed = self.table.offer(inst);
         self.announce(&changed, true);
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -93,6 +93,7 @@
     /// When databases left, and when each service last came to be led by another.
     pub(crate) left: BTreeMap<String, crate::departed::Departure>,
     pub(crate) led: BTreeMap<String, u64>,
+    pub(crate) claims: crate::beats::Claims,
     /// Shards whose change of hands is being written, and when one was last moved without need.
     pub(crate) owning: Vec<String>,
     pub(crate) moved: u64,
@@ -179,6 +180,7 @@
             holders: Vec::new(),
             left: BTreeMap::new(),
             led: BTreeMap::new(),
+            claims: Default::default(),
             owning: Vec::new(),
             moved: 0,
             born: 0,
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -137,6 +137,7 @@
         if held.is_none_or(|held| held.term < lead.term && !(held.id == lead.id && held.term == lead.term)) {
             self.note_led(&lead);
             self.is_table_due = true;
+            self.claims.promoted.insert(lead.service.clone(), lead.clone());
             self.publish(News::Lead(lead));
         }
     }
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -38,7 +38,9 @@
             self.send(link, Msg::Digests { ranges: self.table.digests() });
         }
         self.send(link, Msg::Sessions { nodes: self.roster.sessions(self.now) });
-        // Whoever was away hears which shards changed hands meanwhile.
+        // Whoever was away hears who was promoted meanwhile, and which shards changed hands.
+        let leads: Vec<Msg> = self.feed.leads().filter(|lead| lead.term > 0).cloned().map(Msg::Lead).collect();
+        leads.into_iter().for_each(|lead| self.send(link, lead));
         let owners: Vec<Msg> = self.feed.owners().values().cloned().map(Msg::Owner).collect();
         owners.into_iter().for_each(|owner| self.send(link, owner));
         let maps: Vec<Msg> = self.feed.slots().values().cloned().map(Msg::Slots).collect();
--- a/crates/wv-control/src/recall.rs
+++ b/crates/wv-control/src/recall.rs
@@ -53,6 +53,9 @@
             self.table.offer(inst);
         }
         for inst in here {
+            if !inst.primary {
+                self.claims.replicas.insert(inst.id.clone());
+            }
             let changed = self.table.offer(inst);
             changed.into_iter().for_each(|inst| self.publish(News::Inst(inst)));
         }
--- a/crates/wv-control/tests/takeover.rs
+++ b/crates/wv-control/tests/takeover.rs
@@ -1,84 +1,27 @@
 //! Stories of one control node, message by message: when it leaves a set, and when it votes in the next.
+mod common;
+
+use common::Node;
 use googletest::prelude::*;
-use std::collections::BTreeMap;
-use wv_control::{Act, Core, Start};
 use wv_inner::{Ballot, Held, Member, Msg, Step, Takeover, Voters};
-use wv_reg::{cell, parts, MemFiles, Store};
+use wv_reg::{cell, parts};
 
 fn set(number: u64, names: &str) -> Voters {
     let member = |name: char| Member { addr: format!("{name}:80"), disk: u64::from(name == 'd') };
     Voters { number, members: names.chars().map(member).collect() }
 }
 
-/// One control node and the links it dialled, by address.
-struct Node {
-    core: Core,
-    links: BTreeMap<String, u64>,
-    now: u64,
+/// The set in which it says that it votes.
+fn votes_in(node: &mut Node) -> u64 {
+    let said = node.hear("b", Msg::Ping { asker: 7, request: 1 });
+    said.into_iter().find_map(|(_, msg)| if let Msg::Pong { set, .. } = msg { Some(set) } else { None }).unwrap_or(0)
 }
 
-impl Node {
-    fn start(name: &str, is_first: bool) -> Node {
-        let seeds = ["a:80", "b:80", "c:80"].map(str::to_owned).to_vec();
-        let start = Start {
-            me: format!("{name}:80"),
-            node: name.to_owned(),
-            zone: "z".to_owned(),
-            life: 1,
-            seeds,
-            is_first,
-            is_core: true,
-            tolerate: 1,
-            disk: 1,
-            who: 1,
-        };
-        let store = Store::open(Box::new(MemFiles::default())).expect("readable");
-        let core = Core::new(start, store).expect("it starts");
-        let mut node = Node { core, links: BTreeMap::new(), now: 1_000_000 };
-        node.core.tick(node.now);
-        for act in node.core.take_acts() {
-            if let Act::Dial { link, addr } = act {
-                node.core.link_up(link, node.now);
-                node.links.insert(addr, link);
-            }
-        }
-        node.core.take_acts();
-        node
-    }
-
-    /// What it says to a message of `from`.
-    fn hear(&mut self, from: &str, msg: Msg) -> Vec<(u64, Msg)> {
-        self.now += 1_000;
-        let link = self.links[&format!("{from}:80")];
-        self.core.msg(link, msg, self.now);
-        self.said()
-    }
-
-    fn said(&mut self) -> Vec<(u64, Msg)> {
-        let acts = self.core.take_acts().into_iter();
-        acts.filter_map(|act| if let Act::Send { link, msg } = act { Some((link, msg)) } else { None }).collect()
-    }
-
-    /// The set in which it says that it votes.
-    fn votes_in(&mut self) -> u64 {
-        let said = self.hear("b", Msg::Ping { asker: 7, request: 1 });
-        said.into_iter()
-            .find_map(|(_, msg)| if let Msg::Pong { set, .. } = msg { Some(set) } else { None })
-            .unwrap_or(0)
-    }
-
-    /// Whether it answers a look in `set`.
-    fn is_voting(&mut self, set: u64) -> bool {
-        let step = Step::Look { known: Ballot::default() };
-        let said = self.hear("b", Msg::Call { asker: 7, request: 1, set, key: "k".to_owned(), step });
-        said.iter().any(|(_, msg)| matches!(msg, Msg::Voted { .. }))
-    }
-
-    fn tick(&mut self) -> Vec<(u64, Msg)> {
-        self.now += 100_000;
-        self.core.tick(self.now);
-        self.said()
-    }
+/// Whether it answers a look in `set`.
+fn is_voting(node: &mut Node, set: u64) -> bool {
+    let step = Step::Look { known: Ballot::default() };
+    let said = node.hear("b", Msg::Call { asker: 7, request: 1, set, key: "k".to_owned(), step });
+    said.iter().any(|(_, msg)| matches!(msg, Msg::Voted { .. }))
 }
 
 /// Whom it asks to compare, and under which request.
@@ -99,7 +42,7 @@
 #[gtest]
 fn given_a_voter_that_is_asked_by_a_member_of_the_next_set_then_it_has_left_its_own_when_it_tells() {
     let mut node = Node::start("a", true);
-    expect_that!(node.is_voting(1), eq(true));
+    expect_that!(is_voting(&mut node, 1), eq(true));
     let (voters, before) = (set(2, "abd"), set(1, "abc"));
     let said = node.hear("b", Msg::Takeover(Takeover::Compare { request: 5, voters, before, sum: 0 }));
     let told = said.iter().find_map(|(_, msg)| match msg {
@@ -107,7 +50,7 @@
         _ => None,
     });
     expect_that!(told, some(eq(1)));
-    expect_that!(node.is_voting(1), eq(false));
+    expect_that!(is_voting(&mut node, 1), eq(false));
 }
 
 #[gtest]
@@ -125,20 +68,20 @@
     let part = Takeover::Part { request, cells: vec![("k".to_owned(), copy)], is_whole: false };
     let said = node.hear(&first, Msg::Takeover(part));
     expect_that!(said.iter().any(|(_, msg)| is_lacking(msg)), eq(true), "not all of it");
-    expect_that!(node.votes_in(), eq(0));
+    expect_that!(votes_in(&mut node), eq(0));
     let said = node.hear(&first, Msg::Takeover(Takeover::Part { request, cells: Vec::new(), is_whole: true }));
     // One of three that left is no majority: another is asked.
-    expect_that!(node.votes_in(), eq(0));
-    expect_that!(node.is_voting(2), eq(false));
+    expect_that!(votes_in(&mut node), eq(0));
+    expect_that!(is_voting(&mut node, 2), eq(false));
     let (second, request) = asked(&node, &said).expect("another is asked");
     expect_that!(second, not(eq(&first)));
     // A late word of the first counts for nothing.
     sums.clear();
     node.hear(&first, Msg::Takeover(Takeover::Sums { request, set: 1, sums: sums.clone() }));
-    expect_that!(node.votes_in(), eq(0));
+    expect_that!(votes_in(&mut node), eq(0));
     node.hear(&second, Msg::Takeover(Takeover::Sums { request, set: 1, sums }));
-    expect_that!(node.votes_in(), eq(2));
-    expect_that!(node.is_voting(2), eq(true));
+    expect_that!(votes_in(&mut node), eq(2));
+    expect_that!(is_voting(&mut node, 2), eq(true));
 }
 
 #[gtest]
@@ -152,7 +95,7 @@
             }
             said = node.tick();
         }
-        expect_that!(node.votes_in(), eq(voting));
+        expect_that!(votes_in(&mut node), eq(voting));
     }
     // One that is silent is passed over for another.
     let mut node = Node::start("d", false);
