An old disk at another address neither votes nor tells as the one that belongs there

Cause: all disks of a first start have number 0, so that of one seed at another's address passed for that one's and answered with promises of its own; a numbered one told, as a member of the set before, what a newcomer counted as that member's word. Change: a disk without a number that was written at another address draws one; what it tells counts for a set only where it is a member of it at its own address.

--- a/crates/wv-control/src/takeover.rs
+++ b/crates/wv-control/src/takeover.rs
@@ -113,10 +113,11 @@
                     let msg = self.peers_msg();
                     return self.send(link, msg);
                 }
-                if self.seat.set > 0 {
+                let set = self.seat.tells_of(&self.me);
+                if set > 0 {
                     let sums = parts::sums(&self.store);
                     let sums = if parts::total(&sums) == sum { Vec::new() } else { sums };
-                    self.send(link, Msg::Takeover(Takeover::Sums { request, set: self.seat.set, sums }));
+                    self.send(link, Msg::Takeover(Takeover::Sums { request, set, sums }));
                 }
             }
             Takeover::Lacking { request, ranges } => {
@@ -193,8 +194,9 @@
             return self.progress.silent.push(held.source);
         }
         // This disk's own word on the set before counts as any other's.
-        let has_left =
-            |addr: &&str| self.progress.told.contains(*addr) || (*addr == self.me && self.seat.set == before.number);
+        let has_left = |addr: &&str| {
+            self.progress.told.contains(*addr) || (*addr == self.me && self.seat.tells_of(&self.me) == before.number)
+        };
         let has_before = before.number > 0 && before.addrs().filter(has_left).count() >= before.majority();
         // A majority of the set before, each of which had left it when it told, holds whatever was acknowledged there;
         // so does any single voter of the newest set, which took it from such a majority. What was acknowledged in the
--- a/crates/wv-reg/src/seat.rs
+++ b/crates/wv-reg/src/seat.rs
@@ -53,7 +53,13 @@
 impl Seat {
     /// Reads the seat, or takes one: the seeds of a first start are the first set, whoever else starts empty has none.
     pub fn open(store: &mut Store, me: &str, seeds: &[String], is_first: bool, disk: u64) -> Result<Seat, RegError> {
-        if let Some(seat) = store.get(KEY).and_then(|held| read(&held.cell.value)) {
+        if let Some(mut seat) = store.get(KEY).and_then(|held| read(&held.cell.value)) {
+            // The disks of a first start have no numbers yet: one that stands at another's address must not pass for
+            // that one's, which promised other things.
+            let is_moved = seat.disk == 0 && store.state().is_some_and(|state| state.me != me);
+            if is_moved {
+                seat.turn(store, Seat { disk: disk.max(1), ..seat.clone() })?;
+            }
             return Ok(seat);
         }
         let first = |addrs: &[String]| Voters {
@@ -91,6 +97,17 @@
         Ok(())
     }
 
+    /// The set of which this disk can tell as one of its members, 0 for none: the one whose registers it holds whole.
+    pub fn tells_of(&self, me: &str) -> u64 {
+        let is_own = |member: &Member| member.addr == me && member.disk == self.disk;
+        let is_in = |voters: &Voters| voters.number == self.set && voters.members.iter().any(is_own);
+        if self.set > 0 && (is_in(&self.voters) || is_in(&self.before)) {
+            self.set
+        } else {
+            0
+        }
+    }
+
     /// Whether this disk is a member of the newest set.
     pub fn is_member(&self, me: &str) -> bool {
         self.voters.members.iter().any(|member| member.addr == me && member.disk == self.disk)
