--- a/crates/wv-control/tests/alone/mod.rs
+++ b/crates/wv-control/tests/alone/mod.rs
@@ -15,6 +15,8 @@
     /// What it has sent to each peer and is not answered yet.
     pub sent: Vec<(String, Msg)>,
     pub returns: BTreeMap<u64, u16>,
+    /// How often it asked a database something.
+    pub asked: usize,
 }
 
 impl Node {
@@ -39,7 +41,7 @@
         };
         let store = wv_reg::Store::open(Box::new(wv_reg::MemFiles::default())).expect("an empty store");
         let core = Core::new(start, store).expect("a control node");
-        Node { core, now: S, links: BTreeMap::new(), sent: Vec::new(), returns: BTreeMap::new() }
+        Node { core, now: S, links: BTreeMap::new(), sent: Vec::new(), returns: BTreeMap::new(), asked: 0 }
     }
 
     pub fn acts(&mut self) {
@@ -57,6 +59,7 @@
                 Act::Return { token, status, .. } => {
                     self.returns.insert(token, status);
                 }
+                Act::Request { .. } => self.asked += 1,
                 _ => {}
             }
         }
--- /dev/null
+++ b/crates/wv-control/tests/spells.rs
@@ -0,0 +1,104 @@
+//! Stories of what a control node does between the return of contact and the end of catching up.
+mod alone;
+
+use alone::{is_ping, reply, Node, MS, S};
+use googletest::prelude::*;
+use wv_inner::{Msg, Sight, Sighting};
+
+const NAMES: std::ops::Range<usize> = 0..8;
+
+/// Eight services, the first of them planned.
+fn conf(version: u64) -> String {
+    let services: Vec<serde_json::Value> =
+        NAMES.map(|at| serde_json::json!({"label": format!("s{at}"), "syncReplicas": 1})).collect();
+    let route = serde_json::json!({"label": "p", "host": "p", "category": "primary", "expiryMs": 1000, "targetMs": 200,
+        "destination": "s0"});
+    let plan = serde_json::json!({"shard": "s0", "upper": "s1", "rowsMax": 1000, "quiet": "* * 1-4 * * *"});
+    serde_json::json!({"issue": version, "routing": [route], "services": services, "shardPlans": [plan]}).to_string()
+}
+
+fn is_about(msg: &Msg, part: &str) -> bool {
+    matches!(msg, Msg::Call { key, .. } if key.starts_with(part))
+}
+
+/// A node in contact by one answer to the next pings only, at 1.2 s after them.
+fn nearly_lost() -> Node {
+    let mut node = Node::new();
+    node.serve(2 * S);
+    let (asked, pings) = node.pings();
+    node.hear(&pings[0].0, reply(&pings[0].1).expect("a pong"));
+    node.run(asked + 1200 * MS - node.now);
+    node.sent.clear();
+    node
+}
+
+#[gtest]
+fn given_a_map_read_that_was_begun_before_contact_was_lost_then_it_is_no_catching_up() {
+    let mut node = nearly_lost();
+    expect_that!(node.call("PUT", "/configuration", &conf(1)), none());
+    (0..4).for_each(|_| node.answer(|msg| is_about(msg, "conf")));
+    expect_that!(node.returns.values().last(), some(eq(&200)));
+    let looks = node.take(|msg| is_about(msg, "slots/"));
+    assert_that!(looks.len(), ge(1));
+    node.run(100 * MS);
+    expect_that!(node.core.is_fresh(), eq(false));
+    let (_, pings) = node.pings();
+    node.hear(&pings[0].0, reply(&pings[0].1).expect("a pong"));
+    for (from, msg) in &looks {
+        node.hear(from, reply(msg).expect("a vote"));
+    }
+    // All but the read of the map that was begun since.
+    (0..6).for_each(|_| node.answer(|msg| is_about(msg, "conf") || matches!(msg, Msg::Recap { .. })));
+    expect_that!((node.core.is_fresh(), node.core.is_caught_up()), eq((true, false)));
+    node.answer(|msg| is_about(msg, "slots/"));
+    expect_that!(node.core.is_caught_up(), eq(true));
+}
+
+#[gtest]
+fn given_a_primary_that_is_down_then_its_duty_is_not_taken_up_before_this_node_has_caught_up() {
+    let mut node = Node::new();
+    node.serve(2 * S);
+    expect_that!(node.call("PUT", "/configuration", &conf(1)), none());
+    node.serve(500 * MS);
+    for at in NAMES {
+        let beat = |role: &str, port: u32| {
+            serde_json::json!({"destination": format!("s{at}"), "address": format!("10.9.{at}.1:{port}"),
+                "state": "in_service", "dbRole": role, "sequence": 9})
+            .to_string()
+        };
+        node.call("PUT", &format!("/instances/i-{at}"), &beat("primary", 1));
+        node.call("PUT", &format!("/instances/j-{at}"), &beat("replica", 2));
+    }
+    node.serve(S);
+    // Contact is lost and comes back; the voters do not tell what they hold in memory.
+    node.run(3 * S);
+    node.sent.clear();
+    node.asked = 0;
+    node.follow();
+    let is_answered = |msg: &Msg| !matches!(msg, Msg::Recap { .. }) && !is_about(msg, "duty/");
+    let run = |node: &mut Node, us: u64| {
+        let end = node.now + us;
+        while node.now < end {
+            node.run(100 * MS);
+            let down = |at: usize| Sighting {
+                id: format!("i-{at}"),
+                sight: Sight::Refused,
+                since_us: S,
+                heard_ago_us: 2 * S,
+                fenced: String::new(),
+                fenced_ago_us: u64::MAX / 2,
+            };
+            node.hear("a0", Msg::Here { leaving: false });
+            node.hear("a0", Msg::Sights(NAMES.map(down).collect()));
+            (0..6).for_each(|_| node.answer(is_answered));
+        }
+    };
+    run(&mut node, 4 * S);
+    expect_that!((node.core.is_fresh(), node.core.is_caught_up()), eq((true, false)));
+    expect_that!((node.take(|msg| is_about(msg, "duty/")).len(), node.asked), eq((0, 0)));
+    // They tell it: those duties that are this node's are taken up.
+    node.answer(|msg| matches!(msg, Msg::Recap { .. }) || is_ping(msg));
+    expect_that!(node.core.is_caught_up(), eq(true));
+    run(&mut node, S);
+    expect_that!(node.asked, ge(1));
+}
--- a/crates/wv-fleet/tests/split.rs
+++ b/crates/wv-fleet/tests/split.rs
@@ -196,3 +196,28 @@
     expect_that!(order(&mut story.world, 1, &unplanned(9)), eq(200));
     expect_that!(story.end(), is_empty());
 }
+
+#[gtest]
+fn given_a_node_that_does_not_know_of_the_plan_yet_then_an_order_without_it_waits_until_it_has_caught_up() {
+    let mut story = Story::begin();
+    let other = (story.holder() + 1) % 3;
+    expect_that!(order(&mut story.world, other, &unplanned(2)), eq(200));
+    for at in (0..3).filter(|at| *at != other) {
+        story.world.cut.insert((format!("c{other}"), format!("c{at}")));
+    }
+    let planned = conf(3, |_| {});
+    expect_that!(order(&mut story.world, (other + 1) % 3, &planned), eq(200));
+    story.world.run(14 * S);
+    story.request();
+    assert_that!(story.moves_within(20 * S), eq(true));
+    story.world.cut.clear();
+    // The very moment in which contact is back and nothing is read yet.
+    let is_back = |world: &World| world.controls[other].core.as_ref().is_some_and(|core| core.is_fresh());
+    let end = story.world.now + 2 * S;
+    while !is_back(&story.world) && story.world.now < end {
+        story.world.run(MS / 10);
+    }
+    expect_that!(story.world.controls[other].core.as_ref().map(|core| core.is_caught_up()), some(eq(false)));
+    expect_that!(order(&mut story.world, other, &unplanned(9)), eq(400));
+    expect_that!(story.end(), is_empty());
+}
