--- a/crates/wv-control/tests/contact.rs
+++ b/crates/wv-control/tests/contact.rs
@@ -176,3 +176,19 @@
     let after = is_to_follower(&mut node);
     expect_that!(after.iter().any(|msg| matches!(msg, Msg::Change { .. } | Msg::Snapshot { .. })), eq(false));
 }
+
+#[gtest]
+fn given_voters_that_are_sealed_for_a_successor_then_they_are_contact_and_those_of_no_set_are_none() {
+    for (sealed, is_contact) in [(1, true), (0, false)] {
+        let mut node = Node::new();
+        node.serve(2 * S);
+        for _ in 0..30 {
+            node.run(100 * MS);
+            for (from, msg) in node.take(is_ping) {
+                let Some(Msg::Pong { asker, request, conf, disk, ready, .. }) = reply(&msg) else { continue };
+                node.hear(&from, Msg::Pong { asker, request, conf, disk, set: 0, sealed, ready });
+            }
+        }
+        expect_that!((node.core.is_fresh(), node.core.is_caught_up()), eq((is_contact, is_contact)));
+    }
+}
