What is in memory is asked of one voter after the other; a thin node's first question does not wait; stories

Cause: asked of several at once and again every 0.4 s, a long table would cross a thin link several times over.

Measured: cargo test -p wv-control, and cutoff, departures, starts of wv-fleet, passed.

--- a/crates/wv-control/src/contact.rs
+++ b/crates/wv-control/src/contact.rs
@@ -5,6 +5,8 @@
 
 /// Pings older than `FRESH_US` are forgotten; of links that come up in a rush no more than this many are known.
 const PINGS_MAX: usize = 256;
+/// A voter that has not told what it holds in memory by then is not waited for; a thin link takes a while.
+const RECAP_US: u64 = 800_000;
 
 /// What a node knows of its contact with the others.
 #[derive(Default)]
@@ -24,6 +26,9 @@
     /// The request of this spell for what others hold in memory, and the voters that have told all of it.
     recap: u64,
     told: BTreeSet<String>,
+    /// Whom that was asked of, and when last.
+    asked: Vec<String>,
+    asked_at: Option<u64>,
     /// Planned shards whose maps were read in this spell, or are being read.
     pub synced: BTreeSet<String>,
     pub syncing: BTreeSet<String>,
@@ -100,6 +105,7 @@
         self.contact.spell += 1;
         (self.contact.is_reading, self.contact.has_conf) = (false, false);
         self.contact.told.clear();
+        (self.contact.asked, self.contact.asked_at) = Default::default();
         (self.contact.synced, self.contact.syncing) = Default::default();
         self.is_caught_up = false;
         self.refuse_pending();
@@ -115,7 +121,6 @@
         self.contact.recap = self.quorum.next_request();
         self.ping();
         self.keep_contact();
-        self.ask_recap(self.quorum.majority());
     }
 
     /// Reads that failed are begun again.
@@ -124,28 +129,41 @@
             if !self.is_thin() && !self.contact.has_conf {
                 self.sync_conf();
             }
+            self.ask_recap();
             self.catch_up();
         }
         self.sync_slots();
     }
 
-    /// What stands in no register, from `most` of the voters that have not told it yet.
-    pub(crate) fn ask_recap(&mut self, most: usize) {
-        if !self.contact.is_held || self.is_caught_up {
+    /// What stands in no register, from one voter after the other: the second one tells only what the first one lacked.
+    /// One that is silent is not waited for.
+    pub(crate) fn ask_recap(&mut self) {
+        let is_due = self.contact.asked_at.is_none_or(|at| at + RECAP_US <= self.now);
+        if !is_due || !self.contact.is_held || self.is_caught_up || self.has_recap() {
             return;
         }
         let (asker, request) = (self.quorum.who(), self.contact.recap);
-        let is_due = |addr: &&str| *addr != self.me && !self.contact.told.contains(*addr);
-        let due: Vec<String> = self.quorum.voters().addrs().filter(is_due).map(str::to_owned).collect();
+        let times = |addr: &str| self.contact.asked.iter().filter(|asked| *asked == addr).count();
+        let is_left = |addr: &&str| {
+            let is_up = self.peers.get(*addr).is_some_and(|peer| peer.is_up);
+            *addr != self.me && is_up && !self.contact.told.contains(*addr)
+        };
+        let next = self.quorum.voters().addrs().filter(is_left).min_by_key(|addr| times(addr)).map(str::to_owned);
+        let Some(addr) = next else { return };
         let ranges = self.table.digests();
-        let mut left = most;
-        for addr in due {
-            if left > 0 && self.send_peer(&addr, Msg::Recap { asker, request, ranges: ranges.clone() }) {
-                left -= 1;
-            }
+        if self.send_peer(&addr, Msg::Recap { asker, request, ranges }) {
+            self.contact.asked_at = Some(self.now);
+            self.contact.asked.push(addr);
         }
     }
 
+    /// Whether a majority of voters has told what it holds in memory, this node counted where it is one.
+    fn has_recap(&self) -> bool {
+        let voters = self.quorum.voters();
+        let told = self.contact.told.iter().filter(|addr| voters.has(addr)).count();
+        usize::from(self.sits()) + told >= self.quorum.majority()
+    }
+
     /// Another node was out of contact: the databases that it knows otherwise, who leads, who owns, and last that this
     /// was all.
     pub(crate) fn give_recap(&mut self, link: u64, (asker, request): (u64, u64), ranges: &[u64]) {
@@ -160,6 +178,8 @@
     pub(crate) fn recapped(&mut self, addr: &str, asker: u64, request: u64) {
         if asker == self.quorum.who() && request == self.contact.recap && self.contact.is_held {
             self.contact.told.insert(addr.to_owned());
+            self.contact.asked_at = None;
+            self.ask_recap();
             self.catch_up();
         }
     }
@@ -185,13 +205,10 @@
 
     /// Whether everything was read since contact came back.
     pub(crate) fn catch_up(&mut self) {
-        let voters = self.quorum.voters();
-        let own = usize::from(self.sits());
-        let told = self.contact.told.iter().filter(|addr| voters.has(addr)).count();
         let has_conf = if self.is_thin() { self.has_newest() } else { self.contact.has_conf };
         let is_synced = |plan: &wv_conf::ShardPlan| self.contact.synced.contains(&plan.shard);
         let has_slots = self.conf.as_ref().is_none_or(|conf| conf.plans.iter().all(is_synced));
-        let is_whole = has_conf && has_slots && own + told >= self.quorum.majority();
+        let is_whole = has_conf && has_slots && self.has_recap();
         if is_whole && self.contact.is_held && self.is_fresh() && !self.is_caught_up {
             self.is_caught_up = true;
             self.take_pending();
--- a/crates/wv-control/src/thin.rs
+++ b/crates/wv-control/src/thin.rs
@@ -37,7 +37,7 @@
 
     /// Asks for what is newer than `version`; not again while the answer may be under way.
     fn lack(&mut self, addr: &str, version: u64) {
-        if self.lacked + LACK_US <= self.now {
+        if self.lacked == 0 || self.lacked + LACK_US <= self.now {
             self.lacked = self.now;
             self.send_peer(addr, Msg::Lack { version });
         }
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -31,7 +31,6 @@
             self.ping();
             self.tell_sessions();
             self.beat_followers();
-            self.ask_recap(usize::MAX);
             self.forget_words();
         }
         // Outside its window a sweep is rarer, never absent; links that come up compare at once in any case.
--- a/crates/wv-control/tests/alone/mod.rs
+++ b/crates/wv-control/tests/alone/mod.rs
@@ -26,15 +26,20 @@
 
     /// One whose settings say how many machines may be lost at once.
     pub fn bearing(tolerate: usize) -> Node {
+        Node::start(ME, tolerate, true)
+    }
+
+    /// At this address, with a disk or without; the three seeds vote.
+    pub fn start(me: &str, tolerate: usize, is_core: bool) -> Node {
         let seeds: Vec<String> = (1..4).map(|at| format!("10.0.0.{at}:80")).collect();
         let start = Start {
-            me: ME.to_owned(),
+            me: me.to_owned(),
             node: "c0".to_owned(),
             zone: "z0".to_owned(),
             life: 1,
             seeds,
             is_first: true,
-            is_core: true,
+            is_core,
             tolerate,
             disk: 1,
             who: WHO,
@@ -141,6 +146,11 @@
             };
             Some(Msg::Voted { asker, request, key, vote })
         }
+        Msg::Hello { .. } => {
+            let member = |at| wv_inner::Member { addr: format!("10.0.0.{at}:80"), disk: 0 };
+            let voters = wv_inner::Voters { number: 1, members: (1..4).map(member).collect() };
+            Some(Msg::Peers { addrs: Vec::new(), zones: Vec::new(), voters, before: wv_inner::Voters::default() })
+        }
         Msg::Recap { asker, request, .. } => Some(Msg::Recapped { asker, request }),
         Msg::Inst { request, .. } if request > 0 => Some(Msg::InstHeld { request }),
         _ => None,
--- a/crates/wv-control/tests/spells.rs
+++ b/crates/wv-control/tests/spells.rs
@@ -102,3 +102,37 @@
     run(&mut node, S);
     expect_that!(node.asked, ge(1));
 }
+
+#[gtest]
+fn given_a_node_without_a_disk_then_versions_told_to_pings_of_before_are_no_catching_up() {
+    let mut node = Node::start("10.0.0.9:80", 1, false);
+    node.serve(2 * S);
+    expect_that!(node.core.is_caught_up(), eq(true));
+    // Two rounds of pings: the first one is answered, the second one only once contact has ended.
+    let (asked, pings) = node.pings();
+    pings.iter().for_each(|(from, msg)| node.hear(from, reply(msg).expect("a pong")));
+    let (_, late) = node.pings();
+    node.run(asked + 1300 * MS - node.now);
+    expect_that!(node.core.is_fresh(), eq(false));
+    node.sent.clear();
+    late.iter().for_each(|(from, msg)| node.hear(from, reply(msg).expect("a pong")));
+    (0..4).for_each(|_| node.answer(|msg| matches!(msg, Msg::Recap { .. })));
+    expect_that!((node.core.is_fresh(), node.core.is_caught_up()), eq((true, false)));
+    node.answer(is_ping);
+    expect_that!(node.core.is_caught_up(), eq(true));
+}
+
+#[gtest]
+fn given_contact_that_comes_back_then_what_is_in_memory_is_asked_of_one_voter_and_of_the_next_where_it_is_silent() {
+    let mut node = Node::new();
+    let is_recap = |msg: &Msg| matches!(msg, Msg::Recap { .. });
+    let mut asked: Vec<(u64, String)> = Vec::new();
+    for _ in 0..24 {
+        node.run(100 * MS);
+        (0..6).for_each(|_| node.answer(|msg| !is_recap(msg)));
+        let now = node.now;
+        asked.extend(node.take(is_recap).into_iter().map(|(to, _)| (now, to)));
+    }
+    assert_that!(asked.len(), ge(3));
+    expect_that!(asked.windows(2).all(|pair| pair[1].0 - pair[0].0 >= 800 * MS && pair[0].1 != pair[1].1), eq(true));
+}
--- a/crates/wv-fleet/tests/cutoff.rs
+++ b/crates/wv-fleet/tests/cutoff.rs
@@ -125,3 +125,35 @@
         expect_that!(world.followed(), eq(&before), "{at} {way:?}");
     }
 }
+
+#[gtest]
+fn given_a_control_node_without_a_disk_that_is_cut_off_then_it_tells_nothing_old_either() {
+    for way in WAYS {
+        let mut world = World::new(3, 4);
+        world.kill_control(3);
+        world.controls[3].is_core = false;
+        world.controls[3].files.files.borrow_mut().clear();
+        world.start_control(3, true);
+        world.run(2 * S);
+        expect_that!(call(&mut world, 0, CONF, &World::conf(1)).0, eq(200));
+        world.run(2 * S);
+        expect_that!(is_caught_up(&world, 3), eq(true));
+        cut(&mut world, 3, way);
+        world.run(2 * S);
+        expect_that!(is_fresh(&world, 3), eq(false), "{way:?}");
+        expect_that!(world.followed(), not(contains(some(eq(&3)))), "{way:?}");
+        expect_that!(call(&mut world, 3, ("DELETE", "/instances/i-x"), b""), eq((503, 0)), "{way:?}");
+        expect_that!(call(&mut world, 3, CONF, &World::conf(7)), eq((503, 0)), "{way:?}");
+        expect_that!(call(&mut world, 0, CONF, &renamed(8, "c")).0, eq(200));
+        world.run(18 * S);
+        join(&mut world);
+        let end = world.now + 3 * S;
+        while !is_caught_up(&world, 3) && world.now < end {
+            world.run(MS);
+            expect_that!(world.followed(), not(contains(some(eq(&3)))), "{way:?}");
+        }
+        expect_that!(is_caught_up(&world, 3), eq(true), "{way:?}");
+        expect_that!(world.controls[3].core.as_ref().map(|core| core.conf_version()), some(eq(8)), "{way:?}");
+        expect_that!(call(&mut world, 3, ("PUT", "/instances/i-x"), &beat("10.9.0.1:1", "draining", 3)).0, eq(200));
+    }
+}
