--- a/crates/wv-feed/tests/table.rs
+++ b/crates/wv-feed/tests/table.rs
@@ -17,8 +17,8 @@
     assert_eq!(table.of("s").count(), 0);
     assert_eq!(table.digests(), Table::default().digests(), "those that left are no difference");
     // Remembered for one to two sweeps, like any that left.
-    table.forget();
-    table.forget();
+    table.forget(&Default::default());
+    table.forget(&Default::default());
     assert!(table.get("i-1").is_none());
 }
 
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -113,20 +113,19 @@
         node: String,
         sights: Vec<Sighting>,
     },
-    /// The life that asks; the answer counts in it alone, and is dated by when this was sent.
+    /// The answer counts in the life that asks alone, and is dated by when this was sent.
     Ping {
         asker: u64,
         request: u64,
     },
-    /// `disk` is the speaker's own (none where it keeps nothing), `set` the one it votes in, 0 for none. `ready`: that
-    /// disk is no member of the newest set, and holds what a voter of it held but for the last moments.
+    /// `disk` is the speaker's own, none where it keeps nothing; `set` the one it votes in, `sealed` that in which it is sealed,
+    /// 0 for none. `ready`: that disk is no member of the newest set, and holds what a voter held but for the last moments.
     Pong {
         asker: u64,
         request: u64,
         conf: u64,
         disk: Option<u64>,
         set: u64,
-        /// The set in which it is sealed, 0 for none.
         sealed: u64,
         ready: bool,
     },
@@ -184,13 +183,12 @@
     InstHeld {
         request: u64,
     },
-    /// Tell what stands in no register, for one that was out of contact: databases in ranges that differ, leads, owners.
+    /// Tell what stands in no register, to one that was out of contact: databases in ranges that differ, leads, owners.
     Recap {
         asker: u64,
         request: u64,
         ranges: Vec<u64>,
     },
-    /// That was all of it.
     Recapped {
         asker: u64,
         request: u64,
