--- a/crates/wv-reg/tests/change_model/act.rs
+++ b/crates/wv-reg/tests/change_model/act.rs
@@ -76,7 +76,7 @@
                     return;
                 }
                 self.adopt(at, ask.from);
-                let is_whole = self.on_disk(at, |seat, store| seat.finish(store, set, Vec::new())).unwrap_or(false);
+                let is_whole = self.on_disk(at, |seat, store| seat.finish(store, set)).unwrap_or(false);
                 heard.iter_mut().filter(|_| is_heard && is_whole).for_each(|change| change.fetched(me, request));
                 None
             }
