--- /dev/null
+++ b/crates/wv-reg/examples/store.rs
@@ -0,0 +1,51 @@
+//! What changes of a long configuration cost a voter's store: `cargo run --release -p wv-reg --example store`.
+//! One line a run: changes, bytes on the disk (at the end, and the most), bytes written and microseconds a change, with
+//! files in memory; microseconds to open it again.
+use wv_inner::Ballot;
+use wv_reg::{cell, Files, MemFiles, State, Store};
+
+/// A packed configuration of 2,000 routes.
+const CONF: usize = 40 << 10;
+const DUTIES: usize = 200;
+
+fn ballot(round: u64) -> Ballot {
+    Ballot { round, who: 1 }
+}
+
+fn held(files: &MemFiles) -> usize {
+    files.files.borrow().values().map(Vec::len).sum()
+}
+
+fn measure(changes: u64) -> Result<(), wv_reg::RegError> {
+    let files = MemFiles::default();
+    let mut store = Store::open(Box::new(files.clone()))?;
+    store.reset(State { me: "10.0.0.1:80".to_owned(), ..State::default() })?;
+    for at in 0..DUTIES {
+        store.accept(&format!("duty/service-{at}"), ballot(1), &cell(1, vec![7; 24]))?;
+    }
+    let mut body: Vec<u8> = (0..CONF).map(|at| (at * 31 % 251) as u8).collect();
+    let (written, start, mut most) = (files.written.get(), std::time::Instant::now(), 0);
+    for change in 0..changes {
+        let at = change as usize * 97 % CONF;
+        body[at] = body[at].wrapping_add(1);
+        // As a voter keeps it: the promise, then the cell.
+        store.promise("conf", ballot(2 * change + 2))?;
+        store.accept("conf", ballot(2 * change + 2), &cell(change + 1, body.clone()))?;
+        most = most.max(held(&files));
+    }
+    let spent = start.elapsed().as_micros() as u64 / changes.max(1);
+    let each = (files.written.get() - written) as u64 / changes.max(1);
+    let start = std::time::Instant::now();
+    let size = Store::open(Box::new(files.copy()))?.size();
+    let open = start.elapsed().as_micros();
+    let log = files.read("log")?.map_or(0, |log| log.len());
+    println!(
+        "{changes} changes of a state of {size} bytes: {} on the disk, {most} at most, log {log}; {each} written and {spent} us a change; {open} us to open",
+        held(&files)
+    );
+    Ok(())
+}
+
+fn main() -> Result<(), wv_reg::RegError> {
+    [10, 1_000, 10_000].into_iter().try_for_each(measure)
+}
