Answers between control nodes, of databases, of the platform and to reports name their question

One node that said twice that it holds a departure counted for two; a report's number of an earlier life of a node passed for that of the present one, so that a write could be sent before the holder of a split knew of it, or of its name.

Rows of databases and returns of the platform come back under the number of the ask, and count only in the step of the duty that asked: the row of an ENQUIRY, a CONTINUE or a YIELD that came late passed for that of a SUSPEND, and a fence shown in an earlier attempt for the present one's.

--- a/crates/wv-access/src/link.rs
+++ b/crates/wv-access/src/link.rs
@@ -189,10 +189,12 @@
                         Msg::Beat { fresh: false } => return End::Deaf,
                         Msg::Beat { .. } => {}
                         Msg::Peers { addrs, zones, voters, .. } => known.learn(&addrs, &zones, &zone, &voters),
-                        Msg::Marked { shard, attempt, serial, .. } => {
-                            node.with(|core, now| core.marked(&shard, attempt, serial, now));
+                        Msg::Marked { shard, attempt, life, serial, .. } => {
+                            node.with(|core, now| core.marked(&shard, attempt, (life, serial), now));
+                        }
+                        Msg::Filled { shard, life, serial, .. } => {
+                            node.with(|core, now| core.filled(&shard, (life, serial), now));
                         }
-                        Msg::Filled { shard, serial, .. } => node.with(|core, now| core.filled(&shard, serial, now)),
                         msg => {
                             if node.with(|core, now| core.feed(msg, now)).is_err() {
                                 wv_inner::put_frame(&mut out, &Msg::Follow { life: 0, place: 0 });
--- a/crates/wv-access/src/reports.rs
+++ b/crates/wv-access/src/reports.rs
@@ -174,7 +174,7 @@
                 });
                 fill.is_awaited = fill.is_awaited && !fill.names.is_empty();
                 let entries = std::mem::take(&mut fill.entries).into_values().collect();
-                fill.sent = Some((0, Fill { shard: name.clone(), serial: fill.serial, entries, names }));
+                fill.sent = Some((0, Fill { shard: name.clone(), life, serial: fill.serial, entries, names }));
             }
             if let Some((at, sent)) = fill.sent.as_mut().filter(|(at, _)| *at == 0 || is_lost(*at)) {
                 *at = now;
@@ -185,10 +185,12 @@
     }
 
     /// The holder has taken marks: this node may write to what moves, as far as they said so.
-    pub fn marked(&mut self, shard: &str, attempt: u64, serial: u64, now: u64) {
+    pub fn marked(&mut self, shard: &str, attempt: u64, (life, serial): (u64, u64), now: u64) {
         self.now = self.now.max(now);
         let Some(held) = self.slots.shards.get_mut(shard) else { return };
-        let is_it = held.marks.sent.as_ref().is_some_and(|(_, sent)| sent.serial == serial && sent.attempt == attempt);
+        let is_own = life == self.slots.life;
+        let is_it = is_own
+            && held.marks.sent.as_ref().is_some_and(|(_, sent)| sent.serial == serial && sent.attempt == attempt);
         if is_it {
             held.marks.sent = None;
             held.joined = attempt;
@@ -198,8 +200,11 @@
     }
 
     /// The names of a report are kept: writes that waited for them go on.
-    pub fn filled(&mut self, shard: &str, serial: u64, now: u64) {
+    pub fn filled(&mut self, shard: &str, (life, serial): (u64, u64), now: u64) {
         self.now = self.now.max(now);
+        if life != self.slots.life {
+            return;
+        }
         let Some(fill) = self.slots.shards.get_mut(shard).map(|held| &mut held.fill) else { return };
         let Some((_, sent)) = fill.sent.take_if(|(_, sent)| sent.serial == serial) else { return };
         if fill.kept.len() >= KEPT_MAX {
--- a/crates/wv-access/tests/common/mod.rs
+++ b/crates/wv-access/tests/common/mod.rs
@@ -2,14 +2,14 @@
 #![allow(dead_code)]
 use std::collections::BTreeMap;
 use wv_access::{Act, Core, Lost};
-use wv_inner::{Hand, HandId, Inst, Lead, Msg, News, Owner};
+use wv_inner::{Hand, HandId, Inst, Lead, Msg, News, Owner, SlotMap};
 
 pub const MS: u64 = 1_000;
 const CONF: &str = r#"{"issue":1,"routing":[
   {"label":"p","host":"shop","category":"primary","expiryMs":1000,"targetMs":200,"destination":"s","maxAttempts":3},
   {"label":"b","host":"look","category":"bounded_staleness","maxStalenessMs":1500,"expiryMs":3000,"targetMs":800,
    "destination":"s","maxAttempts":3}],
-  "services":[{"label":"s","syncReplicas":1}],
+  "services":[{"label":"s","syncReplicas":1},{"label":"t","syncReplicas":1}],
   "limits":{"headerBytes":16384,"bodyBytes":262144,"headerTimerMs":3000,"idleTimerMs":15000,"txnIdleMs":3000}PARTNERS}"#;
 /// The life of the node under test.
 pub const LIFE: u64 = 77;
@@ -40,6 +40,12 @@
         Bare::with(r#","partners":[{"label":"all","portion":1,"nodes":["me","other"]}]"#, vec![owner])
     }
 
+    /// Its shard is planned to be split.
+    pub fn planned(map: SlotMap) -> Bare {
+        let plan = r#","shardPlans":[{"shard":"s","upper":"t","rowsMax":1000,"quiet":"* * 1-4 * * *"}]"#;
+        Bare::with(plan, vec![News::Slots(map)])
+    }
+
     fn with(partners: &str, more: Vec<News>) -> Bare {
         let inst = Inst {
             id: "d1".to_owned(),
@@ -110,6 +116,9 @@
                 for line in String::from_utf8_lossy(&out).lines() {
                     if line.starts_with("SETUP") {
                         self.core.db_data(db, b"IDLE I -\r\n", self.now);
+                    } else if line.ends_with("ENQUIRY") {
+                        let row = b"ROW primary 3 3.9 0 0 0 1\r\nCOMPLETE -\r\nIDLE I 3.9\r\n";
+                        self.core.db_data(db, row, self.now);
                     } else if let Some(held) = self.dbs.get_mut(&db) {
                         held.push(line.to_owned());
                         self.ran.push((db, line.to_owned()));
--- /dev/null
+++ b/crates/wv-access/tests/reports.rs
@@ -0,0 +1,47 @@
+//! Stories of what the holder of a planned shard's split has taken: of this life's reports, by their numbers.
+mod common;
+
+use common::{Bare, LIFE};
+use googletest::prelude::*;
+use wv_inner::{Msg, Phase, Range, SlotMap};
+
+#[gtest]
+fn given_word_to_reports_of_an_earlier_life_or_try_then_a_write_waits_for_that_to_its_own() {
+    let moving = Some(Range { from: 0, until: 1024, target: "t".to_owned() });
+    let (shard, phase) = ("s".to_owned(), Phase::Copying);
+    let map = SlotMap { shard, phase, moving, number: 9, term: 3, attempt: 5, ..SlotMap::default() };
+    let mut bare = Bare::planned(map);
+    let client = bare.client("shop");
+    bare.say(client, "QUERY w1 WRITE k d");
+    let (mut marks, mut fill) = (0, 0);
+    for msg in bare.core.take_reports(false) {
+        match msg {
+            Msg::Marks(sent) => (marks, _) = (sent.serial, expect_that!((sent.life, sent.attempt), eq((LIFE, 5)))),
+            Msg::Fill(sent) => (fill, _) = (sent.serial, expect_that!(sent.life, eq(LIFE))),
+            _ => {}
+        }
+    }
+    expect_that!((marks > 0, fill > 0), eq((true, true)));
+    // A node of this name had a life before, in which its numbers were the same.
+    bare.core.marked("s", 5, (LIFE - 1, marks), bare.now);
+    bare.core.marked("s", 4, (LIFE, marks), bare.now);
+    bare.core.filled("s", (LIFE, fill), bare.now);
+    bare.obey();
+    expect_that!(bare.count("WRITE"), eq(0), "the holder does not know yet that this life writes");
+    bare.core.marked("s", 5, (LIFE, marks), bare.now);
+    bare.obey();
+    expect_that!(bare.count("WRITE"), eq(1));
+    let client = bare.client("shop");
+    bare.say(client, "QUERY w2 WRITE l d");
+    let told = |msg: &Msg| match msg {
+        Msg::Fill(sent) => Some(sent.serial),
+        _ => None,
+    };
+    let fill = bare.core.take_reports(false).iter().find_map(told).expect("a new name is told");
+    bare.core.filled("s", (LIFE - 1, fill), bare.now);
+    bare.obey();
+    expect_that!(bare.count("QUERY w2"), eq(0), "its name is not kept yet");
+    bare.core.filled("s", (LIFE, fill), bare.now);
+    bare.obey();
+    expect_that!(bare.count("QUERY w2"), eq(1));
+}
--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -83,15 +83,15 @@
         if !is_leave {
             return self.ret(token, 200, "{}");
         }
-        let (request, id) = (self.quorum.next_request(), inst.id.clone());
-        self.send_peers(&Msg::Inst { request, inst });
+        let (asker, request, id) = (self.quorum.who(), self.quorum.next_request(), inst.id.clone());
+        self.send_peers(&Msg::Inst { asker, request, inst });
         self.holds.push(Hold { token, request, id, held: Default::default(), limit: self.now + HOLD_US });
         self.settle_holds();
     }
 
     fn spread(&mut self, insts: &[Inst]) {
         for inst in insts {
-            self.send_peers(&Msg::Inst { request: 0, inst: inst.clone() });
+            self.send_peers(&Msg::Inst { asker: 0, request: 0, inst: inst.clone() });
         }
     }
 
@@ -146,8 +146,10 @@
         self.announce(&changed, true);
     }
 
-    pub(crate) fn inst_held(&mut self, addr: &str, request: u64) {
-        let hold = self.holds.iter_mut().find(|hold| hold.request == request);
+    /// Another control node holds it too: counted once, and only where this life asked it about this database.
+    pub(crate) fn inst_held(&mut self, addr: &str, (asker, request): (u64, u64), id: &str) {
+        let is_own = asker == self.quorum.who();
+        let hold = self.holds.iter_mut().find(|hold| is_own && hold.request == request && hold.id == id);
         hold.into_iter().for_each(|hold| {
             hold.held.insert(addr.to_owned());
         });
--- a/crates/wv-control/src/conf.rs
+++ b/crates/wv-control/src/conf.rs
@@ -55,9 +55,9 @@
     pub(crate) fn quorum_done(&mut self, done: Done) {
         let Some(waiting) = self.waiting.remove(&done.token) else { return };
         let waiting = match waiting {
-            Waiting::Claim(service) => return self.duty_claimed(service, done.outcome, &done.before),
+            Waiting::Claim(service, turn) => return self.duty_claimed(service, turn, done.outcome, &done.before),
             Waiting::Call(call) => return self.call_confirmed(*call, done.outcome),
-            Waiting::Confirm(service) => return self.duty_confirmed(service, done.outcome),
+            Waiting::Confirm(service, turn) => return self.duty_confirmed(service, turn, done.outcome),
             Waiting::Swept => return,
             Waiting::Judge(token, shard) => return self.judged(token, &shard, done.outcome),
             Waiting::Own(service) => return self.own_kept(&service, done.outcome),
--- a/crates/wv-control/src/departed.rs
+++ b/crates/wv-control/src/departed.rs
@@ -55,7 +55,7 @@
         for id in due {
             let Some(service) = self.table.get(&id).map(|inst| inst.service.clone()) else { continue };
             self.left.entry(id.clone()).or_default().looked = now;
-            self.ask_db(&service, id, "ENQUIRY".to_owned());
+            self.ask_db(&service, id, "ENQUIRY".to_owned(), 0);
         }
     }
 
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -1,6 +1,6 @@
 //! The duties this node holds: what the promotion machines read, and what they order.
 use crate::core::{Act, Core};
-use crate::types::Waiting;
+use crate::types::{Asked, Waiting};
 use wv_inner::{Lead, Msg, News, Sight, Sighting};
 use wv_promo::{Event, Order, Seat, Silent, View, Word};
 use wv_reg::Outcome;
@@ -80,6 +80,8 @@
         let is_meant = |service: &&String| self.roster.is_holder(service) || is_engaged(service);
         let services: Vec<String> = conf.services.keys().filter(is_meant).cloned().collect();
         self.duties.retain(|service, _| conf.services.contains_key(service));
+        // A duty that begins anew counts its steps anew.
+        self.calls.asks.retain(|_, asked| asked.turn == 0 || self.duties.contains_key(&asked.service));
         services.iter().for_each(|service| self.run_duty(service));
         self.watch_departed();
     }
@@ -98,22 +100,36 @@
         held.collect::<Vec<String>>().iter().for_each(|service| self.run_duty(service));
     }
 
-    pub(crate) fn duty_event(&mut self, service: &str, event: Event) {
-        self.with_duty(service, |duty, view| duty.event(event, view));
+    pub(crate) fn turn(&self, service: &str) -> u64 {
+        self.duties.get(service).map_or(0, wv_promo::Duty::turn)
+    }
+
+    /// An answer counts in the step that asked for it; in a later one it would pass for another's answer.
+    pub(crate) fn duty_event(&mut self, service: &str, turn: u64, event: Event) {
+        if turn > 0 && turn == self.turn(service) {
+            self.with_duty(service, |duty, view| duty.event(event, view));
+        }
+    }
+
+    pub(crate) fn ask(&mut self, service: &str, id: &str, turn: u64) -> u64 {
+        let ask = self.fresh_id();
+        self.calls.asks.insert(ask, Asked { service: service.to_owned(), id: id.to_owned(), turn });
+        ask
     }
 
     fn obey(&mut self, service: &str, order: Order) {
         log::info!("duty {service}: {order:?}");
+        let turn = self.turn(service);
         match order {
             Order::Claim => self.claim_duty(service),
             Order::Confirm => {
                 self.calls.confirms.insert(service.to_owned(), self.now);
-                self.ask_register(service, Waiting::Confirm(service.to_owned()), None);
+                self.ask_register(service, Waiting::Confirm(service.to_owned(), turn), None);
             }
-            Order::Look { id } => self.ask_db(service, id, "ENQUIRY".to_owned()),
-            Order::Suspend { id, term } => self.ask_db(service, id, format!("SUSPEND {term}")),
-            Order::Continue { id } => self.ask_db(service, id, "CONTINUE".to_owned()),
-            Order::Yield { id, term } => self.ask_db(service, id, format!("YIELD {term}")),
+            Order::Look { id } => self.ask_db(service, id, "ENQUIRY".to_owned(), turn),
+            Order::Suspend { id, term } => self.ask_db(service, id, format!("SUSPEND {term}"), turn),
+            Order::Continue { id } => self.ask_db(service, id, "CONTINUE".to_owned(), 0),
+            Order::Yield { id, term } => self.ask_db(service, id, format!("YIELD {term}"), 0),
             Order::Post { id, fence } => self.post(service, id, fence),
             Order::Led { id, term } => {
                 let lead = Lead { service: service.to_owned(), id, term };
@@ -141,27 +157,32 @@
         }
     }
 
-    pub(crate) fn ask_db(&mut self, service: &str, id: String, text: String) {
+    pub(crate) fn ask_db(&mut self, service: &str, id: String, text: String, turn: u64) {
         match self.table.get(&id).map(|inst| inst.addr.clone()) {
-            Some(addr) => self.acts.push(Act::Request { service: service.to_owned(), id, addr, text }),
-            None => self.duty_event(service, Event::Row { id, word: Err(Silent::Refused) }),
+            Some(addr) => {
+                let ask = self.ask(service, &id, turn);
+                self.acts.push(Act::Request { ask, service: service.to_owned(), id, addr, text });
+            }
+            None => self.duty_event(service, turn, Event::Row { id, word: Err(Silent::Refused) }),
         }
     }
 
     /// A database's row came, or did not.
-    pub fn row(&mut self, service: &str, id: &str, word: Word, now: u64) {
+    pub fn row(&mut self, ask: u64, word: Word, now: u64) {
         self.at(now);
+        let Some(Asked { service, id, turn }) = self.calls.asks.remove(&ask) else { return };
         log::info!("duty {service}: row of {id}: {word:?}");
-        self.note_ended(id, word);
-        self.duty_event(service, Event::Row { id: id.to_owned(), word });
+        self.note_ended(&id, word);
+        self.duty_event(&service, turn, Event::Row { id, word });
         self.run_quorum();
     }
 
     /// The platform's return came, or did not.
-    pub fn posted(&mut self, service: &str, code: Option<u16>, now: u64) {
+    pub fn posted(&mut self, ask: u64, code: Option<u16>, now: u64) {
         self.at(now);
-        log::info!("duty {service}: platform returned {code:?}");
-        self.duty_event(service, Event::Posted(code));
+        let Some(Asked { service, id, turn }) = self.calls.asks.remove(&ask) else { return };
+        log::info!("duty {service}: platform returned {code:?} for {id}");
+        self.duty_event(&service, turn, Event::Posted(code));
         self.run_quorum();
     }
 
@@ -176,11 +197,12 @@
         self.calls.confirms.insert(service.to_owned(), self.now);
         let name = self.me.clone().into_bytes();
         let edit: wv_reg::Edit = Box::new(move |held| Some(wv_reg::cell(held.version + 1, name.clone())));
-        self.ask_register(service, Waiting::Claim(service.to_owned()), Some(edit));
+        let turn = self.turn(service);
+        self.ask_register(service, Waiting::Claim(service.to_owned(), turn), Some(edit));
     }
 
     /// Whoever held the duty before may have a call under way, unless it was this life's own last claim.
-    pub(crate) fn duty_claimed(&mut self, service: String, outcome: Outcome, before: &wv_inner::Cell) {
+    pub(crate) fn duty_claimed(&mut self, service: String, turn: u64, outcome: Outcome, before: &wv_inner::Cell) {
         let is_mine = |cell: &wv_inner::Cell| cell.value == self.me.as_bytes();
         let fence = match outcome {
             Outcome::Written(cell) if is_mine(&cell) => Some(cell.version),
@@ -190,7 +212,7 @@
         if let Some(fence) = fence {
             self.fences.insert(service.clone(), fence);
         }
-        self.duty_event(&service, Event::Claimed(fence.map(|fence| (fence, is_succession))));
+        self.duty_event(&service, turn, Event::Claimed(fence.map(|fence| (fence, is_succession))));
     }
 
     /// Whether the register still names this node under its own last fence.
@@ -199,8 +221,8 @@
         matches!(outcome, Outcome::Read(cell) if Some(cell.version) == fence && cell.value == self.me.as_bytes())
     }
 
-    pub(crate) fn duty_confirmed(&mut self, service: String, outcome: Outcome) {
+    pub(crate) fn duty_confirmed(&mut self, service: String, turn: u64, outcome: Outcome) {
         let is_ours = self.is_ours(&service, &outcome);
-        self.duty_event(&service, Event::Confirmed(is_ours));
+        self.duty_event(&service, turn, Event::Confirmed(is_ours));
     }
 }
--- a/crates/wv-control/src/exec.rs
+++ b/crates/wv-control/src/exec.rs
@@ -71,14 +71,14 @@
             Act::Dial { link, addr } => {
                 tokio::task::spawn_local(self.clone().dial(link, addr));
             }
-            Act::Request { service, id, addr, text } => {
-                tokio::task::spawn_local(self.clone().ask_db(service, id, addr, text));
+            Act::Request { ask, service, id, addr, text } => {
+                tokio::task::spawn_local(self.clone().ask_db(ask, service, id, (addr, text)));
             }
             Act::Run { run, service, id, addr, texts } => {
                 tokio::task::spawn_local(self.clone().run_texts(run, service, (id, addr), texts));
             }
-            Act::Post { service, id, fence, until } => {
-                tokio::task::spawn_local(self.clone().post(service, id, fence, until));
+            Act::Post { ask, service, id, fence, until } => {
+                tokio::task::spawn_local(self.clone().post(ask, service, id, (fence, until)));
             }
             Act::Wake { us } => {
                 let node = self.clone();
--- a/crates/wv-control/src/fills.rs
+++ b/crates/wv-control/src/fills.rs
@@ -41,8 +41,8 @@
     pub looked_at: u64,
     told_at: u64,
     /// Who waits to hear that its names are kept: not yet in a write, and in the one under way.
-    acks: Vec<(String, u64)>,
-    acked: Vec<(String, u64)>,
+    acks: Vec<(String, u64, u64)>,
+    acked: Vec<(String, u64, u64)>,
     /// Calls of operators that wait until all is kept.
     pub calls: Vec<u64>,
 }
@@ -127,7 +127,7 @@
         if is_kept {
             // Whoever named only what was known already waits for nothing.
             let acks = std::mem::take(&mut held.fill.acks);
-            acks.into_iter().for_each(|(node, serial)| self.tell_filled(shard, &node, serial));
+            acks.into_iter().for_each(|ack| self.tell_filled(shard, ack));
         }
         if held.fill.told_at + TELL_US <= now {
             held.fill.told_at = now;
@@ -200,13 +200,14 @@
             let calls = std::mem::take(&mut held.fill.calls);
             return calls.into_iter().for_each(|token| self.ret(token, 503, cause("not kept, call again")));
         }
-        acked.into_iter().for_each(|(node, serial)| self.tell_filled(shard, &node, serial));
+        acked.into_iter().for_each(|ack| self.tell_filled(shard, ack));
         self.run_fill(shard);
     }
 
-    fn tell_filled(&mut self, shard: &str, node: &str, serial: u64) {
-        let msg = Msg::Filled { node: node.to_owned(), shard: shard.to_owned(), serial };
-        self.tell_node(node, msg);
+    /// Told of the report of this node's life under this serial: another life's may have the same one.
+    fn tell_filled(&mut self, shard: &str, (node, life, serial): (String, u64, u64)) {
+        let msg = Msg::Filled { node: node.clone(), shard: shard.to_owned(), life, serial };
+        self.tell_node(&node, msg);
     }
 
     /// A node's report: to the holder, or into what is held here.
@@ -219,9 +220,9 @@
         let Some(held) = self.shards.get_mut(&fill.shard).filter(|held| held.split.has_ballot()) else { return };
         held.fill.is_due |= held.fill.sample.merge(fill.entries) > 0;
         fill.names.iter().for_each(|name| held.split.names.add(name));
-        let ack = (node.to_owned(), fill.serial);
+        let ack = (node.to_owned(), fill.life, fill.serial);
         if held.split.names.is_kept() && !held.fill.is_putting {
-            return self.tell_filled(&fill.shard, node, fill.serial);
+            return self.tell_filled(&fill.shard, ack);
         }
         if !held.fill.acks.contains(&ack) {
             held.fill.acks.push(ack);
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -191,13 +191,14 @@
             Msg::Committed { key, accepted } if key == crate::core::CONF => self.committed(accepted),
             Msg::Lack { version } => self.take_lack(link, version),
             Msg::InForce(news) => self.take_in_force(addr, news),
-            Msg::Inst { request, inst } => {
+            Msg::Inst { asker, request, inst } => {
+                let id = inst.id.clone();
                 self.inst_from_peer(inst);
                 if request > 0 {
-                    self.send(link, Msg::InstHeld { request });
+                    self.send(link, Msg::InstHeld { asker, request, id });
                 }
             }
-            Msg::InstHeld { request } => self.inst_held(addr, request),
+            Msg::InstHeld { asker, request, id } => self.inst_held(addr, (asker, request), &id),
             Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
             Msg::Lead(lead) => self.lead_told(lead),
             Msg::Owner(owner) => self.owner_told(owner),
--- a/crates/wv-control/src/post.rs
+++ b/crates/wv-control/src/post.rs
@@ -35,6 +35,8 @@
 pub(crate) struct Calls {
     /// When each service's fence was last begun to be confirmed.
     pub confirms: BTreeMap<String, u64>,
+    /// What duties asked for, of databases too, and is not answered yet.
+    pub asks: BTreeMap<u64, crate::types::Asked>,
     waiting: Vec<Call>,
     pace: Pace,
     /// When one was made last, of whichever service.
@@ -43,6 +45,7 @@
 
 /// A call that waits for its turn, and is confirmed anew in it.
 pub(crate) struct Call {
+    ask: u64,
     due: u64,
     service: String,
     id: String,
@@ -61,19 +64,21 @@
             self.send_peers(&Msg::Promoting { service: service.clone(), id: id.clone(), us });
             self.publish(News::Promoting { service, id, us });
         }
+        let turn = self.turn(service);
+        let ask = self.ask(service, &id, turn);
         let wait = self.calls.pace.turn(self.now);
         let began = self.calls.confirms.get(service).copied().unwrap_or(0);
         if wait == 0 && began + CONFIRMED_US > self.now {
-            return self.call_platform(service, id, fence, began);
+            return self.call_platform(ask, service, id, (fence, began));
         }
-        self.calls.waiting.push(Call { due: self.now + wait, service: service.to_owned(), id, fence });
+        self.calls.waiting.push(Call { ask, due: self.now + wait, service: service.to_owned(), id, fence });
         self.acts.push(Act::Wake { us: wait.max(1) });
     }
 
-    fn call_platform(&mut self, service: &str, id: String, fence: u64, began: u64) {
+    fn call_platform(&mut self, ask: u64, service: &str, id: String, (fence, began): (u64, u64)) {
         self.calls.made_at = self.now;
         let until = began + CONFIRMED_US;
-        self.acts.push(Act::Post { service: service.to_owned(), id, fence, until });
+        self.acts.push(Act::Post { ask, service: service.to_owned(), id, fence, until });
     }
 
     /// Those whose turn has come are confirmed from here on.
@@ -93,21 +98,22 @@
         let began = self.calls.confirms.get(&call.service).copied().unwrap_or(0);
         let is_ours = self.is_ours(&call.service, &outcome) && self.fences.get(&call.service) == Some(&call.fence);
         if is_ours && began + CONFIRMED_US > self.now {
-            return self.call_platform(&call.service, call.id, call.fence, began);
+            return self.call_platform(call.ask, &call.service, call.id, (call.fence, began));
         }
-        self.unsent(&call.service);
+        self.unsent(call.ask);
     }
 
     /// The call was not made: its confirmation is too old, or its fence another's.
-    fn unsent(&mut self, service: &str) {
-        self.duty_event(service, Event::Confirmed(false));
+    fn unsent(&mut self, ask: u64) {
+        let Some(asked) = self.calls.asks.remove(&ask) else { return };
+        log::warn!("duty {}: no call under a confirmation that is over", asked.service);
+        self.duty_event(&asked.service, asked.turn, Event::Confirmed(false));
     }
 
     /// The same, from the one that was to make it.
-    pub fn late(&mut self, service: &str, now: u64) {
+    pub fn late(&mut self, ask: u64, now: u64) {
         self.at(now);
-        log::warn!("duty {service}: no call under a confirmation that is over");
-        self.unsent(service);
+        self.unsent(ask);
         self.run_quorum();
     }
 }
--- a/crates/wv-control/src/request.rs
+++ b/crates/wv-control/src/request.rs
@@ -60,25 +60,27 @@
 }
 
 impl Node {
-    pub(crate) async fn ask_db(self, service: String, id: String, addr: String, text: String) {
+    pub(crate) async fn ask_db(self, ask: u64, service: String, id: String, (addr, text): (String, String)) {
         let word = match addr.parse() {
             Ok(addr) => {
                 tokio::time::timeout(ASK, request(addr, &service, &id, &text)).await.unwrap_or(Err(Silent::Dark))
             }
             Err(_) => Err(Silent::Dark),
         };
-        self.with(|core, now| core.row(&service, &id, word, now));
+        self.with(|core, now| core.row(ask, word, now));
     }
 
-    pub(crate) async fn post(self, service: String, id: String, fence: u64, until: u64) {
-        let Some(platform) = self.platform.clone() else { return };
+    pub(crate) async fn post(self, ask: u64, service: String, id: String, (fence, until): (u64, u64)) {
+        let Some(platform) = self.platform.clone() else {
+            return self.with(|core, now| core.posted(ask, None, now));
+        };
         // A process that stood still since must not make a call that another holder may have overtaken.
         if self.now() > until {
-            return self.with(|core, now| core.late(&service, now));
+            return self.with(|core, now| core.late(ask, now));
         }
         let headers = [("X-Duty-Holder", self.name.clone()), ("X-Fence-Number", fence.to_string())];
         let body = serde_json::json!({ "destination": service, "id": id }).to_string().into_bytes();
         let code = wv_http::call(platform.addr, "POST", "/promotion", &headers, body, POST).await.ok();
-        self.with(|core, now| core.posted(&service, code, now));
+        self.with(|core, now| core.posted(ask, code, now));
     }
 }
--- a/crates/wv-control/src/shards.rs
+++ b/crates/wv-control/src/shards.rs
@@ -180,13 +180,13 @@
             self.send_peer(&holder, Msg::PeerMarks { node: node.to_owned(), marks });
             return;
         }
-        let (shard, attempt, serial) = (marks.shard.clone(), marks.attempt, marks.serial);
+        let (shard, attempt, life, serial) = (marks.shard.clone(), marks.attempt, marks.life, marks.serial);
         // Before the ballot is had nobody can say what the marks are for: the node sends them again.
         if !self.shards.get(&shard).is_some_and(|held| held.split.has_ballot()) {
             return;
         }
         self.shard_event(&shard, Event::Marks { node: node.to_owned(), marks });
-        self.tell_node(node, Msg::Marked { node: node.to_owned(), shard, attempt, serial });
+        self.tell_node(node, Msg::Marked { node: node.to_owned(), shard, attempt, life, serial });
     }
 
     /// A word for one access node: on its session here, or through the control node that holds it.
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -20,8 +20,9 @@
         status: u16,
         body: Vec<u8>,
     },
-    /// Ask a database of `service` something of the control side; the row comes back as an event.
+    /// Ask a database of `service` something of the control side; the row comes back as an event, with this number.
     Request {
+        ask: u64,
         service: String,
         id: String,
         addr: String,
@@ -39,8 +40,9 @@
     Wake {
         us: u64,
     },
-    /// `POST /promotion` under the fence; its return comes back as an event.
+    /// `POST /promotion` under the fence, once; its return comes back as an event, with this number.
     Post {
+        ask: u64,
         service: String,
         id: String,
         fence: u64,
@@ -100,6 +102,13 @@
     pub conf: u64,
 }
 
+/// What a duty asked of a database or of the platform, and in which of its steps; 0 where no step waits for it.
+pub(crate) struct Asked {
+    pub service: String,
+    pub id: String,
+    pub turn: u64,
+}
+
 pub(crate) enum Waiting {
     /// An order to take a configuration.
     Put(crate::order::Order),
@@ -108,8 +117,9 @@
     Sync(u64),
     /// The map of a shard whose plan an order drops.
     Judge(u64, String),
-    Claim(String),
-    Confirm(String),
+    /// A duty's register, and the duty's step that waits for it.
+    Claim(String, u64),
+    Confirm(String, u64),
     /// A call to the platform whose turn has come.
     Call(Box<crate::post::Call>),
     Own(String),
@@ -131,6 +141,7 @@
     pub token: u64,
     pub request: u64,
     pub id: String,
+    /// The control nodes that hold it too.
     pub held: std::collections::BTreeSet<String>,
     pub limit: u64,
 }
--- a/crates/wv-control/src/voters.rs
+++ b/crates/wv-control/src/voters.rs
@@ -133,8 +133,9 @@
         let fence = (((self.met.max(self.seat.fence) >> 16) + 1) << 16) | own;
         log::warn!("set {} is to follow: {}", next.number, next.addrs().collect::<Vec<_>>().join(" "));
         self.changed = self.now;
-        // No two attempts have the same fence: it is also what answers are known by.
-        self.change = Some(Change::new(fence, fence, self.seat.voters.clone(), next, self.now));
+        // Answers are known by the number, not by the fence: two lives of one node may come upon the same fence.
+        let request = self.quorum.next_request();
+        self.change = Some(Change::new(request, fence, self.seat.voters.clone(), next, self.now));
         self.run_voters();
     }
 
--- a/crates/wv-control/tests/alone/mod.rs
+++ b/crates/wv-control/tests/alone/mod.rs
@@ -152,7 +152,7 @@
             Some(Msg::Peers { addrs: Vec::new(), zones: Vec::new(), voters, before: wv_inner::Voters::default() })
         }
         Msg::Recap { asker, request, .. } => Some(Msg::Recapped { asker, request }),
-        Msg::Inst { request, .. } if request > 0 => Some(Msg::InstHeld { request }),
+        Msg::Inst { asker, request, inst } if request > 0 => Some(Msg::InstHeld { asker, request, id: inst.id }),
         _ => None,
     }
 }
--- a/crates/wv-fleet/src/controls.rs
+++ b/crates/wv-fleet/src/controls.rs
@@ -71,7 +71,7 @@
             ControlAct::Return { token, status, body } => {
                 self.returns.insert(token, (status, body));
             }
-            ControlAct::Request { service, id, text, .. } => {
+            ControlAct::Request { ask, id, text, .. } => {
                 let is_open = |base: &usize| {
                     let held = &self.bases[*base];
                     !held.is_dark && !self.is_cut(&self.controls[at].name, &held.id)
@@ -83,10 +83,10 @@
                 };
                 self.note(format!("{} requests {id}: {text}", self.controls[at].name));
                 let wait = if word.is_ok() { 15 * MS } else { 100 * MS };
-                self.put(wait, Ev::Row { control: at, life: self.controls[at].life, service, id, word });
+                self.put(wait, Ev::Row { control: at, life: self.controls[at].life, ask, word });
             }
             ControlAct::Run { run, id, texts, .. } => self.run_texts(at, run, &id, &texts),
-            ControlAct::Post { service, id, fence, .. } => self.post(at, service, id, fence),
+            ControlAct::Post { ask, service, id, fence, .. } => self.post(at, ask, service, (id, fence)),
         }
     }
 }
--- a/crates/wv-fleet/src/events.rs
+++ b/crates/wv-fleet/src/events.rs
@@ -60,14 +60,13 @@
     Row {
         control: usize,
         life: u64,
-        service: String,
-        id: String,
+        ask: u64,
         word: wv_promo::Word,
     },
     Posted {
         control: usize,
         life: u64,
-        service: String,
+        ask: u64,
         code: Option<u16>,
     },
     Promote {
@@ -204,11 +203,11 @@
             Ev::LinkDown { end } => self.link_down(end),
             Ev::Row { control, life, .. } | Ev::Posted { control, life, .. } if self.controls[control].life != life => {
             }
-            Ev::Row { control, service, id, word, .. } => {
-                self.with_control(control, |core, now| core.row(&service, &id, word, now));
+            Ev::Row { control, ask, word, .. } => {
+                self.with_control(control, |core, now| core.row(ask, word, now));
             }
-            Ev::Posted { control, service, code, .. } => {
-                self.with_control(control, |core, now| core.posted(&service, code, now));
+            Ev::Posted { control, ask, code, .. } => {
+                self.with_control(control, |core, now| core.posted(ask, code, now));
             }
             Ev::Promote { base } => self.promote(base),
             Ev::Free { base, conn } => {
--- a/crates/wv-fleet/src/links.rs
+++ b/crates/wv-fleet/src/links.rs
@@ -101,11 +101,11 @@
                 self.weigh(&name, &msg);
                 match msg {
                     Msg::Beat { .. } | Msg::Peers { .. } => {}
-                    Msg::Marked { shard, attempt, serial, .. } => {
-                        self.with_access(at, |core, now| core.marked(&shard, attempt, serial, now));
+                    Msg::Marked { shard, attempt, life, serial, .. } => {
+                        self.with_access(at, |core, now| core.marked(&shard, attempt, (life, serial), now));
                     }
-                    Msg::Filled { shard, serial, .. } => {
-                        self.with_access(at, |core, now| core.filled(&shard, serial, now));
+                    Msg::Filled { shard, life, serial, .. } => {
+                        self.with_access(at, |core, now| core.filled(&shard, (life, serial), now));
                     }
                     msg => {
                         let is_fed = self.with_access(at, |core, now| core.feed(msg, now).is_ok());
--- a/crates/wv-fleet/src/states.rs
+++ b/crates/wv-fleet/src/states.rs
@@ -95,7 +95,7 @@
         self.access.iter_mut().filter_map(|node| node.core.as_mut()).for_each(|core| core.set_ease(plan));
     }
 
-    pub(crate) fn post(&mut self, control: usize, service: String, id: String, fence: u64) {
+    pub(crate) fn post(&mut self, control: usize, ask: u64, service: String, (id, fence): (String, u64)) {
         let base = self.base(&id);
         let seen = self.fences.get(&service).copied().unwrap_or(0);
         let code = match base.map(|at| &self.bases[at]) {
@@ -115,7 +115,7 @@
         if let Some(base) = base.filter(|_| code == Some(200)) {
             self.put(self.promote_us, Ev::Promote { base });
         }
-        self.put(if code.is_some() { 3 * MS } else { 1200 * MS }, Ev::Posted { control, life, service, code });
+        self.put(if code.is_some() { 3 * MS } else { 1200 * MS }, Ev::Posted { control, life, ask, code });
     }
 
     /// A call of the operator or of a database to one control node.
--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -143,12 +143,16 @@
         key: String,
         accepted: Ballot,
     },
+    /// `request` 0 wants no answer.
     Inst {
+        asker: u64,
         request: u64,
         inst: Inst,
     },
     InstHeld {
+        asker: u64,
         request: u64,
+        id: String,
     },
     /// Tell what stands in no register, to one that was out of contact: databases in ranges that differ, leads, owners.
     Recap {
@@ -191,6 +195,7 @@
         node: String,
         shard: String,
         attempt: u64,
+        life: u64,
         serial: u64,
     },
     Fill(Fill),
@@ -201,6 +206,7 @@
     Filled {
         node: String,
         shard: String,
+        life: u64,
         serial: u64,
     },
     /// What the holder of a planned shard shows of it to operators.
--- a/crates/wv-inner/src/slots.rs
+++ b/crates/wv-inner/src/slots.rs
@@ -106,6 +106,8 @@
 #[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
 pub struct Fill {
     pub shard: String,
+    /// The life of the node that made it.
+    pub life: u64,
     pub serial: u64,
     pub entries: Vec<Entry>,
     pub names: Vec<String>,
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -1,3 +1,4 @@
+use crate::steps::replicas;
 use crate::Word;
 use crate::{Order, View};
 use std::collections::BTreeMap;
@@ -12,10 +13,10 @@
 const WATCH_GAP_US: u64 = 300_000;
 const WATCH_US: u64 = 2_500_000;
 /// After an attempt that led nowhere.
-const PAUSE_FIRST_US: u64 = 150_000;
+pub(crate) const PAUSE_FIRST_US: u64 = 150_000;
 /// Between looks at a lead that some doubt and that answers.
-const PAUSE_UP_US: u64 = 500_000;
-const PAUSE_LAST_US: u64 = 1_200_000;
+pub(crate) const PAUSE_UP_US: u64 = 500_000;
+pub(crate) const PAUSE_LAST_US: u64 = 1_200_000;
 
 #[derive(Clone, PartialEq, Debug)]
 pub(crate) enum Step {
@@ -78,8 +79,10 @@
     /// The look under way comes before the platform is shown the new fence.
     pub(crate) is_fencing: bool,
     pub(crate) term: u64,
-    pause: u64,
+    pub(crate) pause: u64,
     was_holder: bool,
+    /// Counts the steps: what was asked in an earlier one is answered too late.
+    turn: u64,
     pub(crate) orders: Vec<Order>,
 }
 
@@ -97,6 +100,7 @@
             term: 0,
             pause: PAUSE_FIRST_US,
             was_holder: false,
+            turn: 1,
             orders: Vec::new(),
         }
     }
@@ -107,6 +111,16 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// The step under way, by number: an event counts only in the step whose orders it answers.
+    pub fn turn(&self) -> u64 {
+        self.turn
+    }
+
+    pub(crate) fn enter(&mut self, step: Step) {
+        self.turn += 1;
+        self.step = step;
+    }
+
     /// Something may have to be undone when another comes to hold it.
     pub fn is_engaged(&self) -> bool {
         self.was_holder
@@ -128,7 +142,7 @@
         if !view.is_holder {
             // Another node holds the duty: what was begun here is its to finish or to undo.
             if self.was_holder {
-                *self = Duty::default();
+                *self = Duty { turn: self.turn + 1, ..Duty::default() };
             }
             return;
         }
@@ -183,7 +197,7 @@
             self.pause = PAUSE_FIRST_US;
         } else {
             self.orders.push(Order::Look { id: lead.to_owned() });
-            self.step = Step::Probing { limit: view.now + ROWS_US };
+            self.enter(Step::Probing { limit: view.now + ROWS_US });
         }
     }
 
@@ -192,13 +206,13 @@
         if view.is_lead_down {
             return self.claim(view.now);
         }
-        self.step = Step::Agreeing { limit: view.now + AGREE_US };
+        self.enter(Step::Agreeing { limit: view.now + AGREE_US });
     }
 
     pub(crate) fn claim(&mut self, now: u64) {
         self.is_fencing = false;
         self.orders.push(Order::Claim);
-        self.step = Step::Claiming { limit: now + CLAIM_US };
+        self.enter(Step::Claiming { limit: now + CLAIM_US });
     }
 
     pub(crate) fn look_all(&mut self, view: &View<'_>) {
@@ -206,11 +220,11 @@
         self.is_relooked = false;
         self.asked = replicas(view);
         self.orders.extend(self.asked.iter().map(|id| Order::Look { id: id.clone() }));
-        self.step = Step::Looking { limit: view.now + ROWS_US };
+        self.enter(Step::Looking { limit: view.now + ROWS_US });
     }
 
     pub(crate) fn watch(&mut self, nominee: String, now: u64) {
-        self.step = Step::Watching { nominee, next: now + WATCH_GAP_US, limit: now + WATCH_US };
+        self.enter(Step::Watching { nominee, next: now + WATCH_GAP_US, limit: now + WATCH_US });
     }
 
     pub(crate) fn done(&mut self, id: &str, term: Option<u64>, now: u64) {
@@ -227,30 +241,4 @@
             }
         }
     }
-
-    pub(crate) fn rest(&mut self, now: u64) {
-        (self.pause, self.is_cautious) = (PAUSE_FIRST_US, false);
-        self.step = Step::Rest { until: now + PAUSE_FIRST_US };
-    }
-
-    pub(crate) fn rest_longer(&mut self, now: u64) {
-        self.pause = (self.pause * 2).min(PAUSE_UP_US);
-        self.step = Step::Rest { until: now + self.pause };
-    }
-
-    /// Nothing is left suspended behind an attempt that led nowhere.
-    pub(crate) fn give_up(&mut self, now: u64) {
-        self.release(None);
-        self.is_cautious = true;
-        self.step = Step::Rest { until: now + self.pause };
-        self.pause = (self.pause * 2).min(PAUSE_LAST_US);
-    }
-}
-
-pub(crate) fn replicas(view: &View<'_>) -> Vec<String> {
-    view.seats
-        .iter()
-        .filter(|seat| Some(seat.id.as_str()) != view.lead && seat.is_asked())
-        .map(|seat| seat.id.clone())
-        .collect()
 }
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -1,5 +1,5 @@
 //! Events of a promotion under way.
-use crate::duty::{replicas, Step, CLAIM_US, POST_US, ROWS_US};
+use crate::duty::{Step, CLAIM_US, PAUSE_FIRST_US, PAUSE_LAST_US, PAUSE_UP_US, POST_US, ROWS_US};
 use crate::{nominate, Duty, Event, Order, Verdict, View};
 
 impl Step {
@@ -70,13 +70,13 @@
             (Step::Showing { lead, .. }, Event::Confirmed(true)) => {
                 if let Some(fence) = self.fence {
                     self.orders.push(Order::Post { id: lead, fence });
-                    self.step = Step::Fencing { limit: now + POST_US };
+                    self.enter(Step::Fencing { limit: now + POST_US });
                 }
             }
             (Step::Confirming { nominee, .. }, Event::Confirmed(true)) => {
                 if let Some(fence) = self.fence {
                     self.orders.push(Order::Post { id: nominee.clone(), fence });
-                    self.step = Step::Posting { nominee, limit: now + POST_US };
+                    self.enter(Step::Posting { nominee, limit: now + POST_US });
                 }
             }
             // Another has it; or a call was not made, because its confirmation was over when its turn came.
@@ -143,7 +143,7 @@
         // To show the fence is a call like any other: not once somebody has a higher one.
         if let Some(lead) = view.lead.filter(|_| std::mem::take(&mut self.is_fencing)) {
             self.orders.push(Order::Confirm);
-            self.step = Step::Showing { lead: lead.to_owned(), limit: view.now + CLAIM_US };
+            self.enter(Step::Showing { lead: lead.to_owned(), limit: view.now + CLAIM_US });
             return;
         }
         let lead = view.lead;
@@ -165,7 +165,7 @@
             self.orders.push(Order::Suspend { id: id.clone(), term: self.term + 1 });
             self.suspended.push(id);
         }
-        self.step = Step::Suspending { limit: view.now + ROWS_US };
+        self.enter(Step::Suspending { limit: view.now + ROWS_US });
     }
 
     /// All others are suspended: whoever has received most leads on.
@@ -177,7 +177,7 @@
                     self.rows.keys().filter(|id| **id != nominee && !self.suspended.contains(id)).cloned().collect();
                 if loose.is_empty() {
                     self.orders.push(Order::Confirm);
-                    self.step = Step::Confirming { nominee, limit: view.now + CLAIM_US };
+                    self.enter(Step::Confirming { nominee, limit: view.now + CLAIM_US });
                     return;
                 }
                 // While the primary lives the one left receiving is ahead again at once: its row is only older.
@@ -187,7 +187,7 @@
                         self.orders.push(Order::Look { id: id.clone() });
                     });
                     self.asked = loose;
-                    self.step = Step::Suspending { limit: view.now + ROWS_US };
+                    self.enter(Step::Suspending { limit: view.now + ROWS_US });
                     return;
                 }
                 self.suspend(loose, view);
@@ -195,4 +195,30 @@
             Verdict::Blocked => self.give_up(view.now),
         }
     }
+
+    pub(crate) fn rest(&mut self, now: u64) {
+        (self.pause, self.is_cautious) = (PAUSE_FIRST_US, false);
+        self.enter(Step::Rest { until: now + PAUSE_FIRST_US });
+    }
+
+    pub(crate) fn rest_longer(&mut self, now: u64) {
+        self.pause = (self.pause * 2).min(PAUSE_UP_US);
+        self.enter(Step::Rest { until: now + self.pause });
+    }
+
+    /// Nothing is left suspended behind an attempt that led nowhere.
+    pub(crate) fn give_up(&mut self, now: u64) {
+        self.release(None);
+        self.is_cautious = true;
+        self.enter(Step::Rest { until: now + self.pause });
+        self.pause = (self.pause * 2).min(PAUSE_LAST_US);
+    }
+}
+
+pub(crate) fn replicas(view: &View<'_>) -> Vec<String> {
+    view.seats
+        .iter()
+        .filter(|seat| Some(seat.id.as_str()) != view.lead && seat.is_asked())
+        .map(|seat| seat.id.clone())
+        .collect()
 }
--- a/crates/wv-reg/src/quorum.rs
+++ b/crates/wv-reg/src/quorum.rs
@@ -18,6 +18,11 @@
 /// Cells over this are remembered, so that voters need not send them again.
 const LONG: usize = 1 << 10;
 
+/// Where a life's numbers begin: spread over all there are, and unlike the number of the life itself.
+fn first_request(who: u64) -> u64 {
+    who.wrapping_mul(0xd6e8_feb8_6659_fd93).rotate_left(29)
+}
+
 /// Runs reads and edits over the voters; the caller carries the messages.
 #[derive(Clone, Debug)]
 pub struct Quorum {
@@ -40,7 +45,7 @@
             voters: Voters::default(),
             who,
             round: 0,
-            next_request: 0,
+            next_request: first_request(who),
             seed: who | 1,
             lines: BTreeMap::new(),
             known: BTreeMap::new(),
@@ -72,8 +77,9 @@
         self.who
     }
 
+    /// Numbers of another life are never ours: each begins somewhere of its own. 0 is none.
     pub fn next_request(&mut self) -> u64 {
-        self.next_request += 1;
+        self.next_request = self.next_request.wrapping_add(1).max(1);
         self.next_request
     }
 
--- a/crates/wv-reg/tests/change.rs
+++ b/crates/wv-reg/tests/change.rs
@@ -149,3 +149,29 @@
     let next = plan(&set(4, &["a", "b", "c", "d", "e"]), &down, away);
     expect_that!((has(&next, "a"), has(&next, "c")), eq((false, true)));
 }
+
+#[gtest]
+fn given_words_under_another_number_or_of_a_stranger_then_they_count_for_nothing_and_end_nothing() {
+    let from = set(1, &["a", "b", "c"]);
+    let mut change = Change::new(7, 300, from, set(2, &["a", "b", "x"]), 0);
+    for (voter, request) in [("b", 6), ("b", 300), ("x", 7)] {
+        expect_that!(change.claimed(voter, request, true, 300, None), none());
+    }
+    expect_that!(change.claimed("b", 6, false, 900, None), none());
+    change.claimed("a", 7, true, 300, None);
+    let is_claiming = |msgs: &[(String, Msg)]| msgs.iter().all(|(_, msg)| matches!(msg, Msg::Claim { .. }));
+    expect_that!(is_claiming(&change.tick(1_000_000).unwrap_or_default()), eq(true), "one voter of three has answered");
+}
+
+#[gtest]
+fn given_two_lives_then_no_number_of_the_one_is_ever_one_of_the_other() {
+    let numbers = |who: u64| {
+        let mut quorum = wv_reg::Quorum::new(who);
+        (0..1_000).map(|_| quorum.next_request()).collect::<std::collections::BTreeSet<u64>>()
+    };
+    let lives: Vec<_> = [1u64, 2, 3, 77, 1 << 63, u64::MAX].map(numbers).into_iter().collect();
+    for (at, one) in lives.iter().enumerate() {
+        expect_that!(one.contains(&0), eq(false));
+        expect_that!(lives[at + 1..].iter().any(|other| !one.is_disjoint(other)), eq(false));
+    }
+}
