A connection out of step meets nobody; what is tried again and again ends in its client's time

Bytes behind an answer were read as the answer to the client that got the freed connection next; half a line stayed in a resting connection's buffer. A torn answer joined with the next one passed as whole without a stamp. An own statement that failed ahead of a client's left that client without any answer for ever, as did a second limit. Rows that had gone out were sent again where the read was torn. Returns to own statements that never come held their places for ever. A connection whose answers do not match what was asked is closed and nothing of it believed.

What could not be answered in that time is refused, and limits leave a hundredth for the way back. A node that leaves answers for what is still open at seven eighths of its grace instead of ending at three quarters without a word.

--- a/crates/wv-access/src/answer.rs
+++ b/crates/wv-access/src/answer.rs
@@ -66,6 +66,9 @@
         if verb == Verb::Commit {
             client.txn = None;
         }
+        if client.txn.is_none() {
+            client.tries_since = None;
+        }
         client.out.extend_from_slice(&client.request.ret);
         put_idle(&mut client.out, state, pos);
         self.acts.push(Act::WriteClient(id));
@@ -81,7 +84,10 @@
         client.request.is_open = false;
         let tenant = client.tenant;
         self.close_share(tenant);
+        let now = self.now;
         let Some(client) = self.clients.get_mut(&id) else { return };
+        let begun = client.txn.as_ref().map_or(client.request.at, |txn| txn.at);
+        client.tries_since = Some((client.tries_since.map_or(begun, |(first, _)| first), now));
         // Rows went out already: nothing but a cut says clearly that the rest does not come.
         if client.request.is_streamed {
             return self.close_client(id);
@@ -192,6 +198,8 @@
             return self.fail(id, Code::Expired, "over the route's limit", b'I');
         }
         held.into_iter().for_each(|held| self.strand(held));
+        // Whatever became of the connection: at its limit each request is answered.
+        self.strand_request(id, number);
     }
 }
 
--- a/crates/wv-access/src/care.rs
+++ b/crates/wv-access/src/care.rs
@@ -1,6 +1,6 @@
 //! The small regular care of pools, and configurations as they come into force.
 use crate::core::Core;
-use crate::types::Phase;
+use crate::types::{Db, Expect, Phase, What};
 use std::rc::Rc;
 use wv_check::{Spot, State};
 
@@ -15,6 +15,9 @@
 const USED_TIGHT_US: u64 = 10_000_000;
 /// A database with work that says nothing for this long is looked at.
 const SILENT_US: u64 = 250_000;
+/// An own statement that no client waits for, a set-up too, is taken for lost after this.
+const OWN_US: u64 = 3_000_000;
+
 impl Core {
     pub(crate) fn take_conf(&mut self, version: u64, body: Result<Vec<u8>, wv_pack::PackError>) {
         let held = self.conf.clone();
@@ -58,6 +61,7 @@
         self.end_eases();
         self.trim();
         self.listen_out();
+        self.end_unanswered();
         self.serve_stranded();
         self.serve_waiting_anywhere();
         self.leave_on();
@@ -102,6 +106,17 @@
         }
     }
 
+    /// Where the return to an own statement was lost the connection would be nobody's for ever, and its place taken.
+    fn end_unanswered(&mut self) {
+        let is_own = |expect: &Expect| !matches!(expect.what, What::Request { .. } | What::Begin { .. });
+        let is_lost = |held: &Db| {
+            held.expects.front().is_some_and(|expect| expect.sent + OWN_US < self.now)
+                && held.expects.iter().all(is_own)
+        };
+        let lost: Vec<u64> = self.dbs.iter().filter(|(_, held)| is_lost(held)).map(|(db, _)| *db).collect();
+        lost.into_iter().for_each(|db| self.break_db(db));
+    }
+
     pub(crate) fn care(&mut self) {
         if self.conf.is_none() {
             return;
--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -27,6 +27,7 @@
             awaited: None,
             is_closing: false,
             first_byte: self.now,
+            tries_since: None,
         };
         self.clients.insert(id, client);
         let wait = self.conf.as_ref().map_or(3_000_000, |conf| conf.limits.setup_us);
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -174,6 +174,8 @@
             tie: wv_pool::Tie::default(),
             expects: Default::default(),
             code: None,
+            is_stamped: false,
+            has_more: false,
             is_doubtful: false,
             holder: None,
             term: 0,
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -35,6 +35,7 @@
         let mut at = 0;
         while let Some((line, len)) = cut_line(&whole[at..]) {
             at += len;
+            self.dbs.get_mut(&db).into_iter().for_each(|held| held.has_more = at < whole.len());
             self.db_line(db, line, &whole[at - len..at]);
             if !self.dbs.contains_key(&db) {
                 return;
@@ -56,14 +57,18 @@
         match (DbLine::parse(line), expect.what) {
             (DbLine::Idle(state, pos), _) => {
                 held.expects.pop_front();
+                // More than was asked for: this may be the second answer to something, and what follows the right one.
+                // Nothing of it is to meet whoever uses the connection next.
+                held.is_doubtful |= held.has_more && held.expects.is_empty();
                 let code = held.code.take();
                 self.finish(db, expect, code, state, pos);
             }
             (DbLine::Error(code, _), What::Setup) => self.setup_refused(db, code),
             (DbLine::Error(code, text), _) => {
                 held.code = Some(code);
-                if let What::Request { client, .. } = expect.what {
-                    if let Some(client) = self.clients.get_mut(&client) {
+                if let What::Request { client, number } = expect.what {
+                    let client = self.clients.get_mut(&client).filter(|client| client.request.number == number);
+                    if let Some(client) = client {
                         client.request.ret.clear();
                         client.request.ret.extend_from_slice(text);
                     }
@@ -72,7 +77,13 @@
             // A client's statement is never returned without a stamp: this belongs to what was sent behind it, its
             // own return was lost, and the connection is out of step.
             (DbLine::Complete(b"-"), What::Request { .. }) => self.break_db(db),
-            (DbLine::Row(_) | DbLine::Complete(_), What::Request { client, number }) => {
+            // Nor do own statements have one: theirs was lost, and this is the client's.
+            (DbLine::Complete(text), What::Sync | What::Abort | What::Probe) if text != b"-" => self.break_db(db),
+            (told @ (DbLine::Row(_) | DbLine::Complete(_)), What::Request { client, number }) => {
+                // A torn line and the next one read as one: a stamp is a single word.
+                if let DbLine::Complete(stamp) = told {
+                    held.is_stamped = !stamp.is_empty() && !stamp.contains(&b' ');
+                }
                 let Some(held) = self.clients.get_mut(&client).filter(|held| held.request.number == number) else {
                     return;
                 };
@@ -124,6 +135,7 @@
         let spot = held.spot;
         match expect.what {
             What::Setup => {
+                held.phase = crate::types::Phase::Busy;
                 if let Some(pool) = self.pools.get_mut(&spot) {
                     pool.opening = pool.opening.saturating_sub(1);
                     (pool.fails, pool.not_before) = (0, 0);
@@ -156,8 +168,11 @@
                 self.free_db(db);
             }
             What::Request { client, number } => {
-                if held.is_doubtful {
-                    return self.break_db(db);
+                let is_stamped = std::mem::take(&mut held.is_stamped);
+                // Run with other values than the client's, torn, or not surely its own: nobody may believe it.
+                if held.is_doubtful || (code.is_none() && !is_stamped) {
+                    self.break_db(db);
+                    return self.strand_request(client, number);
                 }
                 let kind = self.clients.get(&client).map_or(0, |client| client.request.kind());
                 if let Some(pool) = self.pools.get_mut(&spot) {
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -110,25 +110,41 @@
     pub fn is_done(&self) -> bool {
         self.leaving_since.is_some_and(|since| {
             let gone = self.now.saturating_sub(since);
-            gone > self.grace_us * 3 / 4 || (gone > self.grace_us / 2 && self.clients.is_empty())
+            gone > self.grace_us * 15 / 16 || (gone > self.grace_us / 2 && self.clients.is_empty())
         })
     }
 
     pub(crate) fn leave_on(&mut self) {
         let Some(since) = self.leaving_since else { return };
+        let gone = self.now.saturating_sub(since);
         // The platform needs two misses before it sends no more clients here.
-        if self.now < since + self.grace_us * 2 / 5 {
+        if gone < self.grace_us * 2 / 5 {
             return;
         }
-        let resting: Vec<u64> = self
-            .clients
-            .iter()
-            .filter(|(_, client)| !client.request.is_open && client.txn.is_none() && client.inbuf.is_empty())
-            .map(|(id, _)| *id)
-            .collect();
+        // Nobody is left without an answer: what is still open shortly before the end is answered for as at its limit.
+        if gone >= self.grace_us * 7 / 8 {
+            let open = self.clients.iter().filter(|(_, client)| client.request.is_open);
+            for id in open.map(|(id, _)| *id).collect::<Vec<u64>>() {
+                self.end_now(id);
+            }
+        }
+        let is_late = gone >= self.grace_us * 3 / 4;
+        let is_resting = |client: &crate::types::Client| !client.request.is_open && client.inbuf.is_empty();
+        let resting = |(id, client): (&u64, &crate::types::Client)| {
+            (is_resting(client) && (is_late || client.txn.is_none())).then_some(*id)
+        };
+        let resting: Vec<u64> = self.clients.iter().filter_map(resting).collect();
         resting.into_iter().for_each(|id| self.close_client(id));
     }
 
+    fn end_now(&mut self, id: u64) {
+        let now = self.now;
+        let Some(request) = self.clients.get_mut(&id).map(|client| &mut client.request) else { return };
+        (request.limit, request.patience) = (now, now);
+        let number = request.number;
+        self.expire(id, number);
+    }
+
     /// Closes one idle connection that has served for long, so that no state gathers on either side for ever.
     pub fn recycle(&mut self, now: u64) {
         self.now = self.now.max(now);
--- a/crates/wv-access/src/offer.rs
+++ b/crates/wv-access/src/offer.rs
@@ -17,6 +17,11 @@
         if !self.clients.get(&id).is_some_and(|client| client.request.is_open) {
             return;
         }
+        let Some(client) = self.clients.get(&id) else { return };
+        let is_placed = client.txn.as_ref().is_some_and(|txn| txn.db.is_some() || txn.hand.is_some());
+        if !is_placed && client.request.is_at_end(self.now) {
+            return self.refuse(id);
+        }
         if self.is_gated(id) {
             return self.wait(id);
         }
@@ -133,7 +138,7 @@
         let Some(request) = self.clients.get(&id).map(|client| &client.request) else { return 0 };
         let Some(route) = request.route.as_ref() else { return request.at };
         let share = route.target_us / OFFER_SHARE;
-        request.waits_since + share - share / 8
+        (request.waits_since + share - share / 8).min(request.patience)
     }
 
     /// The time for waiting is over.
@@ -152,6 +157,10 @@
         let now = self.now;
         let Some(client) = self.clients.get_mut(&id) else { return };
         let request = &mut client.request;
+        // Rows of it went out: they must not come twice.
+        if request.is_streamed {
+            return self.fail(id, Code::Failed, "broken off", b'I');
+        }
         (request.db, request.queued, request.last_code) = (None, None, code.or(request.last_code));
         request.tries += 1;
         request.waits_since = now;
--- a/crates/wv-access/src/open.rs
+++ b/crates/wv-access/src/open.rs
@@ -1,11 +1,28 @@
 //! A statement that has to go to a database: opened, and offered for the first time.
 use crate::core::Core;
 use crate::timer::Timer;
+use crate::types::Request;
 use crate::types::Verb;
 use std::rc::Rc;
 use wv_conf::Route;
 use wv_wire::Code;
 
+/// Who was refused and is back within this, with nothing served meanwhile, tries the same thing again.
+const BACK_US: u64 = 500_000;
+
+/// An answer at the limit is one too late: it has its way to go. What is not placed by then is refused, what is under
+/// way is answered for.
+fn last_us(expiry_us: u64) -> u64 {
+    expiry_us - expiry_us / 100
+}
+
+impl Request {
+    /// No answer of a database would reach the client in its time.
+    pub fn is_at_end(&self, now: u64) -> bool {
+        now >= self.patience
+    }
+}
+
 impl Core {
     pub(crate) fn open_request(
         &mut self,
@@ -27,7 +44,11 @@
         request.id.extend_from_slice(query);
         request.text.clear();
         text.iter().for_each(|part| request.text.extend_from_slice(part));
-        (request.verb, request.shape, request.at, request.limit) = (Some(verb), shape, now, now + route.expiry_us);
+        let time = last_us(route.expiry_us);
+        (request.verb, request.shape, request.at, request.limit) = (Some(verb), shape, now, now + time);
+        let since = client.tries_since.filter(|(first, told)| told + BACK_US > now && first + route.expiry_us > now);
+        client.tries_since = since;
+        request.patience = since.map_or(now, |(first, _)| first) + time;
         (request.tries, request.db, request.queued, request.last_code, request.is_streamed) =
             (0, None, None, None, false);
         (request.hand, request.is_direct) = (None, false);
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -43,8 +43,10 @@
                 access.node.with(|core, now| core.recycle(now));
             }
             let is_done = access.node.with(|core, now| {
+                // Asked first: what the last round said has gone out by then.
+                let is_done = core.is_done();
                 core.housekeep(now);
-                core.is_done()
+                is_done
             });
             if is_done {
                 log::info!("left in order");
--- a/crates/wv-access/src/send.rs
+++ b/crates/wv-access/src/send.rs
@@ -134,7 +134,11 @@
             return self.send_text(id, db, "");
         }
         if !is_clean {
-            return self.break_db(db);
+            // Its values are not what they should be; nothing of the client's was sent there.
+            self.dbs.get_mut(&db).into_iter().for_each(|held| held.holder = None);
+            self.clients.get_mut(&id).and_then(|client| client.txn.as_mut()).into_iter().for_each(|txn| txn.db = None);
+            self.break_db(db);
+            return self.retry(id, None);
         }
         if code == Some(Code::ReadOnly) {
             self.distrust(db);
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -55,6 +55,8 @@
     pub shape: Option<u32>,
     pub at: u64,
     pub limit: u64,
+    /// When the client's own time is over, counted from its first try.
+    pub patience: u64,
     pub tries: u32,
     pub refused: Vec<Spot>,
     /// The connection it was sent on.
@@ -146,6 +148,8 @@
     pub txn: Option<Txn>,
     pub is_closing: bool,
     pub first_byte: u64,
+    /// Since when it tries in vain, and when it was last refused: it comes back for the same thing.
+    pub tries_since: Option<(u64, u64)>,
 }
 
 /// What the next lines of a database answer.
@@ -190,8 +194,11 @@
     pub out: Vec<u8>,
     pub tie: wv_pool::Tie,
     pub expects: std::collections::VecDeque<Expect>,
-    /// The error of what is being read, if one came.
+    /// The error of what is being read, if one came, and whether its stamp did.
     pub code: Option<Code>,
+    pub is_stamped: bool,
+    /// Bytes stand behind the line that is being read.
+    pub has_more: bool,
     /// Own statements did not go as they must, or nobody waits any more: close, never use again.
     pub is_doubtful: bool,
     /// The client whose transaction holds it.
