--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -36,6 +36,7 @@
 
 pub use crate::core::{Act, Core, Start};
 pub use run::run;
+pub use run_texts::run_texts;
 
 #[derive(thiserror::Error, Debug)]
 pub enum ControlError {
--- a/crates/wv-control/src/run_texts.rs
+++ b/crates/wv-control/src/run_texts.rs
@@ -57,19 +57,23 @@
     texts: &[String],
     replies: &mut Vec<Reply>,
 ) -> Option<()> {
+    // What came without being asked for would pass for the first of these replies, and each for the next one's.
+    if !buf.is_empty() {
+        return None;
+    }
     let mut out = Vec::new();
     texts.iter().for_each(|text| wv_wire::put_query(&mut out, b"-", &[text.as_bytes()]));
     stream.write_all(&out).await.ok()?;
     for _ in texts {
         replies.push(read(stream, buf).await?);
     }
-    Some(())
+    buf.is_empty().then_some(())
 }
 
 /// What follows a `BEGIN` is sent only once that has come back; all the rest goes out together, but for the last text.
 /// What was gone through comes back; `None` only where the last text, which ends the transaction, was sent and its end
-/// isn't known.
-async fn run(addr: &str, service: &str, id: &str, texts: &[String]) -> Option<Vec<Reply>> {
+/// isn't known. Nothing is ever sent a second time.
+pub async fn run_texts(addr: &str, service: &str, id: &str, texts: &[String]) -> Option<Vec<Reply>> {
     let (mut buf, mut replies) = (Vec::new(), Vec::new());
     let begin = texts.iter().position(|text| text == "BEGIN").map_or(0, |at| at + 1);
     let last = texts.len().saturating_sub(1).max(begin);
@@ -98,7 +102,7 @@
         (id, addr): (String, String),
         texts: Vec<String>,
     ) {
-        let replies = run(&addr, &service, &id, &texts).await;
+        let replies = run_texts(&addr, &service, &id, &texts).await;
         self.with(|core, now| core.ran(number, replies, now));
     }
 }
