--- a/crates/wv-access/tests/bounds.rs
+++ b/crates/wv-access/tests/bounds.rs
@@ -138,12 +138,13 @@
     bare.heard(first);
     bare.run(900 * MS);
     bare.db_says(db, "COMPLETE stamp-2\r\nIDLE T -\r\n", 1);
-    bare.run(500 * MS);
+    bare.run(650 * MS);
     bare.say(first, "QUERY t3 COMMIT");
     bare.heard(first);
     bare.run(700 * MS);
     expect_that!(bare.core.is_done(), eq(false), "a commit is at work");
-    bare.run(400 * MS);
+    // Its own limit would be later.
+    bare.run(200 * MS);
     expect_that!(bare.heard(first), starts_with("ERROR INDETERM"));
     expect_that!(bare.core.is_done(), eq(true));
     expect_that!(bare.count("COMMIT"), eq(1));
