--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -1,3 +1,4 @@
+use crate::steps::replicas;
 use crate::Word;
 use crate::{Order, View};
 use std::collections::BTreeMap;
@@ -246,11 +247,3 @@
         self.pause = (self.pause * 2).min(PAUSE_LAST_US);
     }
 }
-
-pub(crate) fn replicas(view: &View<'_>) -> Vec<String> {
-    view.seats
-        .iter()
-        .filter(|seat| Some(seat.id.as_str()) != view.lead && seat.is_asked())
-        .map(|seat| seat.id.clone())
-        .collect()
-}
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -1,5 +1,5 @@
 //! Events of a promotion under way.
-use crate::duty::{replicas, Step, CLAIM_US, POST_US, ROWS_US};
+use crate::duty::{Step, CLAIM_US, POST_US, ROWS_US};
 use crate::{nominate, Duty, Event, Order, Verdict, View};
 
 impl Step {
@@ -196,3 +196,11 @@
         }
     }
 }
+
+pub(crate) fn replicas(view: &View<'_>) -> Vec<String> {
+    view.seats
+        .iter()
+        .filter(|seat| Some(seat.id.as_str()) != view.lead && seat.is_asked())
+        .map(|seat| seat.id.clone())
+        .collect()
+}
--- a/crates/wv-promo/tests/fence_model/mod.rs
+++ b/crates/wv-promo/tests/fence_model/mod.rs
@@ -65,16 +65,6 @@
     }
 }
 
-fn word(event: &Event) -> String {
-    match event {
-        Event::Claimed(claimed) => format!("its claim of {}", claimed.map_or(0, |claimed| claimed.0)),
-        Event::Confirmed(true) => "that its fence stands".to_owned(),
-        Event::Confirmed(false) => "that its fence is another's".to_owned(),
-        Event::Row { id, .. } => format!("of {id}"),
-        Event::Posted(code) => format!("{}", code.unwrap_or(0)),
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Node {
     duty: Duty,
--- a/crates/wv-promo/tests/fence_model/steps.rs
+++ b/crates/wv-promo/tests/fence_model/steps.rs
@@ -1,6 +1,17 @@
 //! What may happen between nodes, register and platform.
-use super::{word, Step, World, LAPSE_US};
+use super::{Step, World, LAPSE_US};
 use std::hash::Hasher;
+use wv_promo::Event;
+
+fn word(event: &Event) -> String {
+    match event {
+        Event::Claimed(claimed) => format!("its claim of {}", claimed.map_or(0, |claimed| claimed.0)),
+        Event::Confirmed(true) => "that its fence stands".to_owned(),
+        Event::Confirmed(false) => "that its fence is another's".to_owned(),
+        Event::Row { id, .. } => format!("of {id}"),
+        Event::Posted(code) => format!("{}", code.unwrap_or(0)),
+    }
+}
 
 impl wv_search::Model for World {
     type Step = Step;
