--- a/crates/wv-fleet/tests/nemesis_found.rs
+++ b/crates/wv-fleet/tests/nemesis_found.rs
@@ -27,3 +27,20 @@
         }
     }
 }
+
+#[gtest]
+fn given_a_replica_that_said_only_that_it_is_gone_and_serves_on_then_nobody_is_promoted_past_what_it_acknowledged() {
+    let head = "nemesis seed=103885 access=2 core=3 thin=1 bound=beyond\n4.266 leave s1 for 0.021\n";
+    let rest = "8.219 tear c2 for 1.204\n8.446 storm c0 c1 by 3\n";
+    for dark in [347, 600, 1100] {
+        let day = format!("{head}{rest}8.401 dark s0 for {}.{:03}", dark / 1000, dark % 1000);
+        expect_that!(broken(&day), is_empty(), "{day}");
+    }
+}
+
+#[gtest]
+fn given_a_holder_that_comes_back_and_was_not_told_who_leads_then_the_lead_does_not_go_back() {
+    let day = "nemesis seed=101117 access=2 core=4 thin=0 bound=beyond\n\
+               6.419 tear c0 for 3.415\n7.625 deafen c1 for 0.573\n7.779 drain s0 for 2.580";
+    expect_that!(broken(day), is_empty());
+}
