--- a/crates/wv-inner/src/lib.rs
+++ b/crates/wv-inner/src/lib.rs
@@ -1,4 +1,11 @@
 //! What windvalve's own processes say to each other: nanoserde binary in length-prefixed frames.
+//!
+//! An answer belongs to its question by what it carries, not by the link that it comes over: the life that asked (a
+//! number drawn at random for each life of a process), the question's number in that life, and what it was about (the
+//! register, the set of voters, the database, the shard and its try, the hand and its ask). Whoever asked passes over
+//! all that does not match in each of these, and counts each speaker once. So an answer to an earlier question, to an
+//! earlier life or to somebody else means nothing, however late, however often and wherever it comes. A link adds one
+//! thing: what was asked over it is not answered any more once it has ended.
 mod frame;
 mod hand;
 mod handover;
@@ -6,57 +13,24 @@
 mod news;
 mod nodes;
 mod register;
+mod sight;
 mod slots;
 mod takeover;
 mod voters;
 
 pub use frame::{cut_frame, put_frame, InnerError, FRAME_MAX};
-pub use hand::Hand;
+pub use hand::{Hand, HandId};
 pub use handover::Handover;
 pub use inst::Inst;
 use nanoserde::{DeBin, SerBin};
 pub use news::News;
 pub use nodes::{Owner, Session};
 pub use register::{Ballot, Cell, Held, Step, Vote};
+pub use sight::{Lead, Sight, Sighting};
 pub use slots::{slot, Entry, Fill, Marks, Phase, Range, SlotMap, SLOTS};
 pub use takeover::{Known, Takeover};
 pub use voters::{Member, Voters};
 
-/// Who leads a service, as far as the control side knows; `term` 0 where only beats told it.
-#[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug, Default)]
-pub struct Lead {
-    pub service: String,
-    pub id: String,
-    pub term: u64,
-}
-
-/// How a database looks from one node.
-#[derive(SerBin, DeBin, Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Sight {
-    Up,
-    Refused,
-    Dark,
-    /// It has work and says nothing; not yet looked at.
-    Silent,
-    /// This node has no view of it any more.
-    Unseen,
-}
-
-/// One node's word on one database; `since_us` says how long the sighting has stood. Good words are told once and
-/// stand until they change; bad ones, and those on who leads, are told again and again.
-#[derive(SerBin, DeBin, Clone, PartialEq, Eq, Debug)]
-pub struct Sighting {
-    pub id: String,
-    pub sight: Sight,
-    pub since_us: u64,
-    /// How long ago anything came from it, `u64::MAX` where nothing did.
-    pub heard_ago_us: u64,
-    /// The newest place in a primary's log this node saw under a fence, as `TERM.NUMBER`.
-    pub fenced: String,
-    /// How long ago the statement that showed it was sent.
-    pub fenced_ago_us: u64,
-}
-
 #[derive(SerBin, DeBin, Clone, PartialEq, Debug)]
 pub enum Msg {
     /// First on each link: who speaks. `control` is its control address, empty for access nodes.
