--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -28,7 +28,7 @@
             },
         );
         self.send(link, self.peers_msg());
-        if self.is_leaving {
+        if self.is_leave_told {
             self.send(link, Msg::Leaving);
         }
         let ping = self.ping_msg();
@@ -38,7 +38,9 @@
             self.send(link, Msg::Digests { ranges: self.table.digests() });
         }
         self.send(link, Msg::Sessions { nodes: self.roster.sessions(self.now) });
-        // Whoever was away hears which shards changed hands meanwhile.
+        // Whoever was away hears who was promoted meanwhile, and which shards changed hands.
+        let leads: Vec<Msg> = self.feed.leads().filter(|lead| lead.term > 0).cloned().map(Msg::Lead).collect();
+        leads.into_iter().for_each(|lead| self.send(link, lead));
         let owners: Vec<Msg> = self.feed.owners().values().cloned().map(Msg::Owner).collect();
         owners.into_iter().for_each(|owner| self.send(link, owner));
         let maps: Vec<Msg> = self.feed.slots().values().cloned().map(Msg::Slots).collect();
@@ -189,13 +191,14 @@
             Msg::Committed { key, accepted } if key == crate::core::CONF => self.committed(accepted),
             Msg::Lack { version } => self.take_lack(link, version),
             Msg::InForce(news) => self.take_in_force(addr, news),
-            Msg::Inst { request, inst } => {
+            Msg::Inst { asker, request, inst } => {
+                let id = inst.id.clone();
                 self.inst_from_peer(inst);
                 if request > 0 {
-                    self.send(link, Msg::InstHeld { request });
+                    self.send(link, Msg::InstHeld { asker, request, id });
                 }
             }
-            Msg::InstHeld { request } => self.inst_held(addr, request),
+            Msg::InstHeld { asker, request, id } => self.inst_held(addr, (asker, request), &id),
             Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
             Msg::Lead(lead) => self.lead_told(lead),
             Msg::Owner(owner) => self.owner_told(owner),
--- a/crates/wv-promo/tests/fence_model/steps.rs
+++ b/crates/wv-promo/tests/fence_model/steps.rs
@@ -1,6 +1,17 @@
 //! What may happen between nodes, register and platform.
-use super::{word, Step, World, LAPSE_US};
+use super::{Step, World, LAPSE_US};
 use std::hash::Hasher;
+use wv_promo::Event;
+
+fn word(event: &Event) -> String {
+    match event {
+        Event::Claimed(claimed) => format!("its claim of {}", claimed.map_or(0, |claimed| claimed.0)),
+        Event::Confirmed(true) => "that its fence stands".to_owned(),
+        Event::Confirmed(false) => "that its fence is another's".to_owned(),
+        Event::Row { id, .. } => format!("of {id}"),
+        Event::Posted(code) => format!("{}", code.unwrap_or(0)),
+    }
+}
 
 impl wv_search::Model for World {
     type Step = Step;
@@ -24,11 +35,15 @@
         let word = match step {
             Step::Turn(at) => {
                 self.turns -= 1;
-                self.nodes.iter_mut().enumerate().for_each(|(other, node)| node.is_holder = other == *at);
+                // Whoever had it goes on as its holder until it next looks at the clock.
+                self.nodes.iter_mut().for_each(|node| node.is_overtaken = node.is_holder);
+                self.nodes[*at].is_holder = true;
+                self.nodes[*at].is_overtaken = false;
                 Ok(())
             }
             Step::Tick(at) => {
                 let node = &mut self.nodes[*at];
+                node.is_holder &= !std::mem::take(&mut node.is_overtaken);
                 if node.duty.is_engaged() && node.duty.is_resting() && node.tries > 0 {
                     (node.now, node.tries) = (node.now + LAPSE_US, node.tries - 1);
                 }
