--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -38,6 +38,7 @@
     pub(crate) told: Map<Spot, wv_inner::Sight>,
     pub(crate) leaving_since: Option<u64>,
     pub(crate) grace_us: u64,
+    pub(crate) drain: crate::leaving::DrainBound,
     /// Clients whose ask is open but with no database to go to.
     pub(crate) stranded: Vec<u64>,
     /// Services whose next writer is near, and until when that is believed.
@@ -80,6 +81,7 @@
             told: Map::default(),
             leaving_since: None,
             grace_us,
+            drain: Default::default(),
             stranded: Vec::new(),
             promoting: Map::default(),
             plan: wv_ease::Plan::default(),
--- /dev/null
+++ b/crates/wv-access/src/metrics.rs
@@ -0,0 +1,51 @@
+//! What operators see of this node's databases: the figures of `GET /metrics` at the readiness address.
+//!
+//! Nothing is decided by what is kept here.
+use crate::core::Core;
+use wv_check::Spot;
+use wv_metrics::{MetricsError, Page};
+
+impl Core {
+    /// New work goes to a database. One that leaves is to get none once its bound is over: should it get some all the
+    /// same, the log says so with what led up to it.
+    pub(crate) fn watch_new_work(&mut self, spot: Spot) {
+        let now = self.now;
+        let Some(member) = self.checks.member_mut(spot) else { return };
+        let Some(since) = member.leaving_since else { return };
+        member.new_work_while_leaving += 1;
+        let ago_us = now.saturating_sub(since);
+        if ago_us > self.drain.drain_us && !std::mem::replace(&mut member.is_overdue_logged, true) {
+            log::error!("{} is given new work {} ms after it said that it leaves", member.inst.id, ago_us / 1000);
+        }
+    }
+
+    /// This process's figures, as monitoring fetches them.
+    pub fn metrics(&self) -> Result<Vec<u8>, MetricsError> {
+        let mut page = Page::default();
+        page.figure(("windvalve_configuration_version", "The configuration in force here"), self.conf_version())?;
+        page.figure(("windvalve_sessions", "Open client sessions"), self.clients.len() as u64)?;
+        page.figure(("windvalve_connections", "Connections to databases"), self.dbs.len() as u64)?;
+        let members = || self.checks.iter().flat_map(|(_, checker)| checker.members().map(move |held| (checker, held)));
+        let states = members().filter(|(_, (_, member))| !member.inst.gone).map(|(checker, (seat, member))| {
+            let state = format!("{:?}", checker.state(seat, self.now)).to_lowercase();
+            (vec![member.inst.id.clone(), checker.service.clone(), state], 1)
+        });
+        page.figures(
+            ("windvalve_database_state", "The routing state of each database here"),
+            &["id", "service", "state"],
+            states,
+        )?;
+        let leaving = || members().filter_map(|(_, (_, member))| member.leaving_since.map(|since| (member, since)));
+        page.figures(
+            ("windvalve_database_leaving_ms", "How long ago a database is known here to have said that it leaves"),
+            &["id"],
+            leaving().map(|(member, since)| (vec![member.inst.id.clone()], self.now.saturating_sub(since) / 1000)),
+        )?;
+        page.figures(
+            ("windvalve_new_work_while_leaving", "Statements and transactions begun at a database that leaves"),
+            &["id"],
+            leaving().map(|(member, _)| (vec![member.inst.id.clone()], member.new_work_while_leaving)),
+        )?;
+        page.text()
+    }
+}
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -25,7 +25,9 @@
         if let Some(settings) = self.file.reread() {
             let mut place = self.place.borrow_mut();
             (place.seeds, place.inner_port) = (settings.seeds, settings.inner_port);
-            self.node.core.borrow_mut().set_grace(settings.grace_us);
+            let mut core = self.node.core.borrow_mut();
+            core.set_grace(settings.grace_us);
+            core.set_drain(settings.drain_us);
         }
     }
 }
@@ -83,6 +85,13 @@
     }
 }
 
+fn metrics(page: Result<Vec<u8>, wv_metrics::MetricsError>) -> wv_http::Return {
+    page.map_or_else(
+        |error| wv_http::Return::new(500, serde_json::json!({ "cause": error.to_string() }).to_string()),
+        |text| wv_http::Return::text(200, text),
+    )
+}
+
 /// Runs until the platform ends the process.
 pub fn run(settings: wv_settings::Settings, settings_path: &str, options: Options) -> Result<(), AccessError> {
     let front = settings.front.ok_or(AccessError::NoAddress("front"))?;
@@ -98,6 +107,7 @@
         core.set_ease(options.ease);
         core.set_clients_max(settings.clients_max());
         core.set_name(&settings.node);
+        core.set_drain(settings.drain_us);
         core.set_life(wv_proc::draw());
         let epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         core.set_record(options.record, wv_proc::draw(), epoch.map_or(0, |since| since.as_micros() as u64));
@@ -121,6 +131,7 @@
                 let is_ready = probed.core.borrow().is_ready();
                 std::future::ready(match (call.path.as_str(), is_ready) {
                     ("/recording", _) => recording(probed.core.borrow().recording()),
+                    ("/metrics", _) => metrics(probed.core.borrow().metrics()),
                     ("/tenants", _) => wv_http::Return::new(200, probed.core.borrow().tenants_json()),
                     ("/readiness", true) => wv_http::Return::new(200, "{\"ready\":true}"),
                     ("/readiness", false) => wv_http::Return::new(503, "{\"ready\":false}"),
--- a/crates/wv-access/src/send.rs
+++ b/crates/wv-access/src/send.rs
@@ -58,6 +58,10 @@
 
     fn send_text(&mut self, id: u64, db: u64, mark: &str) {
         let now = self.now;
+        let is_new = self.clients.get(&id).is_some_and(|client| client.txn.as_ref().is_none_or(|txn| !txn.is_begun));
+        if let Some(spot) = self.dbs.get(&db).map(|held| held.spot).filter(|_| is_new) {
+            self.watch_new_work(spot);
+        }
         self.mark(id);
         let (Some(client), Some(held)) = (self.clients.get_mut(&id), self.dbs.get_mut(&db)) else { return };
         let request = &client.request;
--- a/crates/wv-check/src/checker.rs
+++ b/crates/wv-check/src/checker.rs
@@ -41,10 +41,16 @@
     pub touched: u64,
     /// Gone because a whole list left it out, not by a word on it.
     pub(crate) is_missing: bool,
+    /// Since when this node has known that it leaves.
+    pub leaving_since: Option<u64>,
+    /// Statements and transactions begun there since, and whether it was said that some came too late.
+    pub new_work_while_leaving: u64,
+    pub is_overdue_logged: bool,
 }
 
 impl Member {
     fn new(inst: Inst, now: u64) -> Member {
+        let leaving_since = inst.draining.then_some(now);
         Member {
             inst,
             sight: Sight::Up,
@@ -56,6 +62,9 @@
             doubted_until: 0,
             touched: now,
             is_missing: false,
+            leaving_since,
+            new_work_while_leaving: 0,
+            is_overdue_logged: false,
         }
     }
 
@@ -173,6 +182,7 @@
         if let Some(member) = seat.and_then(|seat| self.members.get_mut(seat as usize)) {
             if member.is_news(inst) {
                 (member.inst, member.touched, member.is_missing) = (inst.clone(), now, false);
+                member.leaving_since = member.leaving_since.or(inst.draining.then_some(now));
             }
             return seat.map(|seat| (seat, None));
         }
--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -171,6 +171,7 @@
         self.holds = rest;
         let settled: Vec<Hold> = settled;
         settled.into_iter().for_each(|hold| {
+            self.count_leave(&hold.id);
             self.leaves.insert(hold.id);
             self.ret(hold.token, 200, "{}");
         });
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -87,6 +87,7 @@
     pub(crate) duties: BTreeMap<String, wv_promo::Duty>,
     pub(crate) fences: BTreeMap<String, u64>,
     pub(crate) calls: crate::post::Calls,
+    pub(crate) counts: crate::metrics::Counts,
     /// What each node last said of each database, and when.
     pub(crate) sights: BTreeMap<String, BTreeMap<String, (u64, wv_inner::Sighting)>>,
     /// The live control nodes when words were last handed over.
@@ -179,6 +180,7 @@
             duties: BTreeMap::new(),
             fences: BTreeMap::new(),
             calls: Default::default(),
+            counts: Default::default(),
             sights: BTreeMap::new(),
             holders: Vec::new(),
             left: BTreeMap::new(),
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -131,6 +131,7 @@
             Order::Continue { id } => self.ask_db(service, id, "CONTINUE".to_owned(), 0),
             Order::Yield { id, term } => self.ask_db(service, id, format!("YIELD {term}"), 0),
             Order::Post { id, fence } => self.post(service, id, fence),
+            Order::Stalled(obstacle) => self.count_stall(service, &obstacle),
             Order::Led { id, term } => {
                 let lead = Lead { service: service.to_owned(), id, term };
                 self.send_peers(&Msg::Lead(lead.clone()));
--- a/crates/wv-control/src/exec.rs
+++ b/crates/wv-control/src/exec.rs
@@ -149,6 +149,9 @@
     }
 
     pub async fn call(self, call: wv_http::Call) -> wv_http::Return {
+        if (call.method.as_str(), call.path.as_str()) == ("GET", "/metrics") {
+            return metrics(self.core.borrow().metrics());
+        }
         let (sender, receiver) = oneshot::channel();
         self.with(|core, now| {
             let token = core.fresh_id();
@@ -158,3 +161,10 @@
         receiver.await.unwrap_or_else(|_| wv_http::Return::new(503, "{}"))
     }
 }
+
+fn metrics(page: Result<Vec<u8>, wv_metrics::MetricsError>) -> wv_http::Return {
+    page.map_or_else(
+        |error| wv_http::Return::new(500, crate::conf::cause(&error.to_string())),
+        |text| wv_http::Return::text(200, text),
+    )
+}
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -14,6 +14,7 @@
 mod judge;
 mod keep;
 mod leaving;
+mod metrics;
 mod operate;
 pub mod order;
 mod outlook;
--- a/crates/wv-control/src/post.rs
+++ b/crates/wv-control/src/post.rs
@@ -77,6 +77,7 @@
 
     fn call_platform(&mut self, ask: u64, service: &str, id: String, (fence, began): (u64, u64)) {
         self.calls.made_at = self.now;
+        self.count_promotion_call(service);
         let until = began + CONFIRMED_US;
         self.acts.push(Act::Post { ask, service: service.to_owned(), id, fence, until });
     }
--- a/crates/wv-http/src/lib.rs
+++ b/crates/wv-http/src/lib.rs
@@ -32,15 +32,22 @@
     pub body: Option<Bytes>,
 }
 
-/// A return: status, body, whether the body is JSON.
+/// A return: its status and its body, with what the body is.
 pub struct Return {
     pub status: u16,
     pub body: Vec<u8>,
+    content_type: &'static str,
 }
 
 impl Return {
+    /// A return whose body is JSON.
     pub fn new(status: u16, body: impl Into<Vec<u8>>) -> Return {
-        Return { status, body: body.into() }
+        Return { status, body: body.into(), content_type: "application/json" }
+    }
+
+    /// A return whose body is plain text.
+    pub fn text(status: u16, body: impl Into<Vec<u8>>) -> Return {
+        Return { status, body: body.into(), content_type: "text/plain; version=0.0.4" }
     }
 }
 
@@ -52,7 +59,7 @@
     }
     Response::builder()
         .status(ret.status)
-        .header("Content-Type", "application/json")
+        .header("Content-Type", ret.content_type)
         .body(Full::new(Bytes::from(ret.body)))
         .unwrap_or_default()
 }
--- a/crates/wv-promo/src/choice.rs
+++ b/crates/wv-promo/src/choice.rs
@@ -10,7 +10,32 @@
     /// This one has received everything that may have been acknowledged.
     Nominee(String),
     /// A replica could hold an acknowledged commit that the best one lacks.
-    Blocked,
+    Blocked(Obstacle),
+}
+
+/// What keeps every database of a service from being named to the platform.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Obstacle {
+    /// None that may lead has given its row.
+    NoCandidate,
+    /// `ahead` has received more than `candidate`.
+    Behind { candidate: String, received: Pos, ahead: String, ahead_received: Pos },
+    /// `replica` gave no row, and could hold what `candidate` lacks.
+    Silent { candidate: String, replica: String, word: Option<Silent> },
+}
+
+impl std::fmt::Display for Obstacle {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Obstacle::NoCandidate => write!(out, "no replica that may lead gave its row"),
+            Obstacle::Behind { candidate, received, ahead, ahead_received } => {
+                write!(out, "{candidate} has received {received}, {ahead} {ahead_received}")
+            }
+            Obstacle::Silent { candidate, replica, word } => {
+                write!(out, "{replica} gives no row ({word:?}) and could hold what {candidate} lacks")
+            }
+        }
+    }
 }
 
 /// The highest received place among `rows` leads on, unless a replica that gave no row may know more.
@@ -38,7 +63,7 @@
     let best = furthest(false)
         .filter(|best| !is_behind(best))
         .or_else(|| is_lead_down.then(|| furthest(true)).flatten().filter(|best| !is_behind(best)));
-    let Some((id, received)) = best else { return Verdict::Blocked };
+    let Some((id, received)) = best else { return Verdict::Blocked(behind(furthest(false), rows)) };
     let is_silent = |seat: &&Seat| Some(seat.id.as_str()) != lead && rows.get(&seat.id).is_none_or(Result::is_err);
     // Still refused, and refused since before a fenced sighting of the primary that the best one has reached: all that was
     // acknowledged before stands there, and nothing since can have been acknowledged by one that was down.
@@ -57,8 +82,22 @@
             fenced.is_some_and(|(ago, place)| refused > ago.saturating_add(MARGIN_US) && received >= place)
         })
     };
-    if sync_replicas > 0 && seats.iter().filter(is_silent).any(|seat| !is_harmless(seat)) {
-        return Verdict::Blocked;
+    let silent = seats.iter().filter(|_| sync_replicas > 0).filter(is_silent).find(|seat| !is_harmless(seat));
+    if let Some(seat) = silent {
+        let word = rows.get(&seat.id).and_then(|word| word.err());
+        return Verdict::Blocked(Obstacle::Silent { candidate: id.clone(), replica: seat.id.clone(), word });
     }
     Verdict::Nominee(id.clone())
 }
+
+/// Why the best of those that may lead is not good enough.
+fn behind(best: Option<(&String, Pos)>, rows: &BTreeMap<String, Word>) -> Obstacle {
+    let received = |(id, word): (&String, &Word)| word.ok().map(|status| (status.received, id.clone()));
+    let furthest = rows.iter().filter_map(received).max();
+    match (best, furthest) {
+        (Some((candidate, received)), Some((ahead_received, ahead))) => {
+            Obstacle::Behind { candidate: candidate.clone(), received, ahead, ahead_received }
+        }
+        _ => Obstacle::NoCandidate,
+    }
+}
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -3,7 +3,7 @@
 mod duty;
 mod steps;
 
-pub use choice::{nominate, Verdict};
+pub use choice::{nominate, Obstacle, Verdict};
 pub use duty::Duty;
 
 use wv_wire::{Pos, Status};
@@ -52,7 +52,7 @@
     pub fenced: Option<(u64, Pos)>,
 }
 
-/// What the duty wants done; each but `Led` comes back as an event.
+/// What the duty wants done; each but `Led` and `Stalled` comes back as an event.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Order {
     /// Take the fence in the register.
@@ -82,6 +82,8 @@
         id: String,
         term: u64,
     },
+    /// Tell the operators why this attempt led nowhere. Nothing comes back of it.
+    Stalled(Obstacle),
 }
 
 /// How a database that was asked gave no row.
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -1,6 +1,6 @@
 //! Events of a promotion under way.
 use crate::duty::{Step, CLAIM_US, PAUSE_FIRST_US, PAUSE_LAST_US, PAUSE_UP_US, POST_US, ROWS_US};
-use crate::{nominate, Duty, Event, Order, Verdict, View};
+use crate::{nominate, Duty, Event, Obstacle, Order, Verdict, View};
 
 impl Step {
     /// From then on nothing that was asked for in it counts any more.
@@ -148,7 +148,10 @@
         }
         let lead = view.lead;
         let verdict = nominate(view.seats, lead, &self.rows, view.sync_replicas, view.fenced, view.is_lead_down);
-        let Verdict::Nominee(nominee) = verdict else { return self.give_up(view.now) };
+        let nominee = match verdict {
+            Verdict::Nominee(nominee) => nominee,
+            Verdict::Blocked(obstacle) => return self.stall(obstacle, view.now),
+        };
         // The nominee goes on receiving: what the old primary can still get acknowledged then stands in its log.
         let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != nominee).collect();
         let asked = others.iter().filter(|id| self.rows.get(*id).is_some_and(Result::is_ok)).cloned().collect();
@@ -192,7 +195,7 @@
                 }
                 self.suspend(loose, view);
             }
-            Verdict::Blocked => self.give_up(view.now),
+            Verdict::Blocked(obstacle) => self.stall(obstacle, view.now),
         }
     }
 
@@ -206,6 +209,11 @@
         self.enter(Step::Rest { until: now + self.pause });
     }
 
+    fn stall(&mut self, obstacle: Obstacle, now: u64) {
+        self.orders.push(Order::Stalled(obstacle));
+        self.give_up(now);
+    }
+
     /// Nothing is left suspended behind an attempt that led nowhere.
     pub(crate) fn give_up(&mut self, now: u64) {
         self.release(None);
--- a/crates/wv-promo/tests/departed.rs
+++ b/crates/wv-promo/tests/departed.rs
@@ -1,6 +1,6 @@
 //! Stories of nomination where databases have left, on the bare choice.
 use std::collections::BTreeMap;
-use wv_promo::{nominate, Left, Seat, Silent, Verdict, Word};
+use wv_promo::{nominate, Left, Obstacle, Seat, Silent, Verdict, Word};
 use wv_wire::{Pos, Status};
 
 fn seat(id: &str, left: Option<Left>) -> Seat {
@@ -25,11 +25,19 @@
     let nominee = |rows: &[(&str, Word)]| nominate(&seats, Some("p"), &self::rows(rows), 1, fenced, true);
     // The other has all that any node saw acknowledged, and yet this one may have got the last of it.
     for silent in [Silent::Refused, Silent::Dark] {
-        assert_eq!(nominee(&[("a", row(50)), ("b", Err(silent))]), Verdict::Blocked);
+        let (candidate, replica) = ("a".to_owned(), "b".to_owned());
+        let obstacle = Obstacle::Silent { candidate, replica, word: Some(silent) };
+        assert_eq!(nominee(&[("a", row(50)), ("b", Err(silent))]), Verdict::Blocked(obstacle));
     }
     // It answers, and has no more; or it has.
     assert_eq!(nominee(&[("a", row(50)), ("b", row(50))]), Verdict::Nominee("a".to_owned()));
-    assert_eq!(nominee(&[("a", row(50)), ("b", row(51))]), Verdict::Blocked);
+    let obstacle = Obstacle::Behind {
+        candidate: "a".to_owned(),
+        received: Pos { term: 3, number: 50 },
+        ahead: "b".to_owned(),
+        ahead_received: Pos { term: 3, number: 51 },
+    };
+    assert_eq!(nominee(&[("a", row(50)), ("b", row(51))]), Verdict::Blocked(obstacle));
 }
 
 #[test]
