--- a/crates/wv-fleet/src/base.rs
+++ b/crates/wv-fleet/src/base.rs
@@ -1,4 +1,5 @@
 //! A stand-in database: log, sessions, and the answers that the protocol page gives.
+use crate::conn::Conn;
 use std::collections::{BTreeMap, BTreeSet};
 use wv_wire::{cut_word, Code, Pos};
 
@@ -17,18 +18,6 @@
     pub write: Write,
 }
 
-#[derive(Default)]
-pub struct Conn {
-    pub state: u8,
-    pub is_plain: bool,
-    pub writes: Vec<Write>,
-    /// Its database lost the lead since it was set up: no write is taken on it, also if it leads again.
-    pub is_deposed: bool,
-    pub values: BTreeMap<String, String>,
-    pub defined: BTreeMap<String, (bool, String)>,
-    pub is_set_up: bool,
-}
-
 /// What a text leads to beyond its direct answer.
 pub enum Outcome {
     Say(String),
--- a/crates/wv-fleet/src/controls.rs
+++ b/crates/wv-fleet/src/controls.rs
@@ -7,6 +7,7 @@
 impl World {
     pub fn start_control(&mut self, at: usize, is_first: bool) {
         self.life += 1;
+        self.note_trouble(&self.controls[at].name.clone());
         let node = &mut self.controls[at];
         let is_new = std::mem::replace(&mut node.life, self.life) == 0;
         node.far.clear();
@@ -32,6 +33,7 @@
 
     pub fn kill_control(&mut self, at: usize) {
         self.controls[at].core = None;
+        self.note_trouble(&self.controls[at].name.clone());
         let far: Vec<End> = std::mem::take(&mut self.controls[at].far).into_values().collect();
         far.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
     }
@@ -69,6 +71,7 @@
             ControlAct::Dial { link, addr } => self.dial(at, link, &addr),
             ControlAct::Wake { us } => self.put(us, Ev::ControlWake(at, self.controls[at].life)),
             ControlAct::Return { token, status, body } => {
+                self.note_return(token, status);
                 self.returns.insert(token, (status, body));
             }
             ControlAct::Request { ask, id, text, .. } => {
--- a/crates/wv-fleet/src/freeze.rs
+++ b/crates/wv-fleet/src/freeze.rs
@@ -10,6 +10,7 @@
     /// It goes on as if no time had passed: what was on its way is sent, what came is read.
     pub fn thaw_access(&mut self, at: usize) {
         self.frozen.remove(&at);
+        self.note_trouble(&self.access[at].name.clone());
         let held = std::mem::take(&mut self.held_back);
         held.into_iter().for_each(|event| self.put(0, event));
     }
@@ -21,6 +22,7 @@
     /// What was held back happens after whatever the caller does to it at this very moment.
     pub fn thaw_control(&mut self, at: usize) {
         self.frozen_controls.remove(&at);
+        self.note_trouble(&self.controls[at].name.clone());
         let held = std::mem::take(&mut self.held_back);
         held.into_iter().for_each(|event| self.put(0, event));
     }
--- a/crates/wv-fleet/src/lib.rs
+++ b/crates/wv-fleet/src/lib.rs
@@ -2,8 +2,10 @@
 //! operator and clients. The same story gives the same course every time.
 mod base;
 mod clients;
+mod conn;
 mod controls;
 mod disk;
+mod drain;
 mod events;
 mod falls;
 mod freeze;
@@ -22,8 +24,10 @@
 mod walls;
 mod world;
 
-pub use base::{Base, Conn, Entry, Write};
+pub use base::{Base, Entry, Write};
 pub use clients::REST;
+pub use conn::Conn;
+pub use drain::{CONTACT, DRAIN};
 pub use hour::{End, Hour, Kind, Op, Session};
 pub use load::Load;
 pub use log::Answer;
--- a/crates/wv-fleet/src/nemesis/check.rs
+++ b/crates/wv-fleet/src/nemesis/check.rs
@@ -35,7 +35,7 @@
 }
 
 fn statement_rule(text: &str) -> &'static str {
-    let names = ["LOST", "TWICE", "REFUSED", "STALE", "PINNED", "MIXED"];
+    let names = ["LOST", "TWICE", "REFUSED", "STALE", "PINNED", "MIXED", "DRAIN"];
     names.into_iter().find(|name| text.starts_with(name)).unwrap_or("statement")
 }
 
--- a/crates/wv-fleet/src/nodes.rs
+++ b/crates/wv-fleet/src/nodes.rs
@@ -78,6 +78,7 @@
 impl World {
     pub fn start_access(&mut self, at: usize) {
         self.life += 1;
+        self.note_trouble(&self.access[at].name.clone());
         let node = &mut self.access[at];
         let is_first = node.life == 0;
         (node.life, node.armed, node.session) = (self.life, u64::MAX, None);
@@ -93,11 +94,13 @@
 
     /// SIGTERM.
     pub fn term_access(&mut self, at: usize) {
+        self.note_trouble(&self.access[at].name.clone());
         self.with_access(at, |core, now| core.leave(now));
     }
 
     pub fn kill_access(&mut self, at: usize) {
         self.access[at].core = None;
+        self.note_trouble(&self.access[at].name.clone());
         self.cut_hands(at);
         let session = self.access[at].session.take();
         session.into_iter().for_each(|end| self.put(HOP, Ev::LinkDown { end }));
--- a/crates/wv-fleet/src/service.rs
+++ b/crates/wv-fleet/src/service.rs
@@ -1,5 +1,6 @@
 //! What databases and the platform do in the world: statements, commits, replication, beats, promotions.
-use crate::base::{Conn, Outcome, Write};
+use crate::base::{Outcome, Write};
+use crate::conn::Conn;
 use crate::world::{Ev, World, HOP};
 use crate::MS;
 use wv_access::Lost;
@@ -95,10 +96,14 @@
         let is_own = id == "-";
         if !is_own {
             *self.oracle.runs.entry(id.to_owned()).or_default() += 1;
+            self.judge_drain(base, conn, id);
             self.bases[base].busy.insert(conn);
             self.strain(base);
             self.check_session(base, conn, id, text);
         }
+        if is_own && text == "BEGIN" {
+            self.bases[base].conns.get_mut(&conn).into_iter().for_each(|held| held.has_worked = false);
+        }
         let outcome = self.bases[base].run(conn, text);
         let is_lost = !is_own && self.bases[base].lose > 0;
         if is_lost {
--- a/crates/wv-fleet/src/splits.rs
+++ b/crates/wv-fleet/src/splits.rs
@@ -1,5 +1,6 @@
 //! Planned shards in the world: own texts at databases, and what must be true of rows after a split.
-use crate::base::{Conn, Outcome, Write};
+use crate::base::{Outcome, Write};
+use crate::conn::Conn;
 use crate::world::{Ev, World, HOP};
 use crate::MS;
 use std::collections::BTreeMap;
--- a/crates/wv-fleet/src/states.rs
+++ b/crates/wv-fleet/src/states.rs
@@ -125,6 +125,7 @@
         let life = (control as u64) << 48 | (self.controls[control].life & 0xffff) << 32;
         let core = self.controls[control].core.as_mut();
         let Some(token) = core.map(|core| core.fresh_id() | life) else { return 0 };
+        self.note_call(token, &method, &path, &body);
         let call = Ev::Call { control, life: self.controls[control].life, token, method, path, body };
         match self.frozen_controls.contains(&control) {
             true => self.held_back.push(call),
--- a/crates/wv-fleet/src/walls.rs
+++ b/crates/wv-fleet/src/walls.rs
@@ -26,6 +26,8 @@
 impl World {
     /// Nothing passes from `one` to `other` until as many walls fell as were put up.
     pub fn wall(&mut self, one: &str, other: &str) {
+        self.note_trouble(one);
+        self.note_trouble(other);
         *self.walls.entry((one.to_owned(), other.to_owned())).or_default() += 1;
     }
 
@@ -33,7 +35,10 @@
         let way = (one.to_owned(), other.to_owned());
         let Some(count) = self.walls.get_mut(&way) else { return };
         *count -= 1;
-        if *count > 0 {
+        let has_more = *count > 0;
+        self.note_trouble(one);
+        self.note_trouble(other);
+        if has_more {
             return;
         }
         self.walls.remove(&way);
@@ -159,6 +164,7 @@
 
     /// Each event of the process takes this long to be come to; 0 ends it.
     pub fn slow_down(&mut self, node: Node, us: u64) {
+        self.note_trouble(&self.node_name(node));
         self.slow.entry(node).or_default().0 = us;
     }
 
@@ -179,6 +185,8 @@
 
     /// Links between the two are reset at both ends; what is on its way is lost.
     pub fn reset_links(&mut self, at: usize, other: &str) {
+        self.note_trouble(&self.controls[at].name.clone());
+        self.note_trouble(other);
         let far: Vec<(u64, End)> = self.controls[at].far.iter().map(|(link, far)| (*link, *far)).collect();
         let far: Vec<(u64, End)> = far.into_iter().filter(|(_, far)| self.end_name(*far) == other).collect();
         for (link, far) in far {
@@ -190,6 +198,7 @@
 
     /// Power is lost: nobody is told, and of what the disk was writing some may stand.
     pub fn power_control(&mut self, at: usize, draw: u64) {
+        self.note_trouble(&self.controls[at].name.clone());
         let node = &mut self.controls[at];
         node.core = None;
         node.far.clear();
--- a/crates/wv-fleet/src/world.rs
+++ b/crates/wv-fleet/src/world.rs
@@ -78,6 +78,7 @@
     pub things: u64,
     /// What came to each node over its links with control nodes, by its name, where a story weighs it.
     pub crossed: Option<BTreeMap<String, Crossed>>,
+    pub(crate) leaves: crate::drain::Leaves,
     /// What happened, a line each, where a story or the replay wants it.
     pub course: Vec<(u64, String)>,
 }
@@ -139,6 +140,7 @@
             epoch_us: 0,
             things: 0,
             crossed: None,
+            leaves: Default::default(),
         };
         let addrs: Vec<String> = (0..controls).map(|at| format!("10.1.0.{}:80", at + 1)).collect();
         let seeds: Vec<String> = addrs.iter().take(3).cloned().collect();
--- a/crates/wv-fleet/tests/departed.rs
+++ b/crates/wv-fleet/tests/departed.rs
@@ -142,8 +142,9 @@
                 world.crash(0);
             }
             world.run(when * 30 * MS);
-            inherit(&mut world, base, &format!("i-heir{base}"));
+            // The new database does not leave: it must not begin by saying so.
             world.bases[base].is_draining = false;
+            inherit(&mut world, base, &format!("i-heir{base}"));
             world.run(400 * MS);
         }
         world.run(4 * S);
