--- a/crates/wv-check/src/lib.rs
+++ b/crates/wv-check/src/lib.rs
@@ -2,9 +2,11 @@
 mod checker;
 mod fenced;
 mod lead;
+mod member;
 
-pub use checker::{Checker, Member, State};
+pub use checker::{Checker, State};
 pub use fenced::Fenced;
+pub use member::Member;
 
 /// A database's seat in this node: its service's checker and its seat there.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, PartialOrd, Ord)]
