wv-control: acknowledgements of leaves as a small machine of their own

Cause: Core held the waiting calls and the acknowledged leaves as two of its fifty fields, with the logic in beats.rs. No behaviour changes. Measured: tests of wv-control, departures.rs and cutoff.rs pass.

--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -1,16 +1,13 @@
 //! Beats of databases: ordered by their sequence, spread to the other control nodes, published.
 use crate::conf::cause;
 use crate::core::Core;
-use crate::types::Hold;
 use wv_inner::{Inst, Lead, Msg, News};
 
-/// A database waits a second for its acknowledgement.
-const HOLD_US: u64 = 700_000;
 /// Within this a database that was promoted says so itself.
 const LED_US: u64 = 4_000_000;
 const BEAT_BYTES: usize = 16 << 10;
 
-const UNHEARD: &str = "{\"cause\":\"no majority of the voters hears this node\"}";
+pub(crate) const UNHEARD: &str = "{\"cause\":\"no majority of the voters hears this node\"}";
 
 /// What beats and the control side said of who leads.
 #[derive(Default)]
@@ -50,7 +47,7 @@
         };
         match read_beat(id, body) {
             Ok(inst) => {
-                let is_leave = inst.draining && !self.leaves.contains(id);
+                let is_leave = inst.draining && !self.leave_acks.is_acknowledged(id);
                 self.take_beat(token, inst, is_leave);
             }
             Err(text) => self.ret(token, 400, cause(&text)),
@@ -85,8 +82,8 @@
         }
         let (asker, request, id) = (self.quorum.who(), self.quorum.next_request(), inst.id.clone());
         self.send_peers(&Msg::Inst { asker, request, inst });
-        self.holds.push(Hold { token, request, id, held: Default::default(), limit: self.now + HOLD_US });
-        self.settle_holds();
+        self.leave_acks.begin(token, request, id, self.now);
+        self.settle_leaves();
     }
 
     fn spread(&mut self, insts: &[Inst]) {
@@ -146,46 +143,6 @@
         self.announce(&changed, true);
     }
 
-    /// Another control node holds it too: counted once, and only where this life asked it about this database.
-    pub(crate) fn inst_held(&mut self, addr: &str, (asker, request): (u64, u64), id: &str) {
-        let is_own = asker == self.quorum.who();
-        let hold = self.holds.iter_mut().find(|hold| is_own && hold.request == request && hold.id == id);
-        hold.into_iter().for_each(|hold| {
-            hold.held.insert(addr.to_owned());
-        });
-        self.settle_holds();
-    }
-
-    /// Whether a leave stands on a majority of the voters, of whom any node that comes back asks as many, and on more
-    /// nodes than may be lost at once, where there are that many.
-    fn is_settled_leave(&self, hold: &Hold) -> bool {
-        let voters = self.quorum.voters();
-        let own = usize::from(self.sits());
-        let held = hold.held.iter().filter(|addr| voters.has(addr)).count();
-        let others = self.peers.values().filter(|peer| peer.is_up).count();
-        own + held >= self.quorum.majority() && hold.held.len() >= self.tolerate.min(others)
-    }
-
-    fn settle_holds(&mut self) {
-        let (settled, rest) = std::mem::take(&mut self.holds).into_iter().partition(|hold| self.is_settled_leave(hold));
-        self.holds = rest;
-        let settled: Vec<Hold> = settled;
-        settled.into_iter().for_each(|hold| {
-            self.count_leave(&hold.id);
-            self.leaves.insert(hold.id);
-            self.ret(hold.token, 200, "{}");
-        });
-    }
-
-    /// Leaves that too few nodes hold are not acknowledged: the database calls another node.
-    pub(crate) fn end_holds(&mut self) {
-        let now = self.now;
-        let (over, held) = std::mem::take(&mut self.holds).into_iter().partition(|hold| hold.limit <= now);
-        self.holds = held;
-        let over: Vec<Hold> = over;
-        over.into_iter().for_each(|hold| self.ret(hold.token, 503, UNHEARD));
-    }
-
     pub(crate) fn list_insts(&mut self, token: u64) {
         let list: Vec<serde_json::Value> = self
             .table
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -1,5 +1,5 @@
 pub use crate::types::{Act, Start};
-use crate::types::{Fall, Hold, Link, Peer, Waiting};
+use crate::types::{Fall, Link, Peer, Waiting};
 use std::collections::BTreeMap;
 use wv_feed::{Feed, Table};
 use wv_inner::{Msg, News};
@@ -52,7 +52,7 @@
     pub(crate) links: BTreeMap<u64, Link>,
     pub(crate) peers: BTreeMap<String, Peer>,
     pub(crate) waiting: BTreeMap<u64, Waiting>,
-    pub(crate) holds: Vec<Hold>,
+    pub(crate) leave_acks: crate::leave_acks::LeaveAcks,
     pub(crate) acts: Vec<Act>,
     pub(crate) next_id: u64,
     /// The newest configuration version known to stand on a majority.
@@ -75,8 +75,6 @@
     pub(crate) contact: crate::contact::Contact,
     /// Orders that wait for a read.
     pub(crate) pending: Vec<crate::judge::Pending>,
-    /// Databases whose leave stands on enough nodes.
-    pub(crate) leaves: std::collections::BTreeSet<String>,
     pub(crate) tolerate: usize,
     pub(crate) nodes_told: u32,
     /// Since when there are fewer of them.
@@ -155,7 +153,7 @@
             links: BTreeMap::new(),
             peers,
             waiting: BTreeMap::new(),
-            holds: Vec::new(),
+            leave_acks: Default::default(),
             acts: Vec::new(),
             next_id: 0,
             published: 0,
@@ -171,7 +169,6 @@
             is_caught_up: false,
             contact: Default::default(),
             pending: Vec::new(),
-            leaves: Default::default(),
             tolerate: start.tolerate,
             nodes_told: 0,
             fewer_since: 0,
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -13,6 +13,7 @@
 mod head;
 mod judge;
 mod keep;
+mod leave_acks;
 mod leaving;
 mod metrics;
 mod operate;
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -46,7 +46,7 @@
             self.table.forget(&needed);
             let table = &self.table;
             self.left.retain(|id, _| table.get(id).is_some());
-            self.leaves.retain(|id| table.get(id).is_some());
+            self.leave_acks.forget(|id| table.get(id).is_some());
             self.forget_peers();
         }
         self.keep_contact();
@@ -66,7 +66,7 @@
         self.tell_nodes();
         self.quorum.tick(self.now);
         self.run_quorum();
-        self.end_holds();
+        self.end_leaves();
         self.end_pending();
     }
 
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -135,13 +135,3 @@
     pub last: u64,
     pub is_down: bool,
 }
-
-/// A leave that waits until enough others hold it.
-pub(crate) struct Hold {
-    pub token: u64,
-    pub request: u64,
-    pub id: String,
-    /// The control nodes that hold it too.
-    pub held: std::collections::BTreeSet<String>,
-    pub limit: u64,
-}
