In-memory fleet: replicas catch up with their primary's log also where nothing is written

Cause: stand-ins sent their log on only with a commit, so that a replica that had been deaf never caught up with a primary that gets no new work. Real databases stream their log.

--- a/crates/wv-fleet/src/events.rs
+++ b/crates/wv-fleet/src/events.rs
@@ -194,6 +194,7 @@
             }
             Ev::Beat { base } => {
                 self.beat(base);
+                self.catch_up(base);
                 self.put(1200 * MS, Ev::Beat { base });
             }
             Ev::Link { to, msg } => self.link_msg(to, msg),
--- a/crates/wv-fleet/src/lib.rs
+++ b/crates/wv-fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod nemesis;
 mod nodes;
 mod oracle;
+mod replication;
 mod service;
 mod splits;
 mod states;
--- a/crates/wv-fleet/src/service.rs
+++ b/crates/wv-fleet/src/service.rs
@@ -166,29 +166,7 @@
         replicas.into_iter().for_each(|to| self.put(2 * MS, Ev::Replicate { from: base, to, len }));
     }
 
-    pub(crate) fn replicate(&mut self, from: usize, to: usize, len: usize) {
-        let (source, target) = (&self.bases[from], &self.bases[to]);
-        let is_receiving = target.is_up && !target.is_dark && !target.is_deaf && target.held == 0 && !target.is_primary;
-        let is_linked = !self.is_cut(&source.id, &target.id) && source.service == target.service && !target.is_left;
-        if !is_receiving || !is_linked || !source.is_primary || !source.is_up || target.log.len() >= len {
-            return;
-        }
-        // Cut back at each promotion, a replica's log is always the beginning of the primary's.
-        let missing = source.log[target.log.len().min(source.log.len())..len.min(source.log.len())].to_vec();
-        let lag = self.bases[to].apply_lag;
-        self.bases[to].log.extend(missing);
-        self.put(lag, Ev::Apply { base: to, len });
-        // One replica that has received is enough for the acknowledgement.
-        let received = self.bases[to].received();
-        self.acknowledge(from, received);
-    }
-
-    fn is_replica_of(&self, base: usize, other: usize) -> bool {
-        let (one, other_base) = (&self.bases[base], &self.bases[other]);
-        base != other && one.service == other_base.service && !other_base.is_left
-    }
-
-    fn acknowledge(&mut self, from: usize, received: Pos) {
+    pub(crate) fn acknowledge(&mut self, from: usize, received: Pos) {
         let (done, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
             .into_iter()
             .partition(|(base, pos, _, _)| *base == from && *pos <= received);
