A database that leaves gets no new work past a bound, whoever leads; a silent replica no longer blocks its replacement

Cause: (1) the choice of a writer never asked since when the primary leaves; timers.drainMs was read and used by nothing. (2) A primary that leaves was replaced only once every silent replica could be shown to hold nothing more, which one that is dark never can. Change: (1) each word on a database carries how long ago it may have said that it leaves, reckoned when it is sent; access nodes offer no statement on its own and no first statement of a transaction past min(3/4 drainMs, 7/8 contactMs), and look once more when a BEGIN sent in advance has returned. (2) Past that bound the primary itself is asked where its log ends, told to yield under a confirmed fence, and followed by a candidate that has received all of it.

--- a/crates/wv-access/src/care.rs
+++ b/crates/wv-access/src/care.rs
@@ -55,6 +55,7 @@
     /// Regular care: warm connections, looks at isolated databases, sessions that are to end.
     pub fn housekeep(&mut self, now: u64) {
         self.now = self.now.max(now);
+        self.drain.stalls.observe(self.now);
         let settled = self.checks.settle_leads(now);
         settled.iter().for_each(|service| self.refit(service));
         self.care();
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -38,7 +38,7 @@
     pub(crate) told: Map<Spot, wv_inner::Sight>,
     pub(crate) leaving_since: Option<u64>,
     pub(crate) grace_us: u64,
-    pub(crate) drain: crate::leaving::DrainBound,
+    pub(crate) drain: crate::leaving::Drain,
     /// Clients whose ask is open but with no database to go to.
     pub(crate) stranded: Vec<u64>,
     /// Services whose next writer is near, and until when that is believed.
--- a/crates/wv-access/src/metrics.rs
+++ b/crates/wv-access/src/metrics.rs
@@ -11,10 +11,10 @@
     pub(crate) fn watch_new_work(&mut self, spot: Spot) {
         let now = self.now;
         let Some(member) = self.checks.member_mut(spot) else { return };
-        let Some(since) = member.leaving_since else { return };
-        member.new_work_while_leaving += 1;
-        let ago_us = now.saturating_sub(since);
-        if ago_us > self.drain.drain_us && !std::mem::replace(&mut member.is_overdue_logged, true) {
+        let Some(leaving) = member.leaving.as_mut() else { return };
+        leaving.new_work += 1;
+        let ago_us = leaving.since.age_us(now);
+        if ago_us > self.drain.bound_us && !std::mem::replace(&mut leaving.is_overdue_logged, true) {
             log::error!("{} is given new work {} ms after it said that it leaves", member.inst.id, ago_us / 1000);
         }
     }
@@ -35,16 +35,16 @@
             &["id", "service", "state"],
             states,
         )?;
-        let leaving = || members().filter_map(|(_, (_, member))| member.leaving_since.map(|since| (member, since)));
+        let leaving = || members().filter_map(|(_, (_, member))| member.leaving.map(|leaving| (member, leaving)));
         page.figures(
             ("windvalve_database_leaving_ms", "How long ago a database is known here to have said that it leaves"),
             &["id"],
-            leaving().map(|(member, since)| (vec![member.inst.id.clone()], self.now.saturating_sub(since) / 1000)),
+            leaving().map(|(member, leaving)| (vec![member.inst.id.clone()], leaving.since.age_us(self.now) / 1000)),
         )?;
         page.figures(
             ("windvalve_new_work_while_leaving", "Statements and transactions begun at a database that leaves"),
             &["id"],
-            leaving().map(|(member, _)| (vec![member.inst.id.clone()], member.new_work_while_leaving)),
+            leaving().map(|(member, leaving)| (vec![member.inst.id.clone()], leaving.new_work)),
         )?;
         page.text()
     }
--- a/crates/wv-access/src/news.rs
+++ b/crates/wv-access/src/news.rs
@@ -11,6 +11,7 @@
     /// A feed message. A gap asks for the feed to be followed anew.
     pub fn feed(&mut self, msg: Msg, now: u64) -> Result<(), wv_feed::Gap> {
         self.now = self.now.max(now);
+        self.drain.stalls.observe(self.now);
         if let Msg::Snapshot { news, .. } = &msg {
             let ids = news.iter().filter_map(|news| match news {
                 News::Inst(inst) if !inst.gone => Some(inst.id.as_str()),
@@ -49,7 +50,8 @@
             }
             News::Inst(inst) => {
                 let is_new = self.checks.spot(&inst.id).is_none();
-                let spot = self.checks.inst(&inst, self.now);
+                let since = self.leaving_since(&inst);
+                let spot = self.checks.inst(&inst, since, self.now);
                 // One that says it is slow from its start is eased in from the first word of it.
                 if let Some(spot) = spot.filter(|_| is_new && inst.cold_us > 0) {
                     self.ease_in(spot, 1);
--- a/crates/wv-access/src/run.rs
+++ b/crates/wv-access/src/run.rs
@@ -27,7 +27,7 @@
             (place.seeds, place.inner_port) = (settings.seeds, settings.inner_port);
             let mut core = self.node.core.borrow_mut();
             core.set_grace(settings.grace_us);
-            core.set_drain(settings.drain_us);
+            core.set_drain(settings.drain_us, settings.contact_us);
         }
     }
 }
@@ -107,7 +107,7 @@
         core.set_ease(options.ease);
         core.set_clients_max(settings.clients_max());
         core.set_name(&settings.node);
-        core.set_drain(settings.drain_us);
+        core.set_drain(settings.drain_us, settings.contact_us);
         core.set_life(wv_proc::draw());
         let epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         core.set_record(options.record, wv_proc::draw(), epoch.map_or(0, |since| since.as_micros() as u64));
--- a/crates/wv-access/src/send.rs
+++ b/crates/wv-access/src/send.rs
@@ -134,6 +134,9 @@
             }
             return;
         }
+        if code.is_none() && state == b'T' && is_clean && self.is_too_late(id, spot) {
+            return self.begin_elsewhere(db, id);
+        }
         if code.is_none() && state == b'T' && is_clean {
             return self.send_text(id, db, "");
         }
--- a/crates/wv-check/src/checker.rs
+++ b/crates/wv-check/src/checker.rs
@@ -1,7 +1,7 @@
 //! All databases of one service, who leads it, and the routing state of each.
 use crate::member::Member;
 use crate::Fenced;
-use wv_inner::{Inst, Lead};
+use wv_inner::{Inst, Lead, LeavingSince};
 
 /// A seat of a database that left is given to another only after this long.
 const SEAT_KEPT_US: u64 = 60_000_000;
@@ -26,11 +26,20 @@
     /// One of an older term that was told of since.
     pub(crate) spare: Option<Lead>,
     pub fenced: Fenced,
+    /// How long after it said that it leaves a database is given new work.
+    pub(crate) new_work_us: u64,
 }
 
 impl Checker {
-    pub fn new(service: &str) -> Checker {
-        Checker { service: service.to_owned(), members: Vec::new(), lead: None, spare: None, fenced: Fenced::default() }
+    pub fn new(service: &str, new_work_us: u64) -> Checker {
+        Checker {
+            service: service.to_owned(),
+            members: Vec::new(),
+            lead: None,
+            spare: None,
+            fenced: Fenced::default(),
+            new_work_us,
+        }
     }
 
     pub fn member(&self, seat: u16) -> Option<&Member> {
@@ -50,21 +59,24 @@
     }
 
     /// Seats or renews a database; a freed seat's old id is returned with it.
-    pub fn seat(&mut self, seat: Option<u16>, inst: &Inst, now: u64) -> Option<(u16, Option<String>)> {
+    pub fn seat(
+        &mut self,
+        seat: Option<u16>,
+        inst: &Inst,
+        since: LeavingSince,
+        now: u64,
+    ) -> Option<(u16, Option<String>)> {
         if let Some(member) = seat.and_then(|seat| self.members.get_mut(seat as usize)) {
-            if member.is_news(inst) {
-                (member.inst, member.touched, member.is_missing) = (inst.clone(), now, false);
-                member.leaving_since = member.leaving_since.or(inst.draining.then_some(now));
-            }
+            member.tell(inst, since, now);
             return seat.map(|seat| (seat, None));
         }
         let free = self.members.iter().position(|member| member.inst.gone && member.touched + SEAT_KEPT_US < now);
         if let Some(at) = free {
-            let old = std::mem::replace(&mut self.members[at], Member::new(inst.clone(), now));
+            let old = std::mem::replace(&mut self.members[at], Member::new(inst.clone(), since, now));
             return Some((at as u16, Some(old.inst.id)));
         }
         (self.members.len() < SEATS_MAX).then(|| {
-            self.members.push(Member::new(inst.clone(), now));
+            self.members.push(Member::new(inst.clone(), since, now));
             (self.members.len() as u16 - 1, None)
         })
     }
@@ -81,14 +93,24 @@
         self.members.iter().position(|member| member.inst.id == lead.id && !member.inst.gone).map(|at| at as u16)
     }
 
-    /// The writer that may be offered work now.
-    pub fn writer(&self, now: u64) -> Option<u16> {
+    /// Whether a database said that it leaves so long ago that it is given no new work, not as the writer either.
+    pub fn is_past_drain(&self, seat: u16, now: u64) -> bool {
+        self.member(seat).is_some_and(|member| member.is_past_drain(self.new_work_us, now))
+    }
+
+    /// The writer that answers here, whether or not it may be offered work.
+    pub(crate) fn live_writer(&self, now: u64) -> Option<u16> {
         self.leader().filter(|seat| {
             let member = &self.members[*seat as usize];
             !member.is_isolated() && member.doubted_until <= now
         })
     }
 
+    /// The writer that may be offered work now.
+    pub fn writer(&self, now: u64) -> Option<u16> {
+        self.live_writer(now).filter(|seat| !self.is_past_drain(*seat, now))
+    }
+
     pub fn state(&self, seat: u16, now: u64) -> State {
         let Some(member) = self.member(seat) else { return State::Gone };
         // A database that is alone in its service is kept in use: a bad word on it helps nobody.
--- a/crates/wv-check/src/lead.rs
+++ b/crates/wv-check/src/lead.rs
@@ -26,7 +26,7 @@
             let member = self.members().find(|(_, member)| member.inst.id == lead.id).map(|(_, member)| member);
             member.is_some_and(|member| !member.inst.gone && !member.is_isolated() && member.doubted_until <= now)
         };
-        let is_due = self.spare.as_ref().filter(is_fit).is_some() && self.writer(now).is_none();
+        let is_due = self.spare.as_ref().filter(is_fit).is_some() && self.live_writer(now).is_none();
         if is_due {
             std::mem::swap(&mut self.lead, &mut self.spare);
         }
--- a/crates/wv-check/src/lib.rs
+++ b/crates/wv-check/src/lib.rs
@@ -19,20 +19,37 @@
 const TOLD_US: u64 = 3_000_000;
 
 /// All checkers of a node.
-#[derive(Default)]
 pub struct Checks {
+    new_work_us: u64,
     checkers: Vec<Checker>,
     names: hashbrown::HashMap<String, u16, ahash::RandomState>,
     spots: hashbrown::HashMap<String, Spot, ahash::RandomState>,
 }
 
+impl Default for Checks {
+    fn default() -> Checks {
+        Checks {
+            new_work_us: wv_inner::new_work_us(wv_inner::DRAIN_US, wv_inner::CONTACT_US),
+            checkers: Vec::new(),
+            names: Default::default(),
+            spots: Default::default(),
+        }
+    }
+}
+
 impl Checks {
+    /// How long after it said that it leaves a database is given new work, where the settings say so.
+    pub fn set_new_work(&mut self, new_work_us: u64) {
+        self.new_work_us = new_work_us;
+        self.checkers.iter_mut().for_each(|checker| checker.new_work_us = new_work_us);
+    }
+
     pub fn service(&mut self, name: &str) -> u16 {
         if let Some(at) = self.names.get(name) {
             return *at;
         }
         let at = self.checkers.len() as u16;
-        self.checkers.push(Checker::new(name));
+        self.checkers.push(Checker::new(name, self.new_work_us));
         self.names.insert(name.to_owned(), at);
         at
     }
@@ -65,21 +82,21 @@
         self.spots.get(id).copied()
     }
 
-    /// Takes what the feed says of a database.
-    pub fn inst(&mut self, inst: &wv_inner::Inst, now: u64) -> Option<Spot> {
+    /// Takes what the feed says of a database, and since when it leaves where it does.
+    pub fn inst(&mut self, inst: &wv_inner::Inst, since: wv_inner::LeavingSince, now: u64) -> Option<Spot> {
         // One that is gone and was never known here needs no seat. Whoever tells of it may not know its service.
         if inst.gone {
             let spot = self.spot(&inst.id)?;
             let held = &self.member(spot)?.inst;
             let sequence = held.sequence.max(inst.sequence);
             let gone = wv_inner::Inst { gone: true, sequence, ..held.clone() };
-            self.checker_mut(spot.service)?.seat(Some(spot.seat), &gone, now);
+            self.checker_mut(spot.service)?.seat(Some(spot.seat), &gone, since, now);
             return Some(spot);
         }
         let service = self.service(&inst.service);
         let known = self.spot(&inst.id).filter(|spot| spot.service == service);
         let checker = self.checkers.get_mut(service as usize)?;
-        let (seat, freed) = checker.seat(known.map(|spot| spot.seat), inst, now)?;
+        let (seat, freed) = checker.seat(known.map(|spot| spot.seat), inst, since, now)?;
         if let Some(id) = freed {
             self.spots.remove(&id);
         }
@@ -88,6 +105,11 @@
         Some(spot)
     }
 
+    /// Whether a database may no longer be given new work, as it leaves.
+    pub fn is_past_drain(&self, spot: Spot, now: u64) -> bool {
+        self.checker(spot.service).is_some_and(|checker| checker.is_past_drain(spot.seat, now))
+    }
+
     pub fn lead(&mut self, lead: &wv_inner::Lead, now: u64) -> bool {
         let service = self.service(&lead.service);
         self.checkers.get_mut(service as usize).is_some_and(|checker| checker.lead(lead, now))
--- a/crates/wv-check/src/member.rs
+++ b/crates/wv-check/src/member.rs
@@ -1,5 +1,5 @@
 //! One database as this node sees it: its own words, and whether it answers.
-use wv_inner::{Inst, Sight};
+use wv_inner::{Inst, LeavingSince, Sight};
 
 /// Agreeing sightings wanted before a database is isolated, and before it is let in again.
 const DOWN_AGREE: u32 = 2;
@@ -9,6 +9,22 @@
 const LOOK_LAST_US: u64 = 800_000;
 /// How long a primary's `READONLY` stands against what the control side last said.
 const DOUBT_US: u64 = 400_000;
+/// A database's leave as this node knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving {
+    pub since: LeavingSince,
+    /// Statements and transactions begun there since.
+    pub new_work: u64,
+    /// It was said that some came too late.
+    pub is_overdue_logged: bool,
+}
+
+impl Leaving {
+    pub fn new(since: LeavingSince) -> Leaving {
+        Leaving { since, new_work: 0, is_overdue_logged: false }
+    }
+}
+
 #[derive(Debug)]
 pub struct Member {
     pub inst: Inst,
@@ -25,17 +41,14 @@
     pub touched: u64,
     /// Gone because a whole list left it out, not by a word on it.
     pub(crate) is_missing: bool,
-    /// Since when this node has known that it leaves.
-    pub leaving_since: Option<u64>,
-    /// Statements and transactions begun there since, and whether it was said that some came too late.
-    pub new_work_while_leaving: u64,
-    pub is_overdue_logged: bool,
+    /// Set from the first word that it leaves until it is in service again.
+    pub leaving: Option<Leaving>,
 }
 
 impl Member {
-    pub(crate) fn new(inst: Inst, now: u64) -> Member {
-        let leaving_since = inst.draining.then_some(now);
+    pub(crate) fn new(inst: Inst, since: LeavingSince, now: u64) -> Member {
         Member {
+            leaving: inst.draining.then(|| Leaving::new(since)),
             inst,
             sight: Sight::Up,
             since: now,
@@ -46,9 +59,6 @@
             doubted_until: 0,
             touched: now,
             is_missing: false,
-            leaving_since,
-            new_work_while_leaving: 0,
-            is_overdue_logged: false,
         }
     }
 
@@ -58,6 +68,24 @@
         inst.sequence > self.inst.sequence || (inst.sequence == self.inst.sequence && !has_left)
     }
 
+    /// Takes what is told of it. A leave is dated by the earliest that anybody says, also by a word that is no news.
+    pub(crate) fn tell(&mut self, inst: &Inst, since: LeavingSince, now: u64) {
+        if self.is_news(inst) {
+            (self.inst, self.touched, self.is_missing) = (inst.clone(), now, false);
+        }
+        if !self.inst.draining {
+            self.leaving = None;
+        } else if inst.draining {
+            let leaving = self.leaving.get_or_insert(Leaving::new(since));
+            leaving.since = leaving.since.min(since);
+        }
+    }
+
+    /// Whether it said that it leaves longer ago than it may be given new work.
+    pub fn is_past_drain(&self, new_work_us: u64, now: u64) -> bool {
+        self.leaving.is_some_and(|leaving| leaving.since.age_us(now) >= new_work_us)
+    }
+
     pub fn is_isolated(&self) -> bool {
         self.is_isolated
     }
--- a/crates/wv-control/src/beats.rs
+++ b/crates/wv-control/src/beats.rs
@@ -1,6 +1,7 @@
 //! Beats of databases: ordered by their sequence, spread to the other control nodes, published.
 use crate::conf::cause;
 use crate::core::Core;
+use crate::drain::Teller;
 use wv_inner::{Inst, Lead, Msg, News};
 
 /// Within this a database that was promoted says so itself.
@@ -33,6 +34,7 @@
             primary: reader.has("dbRole") && reader.text("dbRole")? == "primary",
             sequence: reader.whole("sequence")?,
             gone: false,
+            leaving_us: 0,
         })
     };
     let inst = inst().map_err(|error| error.to_string())?;
@@ -64,6 +66,7 @@
     /// once where the database stays, and where it leaves once enough others hold it too.
     fn take_beat(&mut self, token: u64, inst: Inst, is_leave: bool) {
         let changed = self.table.offer(inst.clone());
+        self.date_leave(&inst, Teller::Database);
         self.announce(&changed, true);
         // Also a beat that changes nothing says who leads, where nobody is known to.
         self.fold_lead(&inst, false);
@@ -139,7 +142,8 @@
     }
 
     pub(crate) fn inst_from_peer(&mut self, inst: Inst) {
-        let changed = self.table.offer(inst);
+        let changed = self.table.offer(inst.clone());
+        self.date_leave(&inst, Teller::Peer);
         self.announce(&changed, true);
     }
 
--- a/crates/wv-control/src/contact.rs
+++ b/crates/wv-control/src/contact.rs
@@ -39,6 +39,7 @@
     /// still, with answers from before that still to be read.
     pub(crate) fn at(&mut self, now: u64) {
         self.now = self.now.max(now);
+        self.drains.observe(self.now);
         if self.contact.is_held && !self.is_fresh() {
             self.reckon_contact();
             if !self.is_fresh() {
@@ -168,6 +169,7 @@
     /// was all.
     pub(crate) fn give_recap(&mut self, link: u64, (asker, request): (u64, u64), ranges: &[u64]) {
         self.compare(link, ranges);
+        self.tell_leaves(link);
         let leads: Vec<Msg> = self.feed.leads().cloned().map(Msg::Lead).collect();
         leads.into_iter().for_each(|lead| self.send(link, lead));
         let owners: Vec<Msg> = self.feed.owners().values().cloned().map(Msg::Owner).collect();
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -94,6 +94,7 @@
     pub(crate) left: BTreeMap<String, crate::departed::Departure>,
     pub(crate) led: BTreeMap<String, u64>,
     pub(crate) claims: crate::beats::Claims,
+    pub(crate) drains: crate::drain::Drains,
     /// Shards whose change of hands is being written, and when one was last moved without need.
     pub(crate) owning: Vec<String>,
     pub(crate) moved: u64,
@@ -183,6 +184,7 @@
             left: BTreeMap::new(),
             led: BTreeMap::new(),
             claims: Default::default(),
+            drains: Default::default(),
             owning: Vec::new(),
             moved: 0,
             born: 0,
@@ -216,7 +218,8 @@
         self.next_id
     }
 
-    pub(crate) fn send(&mut self, link: u64, msg: Msg) {
+    pub(crate) fn send(&mut self, link: u64, mut msg: Msg) {
+        self.drains.stamp(&mut msg, self.now);
         self.acts.push(Act::Send { link, msg });
     }
 
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -63,6 +63,7 @@
             is_lead_doubted: lead
                 .as_deref()
                 .is_some_and(|lead| self.words(lead).any(|(sight, _)| sight.sight != Sight::Up)),
+            is_lead_past_drain: lead.as_deref().is_some_and(|lead| self.is_past_drain(lead)),
             is_lead_down: lead.as_deref().is_some_and(|lead| self.is_down(lead)),
             term: self.known_term(service),
             fenced: lead.as_deref().and_then(|lead| self.fenced(lead)),
@@ -130,6 +131,7 @@
             Order::Suspend { id, term } => self.ask_db(service, id, format!("SUSPEND {term}"), turn),
             Order::Continue { id } => self.ask_db(service, id, "CONTINUE".to_owned(), 0),
             Order::Yield { id, term } => self.ask_db(service, id, format!("YIELD {term}"), 0),
+            Order::Depose { id, term } => self.ask_db(service, id, format!("YIELD {term}"), turn),
             Order::Post { id, fence } => self.post(service, id, fence),
             Order::Stalled(obstacle) => self.count_stall(service, &obstacle),
             Order::Led { id, term } => {
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -4,6 +4,7 @@
 mod contact;
 mod core;
 mod departed;
+mod drain;
 mod duties;
 mod exec;
 mod falls;
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -33,6 +33,7 @@
         }
         let ping = self.ping_msg();
         self.send(link, ping);
+        self.tell_leaves(link);
         // Before there is contact nothing is compared: then all of it is asked for.
         if self.contact.is_held {
             self.send(link, Msg::Digests { ranges: self.table.digests() });
@@ -235,7 +236,8 @@
 
     fn mend_range(&mut self, insts: Vec<Inst>) {
         for inst in insts {
-            let changed = self.table.offer(inst);
+            let changed = self.table.offer(inst.clone());
+            self.date_leave(&inst, crate::drain::Teller::Peer);
             self.announce(&changed, false);
         }
     }
--- a/crates/wv-control/src/recall.rs
+++ b/crates/wv-control/src/recall.rs
@@ -5,9 +5,59 @@
 /// More than this is not kept; beats bring the rest within moments.
 const KEPT_MAX: usize = 1 << 20;
 
+/// A database as it stands on disk. How long ago it said that it leaves is not kept: after a restart nobody knows.
+#[derive(nanoserde::SerBin, nanoserde::DeBin)]
+struct KeptInst {
+    id: String,
+    service: String,
+    addr: String,
+    zone: String,
+    capacity: u32,
+    draining: bool,
+    cold_us: u64,
+    primary: bool,
+    sequence: u64,
+    gone: bool,
+}
+
+impl From<&Inst> for KeptInst {
+    fn from(inst: &Inst) -> KeptInst {
+        KeptInst {
+            id: inst.id.clone(),
+            service: inst.service.clone(),
+            addr: inst.addr.clone(),
+            zone: inst.zone.clone(),
+            capacity: inst.capacity,
+            draining: inst.draining,
+            cold_us: inst.cold_us,
+            primary: inst.primary,
+            sequence: inst.sequence,
+            gone: inst.gone,
+        }
+    }
+}
+
+impl From<KeptInst> for Inst {
+    fn from(kept: KeptInst) -> Inst {
+        Inst {
+            id: kept.id,
+            service: kept.service,
+            addr: kept.addr,
+            zone: kept.zone,
+            capacity: kept.capacity,
+            draining: kept.draining,
+            cold_us: kept.cold_us,
+            primary: kept.primary,
+            sequence: kept.sequence,
+            gone: kept.gone,
+            leaving_us: wv_inner::LONG_AGO_US,
+        }
+    }
+}
+
 #[derive(nanoserde::SerBin, nanoserde::DeBin, Default)]
 struct Kept {
-    insts: Vec<Inst>,
+    insts: Vec<KeptInst>,
     leads: Vec<Lead>,
     nodes: u32,
 }
@@ -24,7 +74,12 @@
         }
         let needed = self.needed();
         let kept = Kept {
-            insts: self.table.iter().filter(|inst| !inst.gone || needed.contains(&inst.id)).cloned().collect(),
+            insts: self
+                .table
+                .iter()
+                .filter(|inst| !inst.gone || needed.contains(&inst.id))
+                .map(KeptInst::from)
+                .collect(),
             leads: self.feed.leads().cloned().collect(),
             nodes: self.nodes_told,
         };
@@ -46,7 +101,8 @@
         // each with a share counted over the few that are already here, would overrun the databases.
         self.nodes_recalled = kept.nodes;
         // One that left may have held what nobody else does, also if this node has only just come back.
-        let (gone, here): (Vec<Inst>, Vec<Inst>) = kept.insts.into_iter().partition(|inst| inst.gone);
+        let (gone, here): (Vec<Inst>, Vec<Inst>) =
+            kept.insts.into_iter().map(Inst::from).partition(|inst: &Inst| inst.gone);
         for inst in gone {
             self.left.insert(inst.id.clone(), Default::default());
             self.table.offer(Inst { gone: false, ..inst.clone() });
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -112,12 +112,13 @@
         disk: wv_proc::draw(),
         who: wv_proc::draw(),
     };
-    let core = Core::new(start, store)?;
+    let mut core = Core::new(start, store)?;
     let system = System::new();
     system.block_on(async {
         let listener = wv_http::listen(addr).map_err(|error| ControlError::Listen(addr, error))?;
         let inner = settings.inner_addr(addr);
         let inner_listener = wv_http::listen(inner).map_err(|error| ControlError::Listen(inner, error))?;
+        core.set_drain(settings.drain_us, settings.contact_us);
         let node = Node::new(core, &settings);
         let (asked, called) = (node.clone(), node.clone());
         let head = move |method: &str, path: &str| asked.head(method, path);
--- a/crates/wv-control/src/tick.rs
+++ b/crates/wv-control/src/tick.rs
@@ -47,6 +47,7 @@
             let table = &self.table;
             self.left.retain(|id, _| table.get(id).is_some());
             self.leave_acks.forget(|id| table.get(id).is_some());
+            self.drains.forget(|id| table.get(id).is_some());
             self.forget_peers();
         }
         self.keep_contact();
--- a/crates/wv-feed/src/table.rs
+++ b/crates/wv-feed/src/table.rs
@@ -63,7 +63,7 @@
             Some(held) if inst.sequence <= held.sequence => None,
             Some(held) => {
                 let mut same = inst.clone();
-                (same.sequence, same.cold_us) = (held.sequence, held.cold_us);
+                (same.sequence, same.cold_us, same.leaving_us) = (held.sequence, held.cold_us, held.leaving_us);
                 let is_same = same == *held;
                 self.keep(inst.clone());
                 if is_same {
--- a/crates/wv-inner/src/inst.rs
+++ b/crates/wv-inner/src/inst.rs
@@ -15,4 +15,7 @@
     /// Rises with each beat.
     pub sequence: u64,
     pub gone: bool,
+    /// Put in as it is sent: how long ago the database may have said that it leaves, at the most, as the speaker knows. 0
+    /// where it was heard in service by a process that still runs, `LONG_AGO_US` where nobody knows.
+    pub leaving_us: u64,
 }
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -1,69 +1,10 @@
+//! The duty of promotion for one service: what it remembers, and what time brings.
+use crate::step::{Step, AGREE_US, CLAIM_US, PAUSE_FIRST_US, ROWS_US, WATCH_GAP_US, WATCH_US};
 use crate::steps::replicas;
 use crate::Word;
 use crate::{Order, View};
 use std::collections::BTreeMap;
 
-/// How long databases may take to give their rows.
-pub(crate) const ROWS_US: u64 = 450_000;
-/// How long the holder's own failed look stands while others come to agree.
-const AGREE_US: u64 = 800_000;
-pub(crate) const CLAIM_US: u64 = 1_200_000;
-pub(crate) const POST_US: u64 = 1_500_000;
-/// Between looks at a nominee that is on its way to lead.
-const WATCH_GAP_US: u64 = 300_000;
-const WATCH_US: u64 = 2_500_000;
-/// After an attempt that led nowhere.
-pub(crate) const PAUSE_FIRST_US: u64 = 150_000;
-/// Between looks at a lead that some doubt and that answers.
-pub(crate) const PAUSE_UP_US: u64 = 500_000;
-pub(crate) const PAUSE_LAST_US: u64 = 1_200_000;
-
-#[derive(Clone, PartialEq, Debug)]
-pub(crate) enum Step {
-    Rest {
-        until: u64,
-    },
-    /// The holder's own look at a lead that another calls down.
-    Probing {
-        limit: u64,
-    },
-    /// From here it is down as well; others have still to agree.
-    Agreeing {
-        limit: u64,
-    },
-    Claiming {
-        limit: u64,
-    },
-    /// The fence is confirmed, to be shown to the platform.
-    Showing {
-        lead: String,
-        limit: u64,
-    },
-    /// A predecessor may have a call under way: the platform is shown the new fence first.
-    Fencing {
-        limit: u64,
-    },
-    Looking {
-        limit: u64,
-    },
-    Suspending {
-        limit: u64,
-    },
-    Confirming {
-        nominee: String,
-        limit: u64,
-    },
-    Posting {
-        nominee: String,
-        limit: u64,
-    },
-    Watching {
-        nominee: String,
-        next: u64,
-        limit: u64,
-    },
-}
-
 /// The duty for one service.
 #[derive(Clone, Debug)]
 pub struct Duty {
@@ -80,6 +21,9 @@
     pub(crate) is_fencing: bool,
     pub(crate) term: u64,
     pub(crate) pause: u64,
+    /// A primary that leaves and was told to yield.
+    pub(crate) deposed: Option<crate::depose::Deposed>,
+    was_past_drain: bool,
     was_holder: bool,
     /// Counts the steps: what was asked in an earlier one is answered too late.
     turn: u64,
@@ -99,6 +43,8 @@
             is_fencing: false,
             term: 0,
             pause: PAUSE_FIRST_US,
+            deposed: None,
+            was_past_drain: false,
             was_holder: false,
             turn: 1,
             orders: Vec::new(),
@@ -152,8 +98,11 @@
             return self.look_all(view);
         }
         let now = view.now;
+        // What was in the way of a planned end may be none any more.
+        let was_past_drain = std::mem::replace(&mut self.was_past_drain, view.is_lead_past_drain);
+        let is_newly_past_drain = view.is_lead_past_drain && !was_past_drain;
         match self.step.clone() {
-            Step::Rest { until } if until <= now => self.trigger(view),
+            Step::Rest { until } if until <= now || is_newly_past_drain => self.trigger(view),
             Step::Probing { limit } if limit <= now => self.probed_down(view),
             Step::Agreeing { .. } if view.is_lead_down => self.claim(now),
             Step::Agreeing { limit } if limit <= now => self.rest(now),
@@ -172,6 +121,8 @@
             Step::Claiming { limit }
             | Step::Showing { limit, .. }
             | Step::Fencing { limit }
+            | Step::Comparing { limit, .. }
+            | Step::Deposing { limit, .. }
             | Step::Confirming { limit, .. }
                 if limit <= now =>
             {
@@ -230,6 +181,7 @@
     pub(crate) fn done(&mut self, id: &str, term: Option<u64>, now: u64) {
         self.orders.push(Order::Led { id: id.to_owned(), term: term.unwrap_or(self.term + 1) });
         self.term = term.unwrap_or(self.term + 1);
+        self.deposed = None;
         self.release(Some(id));
         self.rest(now);
     }
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -1,6 +1,8 @@
 //! The duty of promotion, one machine per service: events and time in, orders out.
 mod choice;
+mod depose;
 mod duty;
+mod step;
 mod steps;
 
 pub use choice::{nominate, Obstacle, Verdict};
@@ -44,6 +46,8 @@
     pub is_raise_wanted: bool,
     /// Some node says the lead is down: reason enough to look, not to act.
     pub is_lead_doubted: bool,
+    /// The lead leaves or is gone, and no access node in touch gives it new work any more.
+    pub is_lead_past_drain: bool,
     /// Agreeing sightings of several nodes say the lead is down.
     pub is_lead_down: bool,
     /// The newest term that anyone has seen, 0 for none.
@@ -73,6 +77,11 @@
         id: String,
         term: u64,
     },
+    /// The same for the primary that is about to be replaced, which answers with its row.
+    Depose {
+        id: String,
+        term: u64,
+    },
     Post {
         id: String,
         fence: u64,
@@ -102,7 +111,7 @@
     /// The fence, and whether another node held the duty before.
     Claimed(Option<(u64, bool)>),
     Confirmed(bool),
-    /// What came of a `Look` or `Suspend`.
+    /// What came of a `Look`, `Suspend` or `Depose`.
     Row {
         id: String,
         word: Word,
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -1,26 +1,7 @@
 //! Events of a promotion under way.
-use crate::duty::{Step, CLAIM_US, PAUSE_FIRST_US, PAUSE_LAST_US, PAUSE_UP_US, POST_US, ROWS_US};
+use crate::step::{Step, CLAIM_US, PAUSE_FIRST_US, PAUSE_LAST_US, PAUSE_UP_US, POST_US, ROWS_US};
 use crate::{nominate, Duty, Event, Obstacle, Order, Verdict, View};
 
-impl Step {
-    /// From then on nothing that was asked for in it counts any more.
-    fn limit(&self) -> Option<u64> {
-        match self {
-            Step::Rest { .. } => None,
-            Step::Probing { limit }
-            | Step::Agreeing { limit }
-            | Step::Claiming { limit }
-            | Step::Fencing { limit }
-            | Step::Looking { limit }
-            | Step::Suspending { limit }
-            | Step::Showing { limit, .. }
-            | Step::Confirming { limit, .. }
-            | Step::Posting { limit, .. }
-            | Step::Watching { limit, .. } => Some(*limit),
-        }
-    }
-}
-
 impl Duty {
     fn is_over(&self, now: u64) -> bool {
         self.step.limit().is_some_and(|limit| limit <= now)
@@ -67,6 +48,13 @@
                     self.settle(view);
                 }
             }
+            (Step::Comparing { candidate, .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => {
+                self.compared(candidate, word, view)
+            }
+            (Step::Deposing { candidate, .. }, Event::Confirmed(true)) => self.depose(candidate, view),
+            (Step::Deposing { candidate, .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => {
+                self.yielded(candidate, word, view)
+            }
             (Step::Showing { lead, .. }, Event::Confirmed(true)) => {
                 if let Some(fence) = self.fence {
                     self.orders.push(Order::Post { id: lead, fence });
@@ -81,7 +69,11 @@
             }
             // Another has it; or a call was not made, because its confirmation was over when its turn came.
             (
-                Step::Showing { .. } | Step::Confirming { .. } | Step::Fencing { .. } | Step::Posting { .. },
+                Step::Showing { .. }
+                | Step::Deposing { .. }
+                | Step::Confirming { .. }
+                | Step::Fencing { .. }
+                | Step::Posting { .. },
                 Event::Confirmed(false),
             ) => self.give_up(now),
             (Step::Posting { nominee, .. }, Event::Posted(code)) => match code {
@@ -150,7 +142,7 @@
         let verdict = nominate(view.seats, lead, &self.rows, view.sync_replicas, view.fenced, view.is_lead_down);
         let nominee = match verdict {
             Verdict::Nominee(nominee) => nominee,
-            Verdict::Blocked(obstacle) => return self.stall(obstacle, view.now),
+            Verdict::Blocked(obstacle) => return self.blocked(obstacle, view),
         };
         // The nominee goes on receiving: what the old primary can still get acknowledged then stands in its log.
         let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != nominee).collect();
@@ -195,7 +187,7 @@
                 }
                 self.suspend(loose, view);
             }
-            Verdict::Blocked(obstacle) => self.stall(obstacle, view.now),
+            Verdict::Blocked(obstacle) => self.blocked(obstacle, view),
         }
     }
 
@@ -209,7 +201,7 @@
         self.enter(Step::Rest { until: now + self.pause });
     }
 
-    fn stall(&mut self, obstacle: Obstacle, now: u64) {
+    pub(crate) fn stall(&mut self, obstacle: Obstacle, now: u64) {
         self.orders.push(Order::Stalled(obstacle));
         self.give_up(now);
     }
--- a/crates/wv-promo/tests/fence_model/mod.rs
+++ b/crates/wv-promo/tests/fence_model/mod.rs
@@ -139,6 +139,7 @@
             seats: &[seat("p"), seat("r")],
             is_raise_wanted: false,
             is_lead_doubted: node.lead == "p",
+            is_lead_past_drain: false,
             is_lead_down: node.lead == "p",
             term: 1,
             fenced: None,
