--- a/crates/wv-fleet/src/nemesis/bases.rs
+++ b/crates/wv-fleet/src/nemesis/bases.rs
@@ -3,8 +3,9 @@
 use super::{Event, Kind};
 use crate::{Base, MS, S};
 
-/// How long a database that leaves serves on.
-const SERVES_ON: u64 = 7 * S;
+/// How long a database that leaves serves on: as long as it may be given work, and at times many seconds longer.
+const SERVES_ON: u64 = crate::DRAIN;
+const SERVES_LONGER: u64 = 6 * S;
 
 impl Player {
     pub(super) fn strike_base(&mut self, event: &Event, at: usize) {
@@ -16,10 +17,11 @@
             Kind::Break => self.world.reset_conns(at),
             // One that is down says nothing.
             Kind::Drain if is_up => {
+                let serves_on = SERVES_ON + self.luck.below(SERVES_LONGER);
                 self.world.bases[at].is_draining = true;
                 self.world.beat(at);
-                self.later(SERVES_ON, Todo::Delete(at));
-                self.later(SERVES_ON + 30 * MS, Todo::Gone(at));
+                self.later(serves_on, Todo::Delete(at));
+                self.later(serves_on + 30 * MS, Todo::Gone(at));
             }
             Kind::Leave if is_up => {
                 self.later(0, Todo::Delete(at));
