--- /dev/null
+++ b/crates/wv-promo/tests/depose.rs
@@ -0,0 +1,209 @@
+//! Stories of a primary that leaves while a replica is silent, on the bare duty: who is asked and told what, in which order.
+use wv_promo::{Duty, Event, Obstacle, Order, Seat, Silent, View, Word};
+use wv_wire::{Pos, Status};
+
+const S: u64 = 1_000_000;
+
+/// The primary `p` leaves, `c` could follow it, `d` is silent; the duty is held here.
+struct Story {
+    duty: Duty,
+    now: u64,
+    is_past_drain: bool,
+    fence: u64,
+}
+
+fn row(is_primary: bool, term: u64, number: u64) -> Word {
+    Ok(Status { is_primary, term, received: Pos { term: 3, number }, ..Status::default() })
+}
+
+fn look(id: &str) -> Order {
+    Order::Look { id: id.to_owned() }
+}
+
+impl Story {
+    /// The duty's first look at what a predecessor left is over.
+    fn begin(is_past_drain: bool) -> Story {
+        let mut story = Story { duty: Duty::default(), now: S, is_past_drain, fence: 0 };
+        story.tick();
+        story.hear_rows(8);
+        story
+    }
+
+    fn with(&mut self, act: impl FnOnce(&mut Duty, &View<'_>)) -> Vec<Order> {
+        let seat = |id: &str, is_draining| Seat { id: id.to_owned(), is_draining, refused_us: None, left: None };
+        let view = View {
+            now: self.now,
+            is_holder: true,
+            lead: Some("p"),
+            sync_replicas: 1,
+            seats: &[seat("p", true), seat("c", false), seat("d", false)],
+            is_raise_wanted: false,
+            is_lead_doubted: false,
+            is_lead_past_drain: self.is_past_drain,
+            is_lead_down: false,
+            term: 3,
+            fenced: Some((S, Pos { term: 3, number: 8 })),
+        };
+        act(&mut self.duty, &view);
+        self.duty.take_orders()
+    }
+
+    fn tick(&mut self) -> Vec<Order> {
+        self.with(|duty, view| duty.tick(view))
+    }
+
+    fn hear(&mut self, event: Event) -> Vec<Order> {
+        self.with(|duty, view| duty.event(event, view))
+    }
+
+    fn hear_row(&mut self, id: &str, word: Word) -> Vec<Order> {
+        self.hear(Event::Row { id: id.to_owned(), word })
+    }
+
+    /// The replicas' rows: `c` has received so much, `d` says nothing.
+    fn hear_rows(&mut self, number: u64) -> Vec<Order> {
+        self.hear_row("c", row(false, 3, number));
+        self.hear_row("d", Err(Silent::Dark))
+    }
+
+    /// A new attempt, as far as the replicas' rows; what it leads to.
+    fn attempt(&mut self, number: u64) -> Vec<Order> {
+        self.now += 2 * S;
+        assert_eq!(self.tick(), [Order::Claim]);
+        self.fence += 1;
+        assert_eq!(self.hear(Event::Claimed(Some((self.fence, false)))), [look("c"), look("d")]);
+        self.hear_rows(number)
+    }
+}
+
+fn stalled(orders: &[Order]) -> Option<Obstacle> {
+    orders.iter().find_map(|order| match order {
+        Order::Stalled(obstacle) => Some(obstacle.clone()),
+        _ => None,
+    })
+}
+
+fn told(orders: &[Order]) -> bool {
+    orders.iter().any(|order| matches!(order, Order::Depose { .. } | Order::Post { .. }))
+}
+
+#[test]
+fn given_clients_that_the_primary_still_serves_then_the_silent_one_is_waited_for() {
+    let mut story = Story::begin(false);
+    let orders = story.attempt(8);
+    assert!(matches!(stalled(&orders), Some(Obstacle::Silent { replica, .. }) if replica == "d"));
+    assert!(!told(&orders));
+}
+
+#[test]
+fn given_a_primary_past_its_bound_then_it_says_where_its_log_ends_and_who_has_it_all_leads() {
+    let mut story = Story::begin(true);
+    assert_eq!(story.attempt(8), [look("p")]);
+    assert_eq!(story.hear_row("p", row(true, 3, 8)), [Order::Confirm]);
+    assert_eq!(story.hear(Event::Confirmed(true)), [Order::Depose { id: "p".to_owned(), term: 4 }]);
+    assert_eq!(story.hear_row("p", row(false, 3, 8)), [Order::Confirm]);
+    let post = Order::Post { id: "c".to_owned(), fence: story.fence };
+    assert_eq!(story.hear(Event::Confirmed(true)), [post]);
+}
+
+#[test]
+fn given_a_candidate_that_lacks_what_the_primary_has_then_the_primary_is_told_nothing() {
+    let mut story = Story::begin(true);
+    assert_eq!(story.attempt(8), [look("p")]);
+    let orders = story.hear_row("p", row(true, 3, 9));
+    assert!(matches!(stalled(&orders), Some(Obstacle::Behind { ahead, .. }) if ahead == "p"));
+    assert!(!told(&orders));
+    // What was under way arrives, and the next attempt goes through.
+    assert_eq!(story.attempt(9), [look("p")]);
+    assert_eq!(story.hear_row("p", row(true, 3, 9)), [Order::Confirm]);
+}
+
+#[test]
+fn given_a_fence_that_is_another_nodes_by_then_then_the_primary_is_told_nothing() {
+    let mut story = Story::begin(true);
+    story.attempt(8);
+    assert_eq!(story.hear_row("p", row(true, 3, 8)), [Order::Confirm]);
+    assert!(!told(&story.hear(Event::Confirmed(false))));
+}
+
+#[test]
+fn given_one_that_says_it_is_a_replica_and_was_not_told_so_here_then_nobody_leads_by_its_row() {
+    let mut story = Story::begin(true);
+    assert_eq!(story.attempt(8), [look("p")]);
+    let orders = story.hear_row("p", row(false, 3, 8));
+    assert!(stalled(&orders).is_some());
+    assert!(!told(&orders));
+    // Nor by that of a primary of an older term.
+    assert_eq!(story.attempt(8), [look("p")]);
+    assert!(!told(&story.hear_row("p", row(true, 2, 8))));
+}
+
+#[test]
+fn given_an_answer_to_the_yield_that_is_lost_then_it_is_told_again() {
+    let mut story = Story::begin(true);
+    story.attempt(8);
+    story.hear_row("p", row(true, 3, 8));
+    story.hear(Event::Confirmed(true));
+    assert!(!told(&story.hear_row("p", Err(Silent::Dark))));
+    // It did yield: known by what it was told.
+    assert_eq!(story.attempt(8), [look("p")]);
+    assert_eq!(story.hear_row("p", row(false, 3, 8)), [Order::Confirm]);
+    assert!(told(&story.hear(Event::Confirmed(true))));
+    assert_eq!(story.hear_row("p", row(false, 3, 8)), [Order::Confirm]);
+}
+
+#[test]
+fn given_a_commit_that_came_between_the_look_and_the_yield_then_the_candidate_does_not_lead_without_it() {
+    let mut story = Story::begin(true);
+    story.attempt(8);
+    story.hear_row("p", row(true, 3, 8));
+    story.hear(Event::Confirmed(true));
+    let orders = story.hear_row("p", row(false, 3, 9));
+    assert!(matches!(stalled(&orders), Some(Obstacle::Behind { .. })));
+    assert!(!told(&orders));
+}
+
+#[test]
+fn given_a_primary_that_yielded_and_went_dark_then_who_has_received_all_of_its_log_leads() {
+    let mut story = Story::begin(true);
+    story.attempt(8);
+    story.hear_row("p", row(true, 3, 8));
+    story.hear(Event::Confirmed(true));
+    story.hear_row("p", row(false, 3, 8));
+    // The call does not go through, and nothing more is heard of the primary.
+    story.hear(Event::Confirmed(true));
+    story.hear(Event::Posted(Some(429)));
+    assert_eq!(story.attempt(8), [Order::Confirm]);
+    // One that lacks some of it does not.
+    let mut other = Story::begin(true);
+    other.attempt(8);
+    other.hear_row("p", row(true, 3, 8));
+    other.hear(Event::Confirmed(true));
+    other.hear_row("p", row(false, 3, 8));
+    other.hear(Event::Confirmed(true));
+    other.hear(Event::Posted(Some(429)));
+    assert_eq!(other.attempt(7), [look("p")]);
+}
+
+#[test]
+fn given_a_call_that_was_refused_as_another_showed_a_higher_fence_then_the_next_one_is_made_under_a_new_fence() {
+    let mut story = Story::begin(true);
+    let mut last = 0;
+    for _ in 0..4 {
+        story.attempt(8);
+        story.hear_row("p", row(true, 3, 8));
+        story.hear(Event::Confirmed(true));
+        let mut orders = story.hear_row("p", row(false, 3, 8));
+        if orders == [Order::Confirm] {
+            orders = story.hear(Event::Confirmed(true));
+        }
+        let fence = orders.iter().find_map(|order| match order {
+            Order::Post { fence, .. } => Some(*fence),
+            _ => None,
+        });
+        assert!(fence.is_none_or(|fence| fence > last), "{fence:?} after {last}");
+        last = fence.unwrap_or(last);
+        story.hear(Event::Posted(Some(409)));
+    }
+    assert!(last > 0, "calls were made");
+}
