--- a/crates/wv-fleet/tests/drain.rs
+++ b/crates/wv-fleet/tests/drain.rs
@@ -68,3 +68,129 @@
     world.run(DRAIN);
     expect_that!(end(&mut world), is_empty());
 }
+
+/// The primary leaves, and nobody can take its place; `trouble` befalls the fleet right after the acknowledgement.
+fn left_alone(trouble: impl FnOnce(&mut World)) -> Vec<String> {
+    let mut world = busy();
+    world.darken(1);
+    world.darken(2);
+    drain(&mut world, 0);
+    trouble(&mut world);
+    world.run(DRAIN + 4 * S);
+    end(&mut world)
+}
+
+#[gtest]
+fn given_all_machines_that_lose_power_right_after_a_leave_was_acknowledged_then_it_binds_all_the_same() {
+    for after in [0, 30, 120, 700, 2500] {
+        let broken = left_alone(|world| {
+            world.run(after * MS);
+            (0..3).for_each(|at| world.power_control(at, after));
+            (0..4).for_each(|at| world.kill_access(at));
+            world.run(300 * MS);
+            (0..3).for_each(|at| world.start_control(at, false));
+            (0..4).for_each(|at| world.start_access(at));
+        });
+        expect_that!(broken, is_empty(), "{after} ms after");
+    }
+}
+
+#[gtest]
+fn given_control_nodes_that_are_killed_one_after_the_other_then_the_leave_keeps_its_age() {
+    let broken = left_alone(|world| {
+        for at in 0..3 {
+            world.kill_control(at);
+            world.run(200 * MS);
+            world.start_control(at, false);
+            world.run(1200 * MS);
+        }
+    });
+    expect_that!(broken, is_empty());
+}
+
+#[gtest]
+fn given_an_access_node_that_stands_still_while_a_database_leaves_then_it_is_bound_once_it_is_in_touch() {
+    for thaw in [1, 3, 5, 6, 8] {
+        let mut world = busy();
+        world.darken(1);
+        world.darken(2);
+        world.freeze_access(0);
+        drain(&mut world, 0);
+        world.run(thaw * S);
+        world.thaw_access(0);
+        world.run(DRAIN + 4 * S);
+        expect_that!(end(&mut world), is_empty(), "thawed after {thaw} s");
+    }
+}
+
+#[gtest]
+fn given_a_control_node_that_stands_still_while_a_database_leaves_then_its_followers_are_bound() {
+    for at in 0..3 {
+        let broken = left_alone(|world| {
+            world.freeze_control(at);
+            world.run(2500 * MS);
+            world.thaw_control(at);
+        });
+        expect_that!(broken, is_empty(), "c{at}");
+    }
+}
+
+#[gtest]
+fn given_a_core_that_is_cut_into_halves_while_a_database_leaves_then_both_halves_followers_are_bound() {
+    for alone in 0..3 {
+        let mut world = busy();
+        world.darken(1);
+        world.darken(2);
+        let others: Vec<usize> = (0..3).filter(|at| *at != alone).collect();
+        for other in &others {
+            let (one, other) = (format!("c{alone}"), format!("c{other}"));
+            world.wall(&one, &other);
+            world.wall(&other, &one);
+        }
+        drain(&mut world, 0);
+        world.run(3 * S);
+        for other in &others {
+            let (one, other) = (format!("c{alone}"), format!("c{other}"));
+            world.unwall(&one, &other);
+            world.unwall(&other, &one);
+        }
+        world.run(DRAIN + 2 * S);
+        expect_that!(end(&mut world), is_empty(), "c{alone} alone");
+    }
+}
+
+#[gtest]
+fn given_a_primary_that_says_only_that_it_is_gone_while_a_replica_is_dark_then_the_other_leads() {
+    let mut world = busy();
+    world.darken(2);
+    world.run(S);
+    let id = world.bases[0].id.clone();
+    // It serves on, and says nothing more of itself.
+    world.gone.insert(0);
+    world.call(1, "DELETE", &format!("/instances/{id}"), b"");
+    world.run(3 * S);
+    expect_that!(world.primary(), eq(1));
+    let done = world.load_done().0;
+    world.run(S);
+    expect_that!(world.load_done().0, gt(done + 50));
+    expect_that!(end(&mut world), is_empty());
+}
+
+#[gtest]
+fn given_a_replica_in_the_dark_that_has_what_the_candidate_lacks_then_nobody_leads_before_the_primary_ends() {
+    let mut world = busy();
+    // The candidate receives nothing; the other one goes dark with all there was.
+    world.bases[1].is_deaf = true;
+    world.run(S);
+    world.darken(2);
+    drain(&mut world, 0);
+    world.run(5 * S);
+    expect_that!(world.primary(), eq(0));
+    expect_that!(world.posts, is_empty());
+    expect_that!(world.course.iter().any(|(_, text)| text.contains("YIELD")), eq(false), "it would send nothing on");
+    // Once it receives again it has all there is.
+    world.bases[1].is_deaf = false;
+    world.run(3 * S);
+    expect_that!(world.primary(), eq(1));
+    expect_that!(end(&mut world), is_empty());
+}
