--- a/crates/wv-control/src/departed.rs
+++ b/crates/wv-control/src/departed.rs
@@ -3,7 +3,7 @@
 use crate::core::Core;
 use std::collections::{BTreeMap, BTreeSet};
 use wv_inner::Inst;
-use wv_promo::{Left, Silent, Word};
+use wv_promo::{Left, Silent, StatusReply};
 
 /// One that left is looked at no more often, at first and when it serves on: most end soon, and what was seen of the
 /// primary counts only from then on.
@@ -83,7 +83,7 @@
     }
 
     /// What a look at one that left says of its end.
-    pub(crate) fn note_ended(&mut self, id: &str, word: Word) {
+    pub(crate) fn note_ended(&mut self, id: &str, word: StatusReply) {
         let is_replaced = self.table.get(id).is_some_and(|inst| inst.gone && self.departed(inst).heir.is_some());
         let now = self.now;
         let Some(held) = self.left.get_mut(id) else { return };
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -2,7 +2,7 @@
 use crate::core::{Act, Core};
 use crate::types::{Asked, Waiting};
 use wv_inner::{Lead, Msg, News, Sight, Sighting};
-use wv_promo::{Event, Order, Seat, Silent, View, Word};
+use wv_promo::{Database, Effect, Event, Silent, StatusReply, View};
 use wv_reg::Outcome;
 
 /// A node that has just started, or was out of contact, first hears who is there.
@@ -33,32 +33,32 @@
     }
 
     /// The databases of a service, and those that left it under the present lead.
-    fn seats(&self, service: &str, lead: Option<&str>) -> Vec<Seat> {
+    fn databases(&self, service: &str, lead: Option<&str>) -> Vec<Database> {
         let led = self.led.get(service).copied().unwrap_or(0);
         let is_counted = |inst: &&wv_inner::Inst| {
             let is_left = inst.gone && self.left.get(&inst.id).is_some_and(|held| held.at >= led);
             !inst.gone || (is_left && Some(inst.id.as_str()) != lead)
         };
-        let seat = |inst: &wv_inner::Inst| Seat {
+        let database = |inst: &wv_inner::Inst| Database {
             id: inst.id.clone(),
             is_draining: inst.draining,
             refused_us: self.refused_us(&inst.id),
             left: inst.gone.then(|| self.departed(inst)),
         };
-        self.table.of(service).filter(is_counted).map(seat).collect()
+        self.table.of(service).filter(is_counted).map(database).collect()
     }
 
     fn with_duty(&mut self, service: &str, turn: impl FnOnce(&mut wv_promo::Duty, &View<'_>)) {
         let Some(mut duty) = self.duties.remove(service) else { return };
         let lead = self.feed.lead(service).map(|lead| lead.id.clone());
-        let seats = self.seats(service, lead.as_deref());
+        let databases = self.databases(service, lead.as_deref());
         let service_conf = self.conf.as_ref().and_then(|conf| conf.services.get(service));
         let view = View {
             now: self.now,
             is_holder: self.roster.is_holder(service) && self.is_settled(SETTLE_US),
             lead: lead.as_deref(),
             sync_replicas: service_conf.map_or(1, |held| held.sync_replicas),
-            seats: &seats,
+            databases: &databases,
             is_raise_wanted: self.is_raise_wanted(service),
             is_lead_doubted: lead
                 .as_deref()
@@ -69,9 +69,9 @@
             fenced: lead.as_deref().and_then(|lead| self.fenced(lead)),
         };
         turn(&mut duty, &view);
-        let orders = duty.take_orders();
+        let effects = duty.take_effects();
         self.duties.insert(service.to_owned(), duty);
-        orders.into_iter().for_each(|order| self.obey(service, order));
+        effects.into_iter().for_each(|effect| self.obey(service, effect));
     }
 
     /// All duties that are held here, and those held until now, which have something to undo.
@@ -102,7 +102,7 @@
     }
 
     pub(crate) fn turn(&self, service: &str) -> u64 {
-        self.duties.get(service).map_or(0, wv_promo::Duty::turn)
+        self.duties.get(service).map_or(0, wv_promo::Duty::step_number)
     }
 
     /// An answer counts in the step that asked for it; in a later one it would pass for another's answer.
@@ -118,23 +118,23 @@
         ask
     }
 
-    fn obey(&mut self, service: &str, order: Order) {
-        log::info!("duty {service}: {order:?}");
+    fn obey(&mut self, service: &str, effect: Effect) {
+        log::info!("duty {service}: {effect:?}");
         let turn = self.turn(service);
-        match order {
-            Order::Claim => self.claim_duty(service),
-            Order::Confirm => {
+        match effect {
+            Effect::Claim => self.claim_duty(service),
+            Effect::Confirm => {
                 self.calls.confirms.insert(service.to_owned(), self.now);
                 self.ask_register(service, Waiting::Confirm(service.to_owned(), turn), None);
             }
-            Order::Look { id } => self.ask_db(service, id, "ENQUIRY".to_owned(), turn),
-            Order::Suspend { id, term } => self.ask_db(service, id, format!("SUSPEND {term}"), turn),
-            Order::Continue { id } => self.ask_db(service, id, "CONTINUE".to_owned(), 0),
-            Order::Yield { id, term } => self.ask_db(service, id, format!("YIELD {term}"), 0),
-            Order::Depose { id, term } => self.ask_db(service, id, format!("YIELD {term}"), turn),
-            Order::Post { id, fence } => self.post(service, id, fence),
-            Order::Stalled(obstacle) => self.count_stall(service, &obstacle),
-            Order::Led { id, term } => {
+            Effect::Look { id } => self.ask_db(service, id, "ENQUIRY".to_owned(), turn),
+            Effect::Suspend { id, term } => self.ask_db(service, id, format!("SUSPEND {term}"), turn),
+            Effect::Continue { id } => self.ask_db(service, id, "CONTINUE".to_owned(), 0),
+            Effect::Yield { id, term } => self.ask_db(service, id, format!("YIELD {term}"), 0),
+            Effect::Depose { id, term } => self.ask_db(service, id, format!("YIELD {term}"), turn),
+            Effect::Post { id, fence } => self.post(service, id, fence),
+            Effect::Stalled(obstacle) => self.count_stall(service, &obstacle),
+            Effect::Led { id, term } => {
                 let lead = Lead { service: service.to_owned(), id, term };
                 self.send_peers(&Msg::Lead(lead.clone()));
                 self.lead_told(lead);
@@ -144,7 +144,7 @@
 
     pub(crate) fn lead_told(&mut self, lead: Lead) {
         let held = self.feed.lead(&lead.service);
-        // A term already known to be over is old news; the same word again is none.
+        // A term already known to be over is old news; the same reply again is none.
         if held.is_none_or(|held| held.term < lead.term && !(held.id == lead.id && held.term == lead.term)) {
             self.note_led(&lead);
             self.is_table_due = true;
@@ -166,17 +166,17 @@
                 let ask = self.ask(service, &id, turn);
                 self.acts.push(Act::Request { ask, service: service.to_owned(), id, addr, text });
             }
-            None => self.duty_event(service, turn, Event::Row { id, word: Err(Silent::Refused) }),
+            None => self.duty_event(service, turn, Event::Row { id, reply: Err(Silent::Refused) }),
         }
     }
 
     /// A database's row came, or did not.
-    pub fn row(&mut self, ask: u64, word: Word, now: u64) {
+    pub fn row(&mut self, ask: u64, reply: StatusReply, now: u64) {
         self.at(now);
         let Some(Asked { service, id, turn }) = self.calls.asks.remove(&ask) else { return };
-        log::info!("duty {service}: row of {id}: {word:?}");
-        self.note_ended(&id, word);
-        self.duty_event(&service, turn, Event::Row { id, word });
+        log::info!("duty {service}: row of {id}: {reply:?}");
+        self.note_ended(&id, reply);
+        self.duty_event(&service, turn, Event::Row { id, reply });
         self.run_quorum();
     }
 
--- a/crates/wv-control/src/request.rs
+++ b/crates/wv-control/src/request.rs
@@ -2,7 +2,7 @@
 use crate::exec::Node;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use wv_promo::{Silent, Word};
+use wv_promo::{Silent, StatusReply};
 use wv_wire::{cut_line, parse_status, DbLine, Status};
 
 const ASK: std::time::Duration = std::time::Duration::from_millis(400);
@@ -38,7 +38,7 @@
     }
 }
 
-async fn request(addr: SocketAddr, service: &str, id: &str, text: &str) -> Word {
+async fn request(addr: SocketAddr, service: &str, id: &str, text: &str) -> StatusReply {
     let stream = wv_http::connect(addr, CONNECT).await.map_err(|error| match error.kind() {
         std::io::ErrorKind::ConnectionRefused => Silent::Refused,
         _ => Silent::Dark,
--- a/crates/wv-control/tests/asks.rs
+++ b/crates/wv-control/tests/asks.rs
@@ -2,7 +2,7 @@
 use googletest::prelude::*;
 use wv_control::{Act, Core, Start};
 use wv_inner::Msg;
-use wv_promo::Word;
+use wv_promo::StatusReply;
 use wv_wire::{Pos, Status};
 
 const ME: &str = "10.0.0.1:80";
@@ -74,7 +74,8 @@
 
     fn row(&mut self, ask: u64, received: u64, held: u64) {
         let received = Pos { term: 3, number: received };
-        let word: Word = Ok(Status { is_primary: false, term: 3, received, held, lag_us: 0, busy: 0, connections: 1 });
+        let word: StatusReply =
+            Ok(Status { is_primary: false, term: 3, received, held, lag_us: 0, busy: 0, connections: 1 });
         self.core.row(ask, word, self.now);
         self.obey();
     }
--- a/crates/wv-fleet/src/events.rs
+++ b/crates/wv-fleet/src/events.rs
@@ -61,7 +61,7 @@
         control: usize,
         life: u64,
         ask: u64,
-        word: wv_promo::Word,
+        word: wv_promo::StatusReply,
     },
     Posted {
         control: usize,
--- a/crates/wv-promo/src/depose.rs
+++ b/crates/wv-promo/src/depose.rs
@@ -12,7 +12,7 @@
 //!   nothing on, so a candidate that lacks something then would never catch up;
 //! - its row counts as the end of its log only once it says that it is no primary any more, in the term in which it led.
 use crate::step::{Step, CLAIM_US, PAUSE_FIRST_US, ROWS_US};
-use crate::{Duty, Obstacle, Order, View, Word};
+use crate::{Duty, Effect, Obstacle, StatusReply, View};
 use wv_wire::{Pos, Status};
 
 /// A primary that was told to yield, the term in which it led, and where its log ends once it has said so.
@@ -42,24 +42,25 @@
         if end.is_some_and(|end| self.has_received(&candidate, end)) {
             return self.confirm(candidate, view.now);
         }
-        self.orders.push(Order::Look { id: primary.to_owned() });
-        self.enter(Step::Comparing { candidate, limit: view.now + ROWS_US });
+        self.effects.push(Effect::Look { id: primary.to_owned() });
+        self.enter(Step::Comparing { candidate, deadline: view.now + ROWS_US });
     }
 
     fn has_received(&self, candidate: &str, end: Pos) -> bool {
-        self.rows.get(candidate).is_some_and(|word| word.is_ok_and(|status| status.received >= end))
+        self.rows.get(candidate).is_some_and(|reply| reply.is_ok_and(|status| status.received >= end))
     }
 
-    fn confirm(&mut self, nominee: String, now: u64) {
-        self.orders.push(Order::Confirm);
-        self.enter(Step::Confirming { nominee, limit: now + CLAIM_US });
+    fn confirm(&mut self, candidate: String, now: u64) {
+        self.effects.push(Effect::Confirm);
+        self.enter(Step::Confirming { candidate, deadline: now + CLAIM_US });
     }
 
     /// The primary's row, before it is told anything.
-    pub(crate) fn compared(&mut self, candidate: String, word: Word, view: &View<'_>) {
+    pub(crate) fn compared(&mut self, candidate: String, reply: StatusReply, view: &View<'_>) {
         let Some(primary) = view.lead else { return self.give_up(view.now) };
-        let Ok(status) = word else {
-            return self.stall(Obstacle::Silent { candidate, replica: primary.to_owned(), word: word.err() }, view.now);
+        let Ok(status) = reply else {
+            return self
+                .stall(Obstacle::Silent { candidate, replica: primary.to_owned(), reply: reply.err() }, view.now);
         };
         let is_told = self.deposed.as_ref().is_some_and(|told| told.primary == primary && told.is_yielded(&status));
         // One that says it is a replica, and was not told so by this holder, may have been deposed by a promotion.
@@ -71,8 +72,8 @@
             self.deposed = Some(Deposed { primary: primary.to_owned(), term: status.term, told: None, end: None });
         }
         self.term = self.term.max(status.term);
-        self.orders.push(Order::Confirm);
-        self.enter(Step::Deposing { candidate, limit: view.now + CLAIM_US });
+        self.effects.push(Effect::Confirm);
+        self.enter(Step::Deposing { candidate, deadline: view.now + CLAIM_US });
     }
 
     /// The newest term in which anybody is known to have led.
@@ -83,7 +84,8 @@
 
     /// The primary has something that the candidate lacks: what is under way gets there soon, and the attempt is made anew.
     fn primary_ahead(&mut self, candidate: String, primary: &str, status: Status, now: u64) {
-        let received = self.rows.get(&candidate).and_then(|word| word.ok()).map_or(Pos::default(), |row| row.received);
+        let received =
+            self.rows.get(&candidate).and_then(|reply| reply.ok()).map_or(Pos::default(), |row| row.received);
         self.pause = PAUSE_FIRST_US;
         let ahead = primary.to_owned();
         self.stall(Obstacle::Behind { candidate, received, ahead, ahead_received: status.received }, now);
@@ -94,15 +96,15 @@
         let Some(primary) = view.lead else { return self.give_up(view.now) };
         let term = self.term + 1;
         self.deposed.iter_mut().for_each(|deposed| deposed.told = Some(term));
-        self.orders.push(Order::Depose { id: primary.to_owned(), term });
-        self.enter(Step::Deposing { candidate, limit: view.now + ROWS_US });
+        self.effects.push(Effect::Depose { id: primary.to_owned(), term });
+        self.enter(Step::Deposing { candidate, deadline: view.now + ROWS_US });
     }
 
     /// The primary's answer to that. Whoever has received all of its log leads on, whatever a silent one holds.
-    pub(crate) fn yielded(&mut self, candidate: String, word: Word, view: &View<'_>) {
+    pub(crate) fn yielded(&mut self, candidate: String, reply: StatusReply, view: &View<'_>) {
         let Some(primary) = view.lead else { return self.give_up(view.now) };
         let deposed = self.deposed.clone().filter(|told| told.primary == primary);
-        let (Ok(status), Some(deposed)) = (word, deposed) else { return self.give_up(view.now) };
+        let (Ok(status), Some(deposed)) = (reply, deposed) else { return self.give_up(view.now) };
         if !deposed.is_yielded(&status) {
             return self.give_up(view.now);
         }
--- a/crates/wv-promo/src/duty.rs
+++ b/crates/wv-promo/src/duty.rs
@@ -1,8 +1,8 @@
 //! The duty of promotion for one service: what it remembers, and what time brings.
 use crate::step::{Step, AGREE_US, CLAIM_US, PAUSE_FIRST_US, ROWS_US, WATCH_GAP_US, WATCH_US};
 use crate::steps::replicas;
-use crate::Word;
-use crate::{Order, View};
+use crate::StatusReply;
+use crate::{Effect, View};
 use std::collections::BTreeMap;
 
 /// The duty for one service.
@@ -10,7 +10,7 @@
 pub struct Duty {
     pub(crate) step: Step,
     pub(crate) fence: Option<u64>,
-    pub(crate) rows: BTreeMap<String, Word>,
+    pub(crate) rows: BTreeMap<String, StatusReply>,
     pub(crate) asked: Vec<String>,
     pub(crate) suspended: Vec<String>,
     /// The one left receiving was looked at once more after the others were suspended.
@@ -26,8 +26,8 @@
     was_past_drain: bool,
     was_holder: bool,
     /// Counts the steps: what was asked in an earlier one is answered too late.
-    turn: u64,
-    pub(crate) orders: Vec<Order>,
+    step_number: u64,
+    pub(crate) effects: Vec<Effect>,
 }
 
 impl Default for Duty {
@@ -46,24 +46,24 @@
             deposed: None,
             was_past_drain: false,
             was_holder: false,
-            turn: 1,
-            orders: Vec::new(),
+            step_number: 1,
+            effects: Vec::new(),
         }
     }
 }
 
 impl Duty {
-    pub fn take_orders(&mut self) -> Vec<Order> {
-        std::mem::take(&mut self.orders)
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
     }
 
-    /// The step under way, by number: an event counts only in the step whose orders it answers.
-    pub fn turn(&self) -> u64 {
-        self.turn
+    /// The step under way, by number: an event counts only in the step whose effects it answers.
+    pub fn step_number(&self) -> u64 {
+        self.step_number
     }
 
     pub(crate) fn enter(&mut self, step: Step) {
-        self.turn += 1;
+        self.step_number += 1;
         self.step = step;
     }
 
@@ -77,9 +77,9 @@
     }
 
     /// The database on its way to lead, once the platform was called.
-    pub fn nominee(&self) -> Option<&str> {
+    pub fn candidate(&self) -> Option<&str> {
         match &self.step {
-            Step::Posting { nominee, .. } | Step::Watching { nominee, .. } => Some(nominee),
+            Step::Posting { candidate, .. } | Step::Watching { candidate, .. } => Some(candidate),
             _ => None,
         }
     }
@@ -88,7 +88,7 @@
         if !view.is_holder {
             // Another node holds the duty: what was begun here is its to finish or to undo.
             if self.was_holder {
-                *self = Duty { turn: self.turn + 1, ..Duty::default() };
+                *self = Duty { step_number: self.step_number + 1, ..Duty::default() };
             }
             return;
         }
@@ -103,52 +103,52 @@
         let is_newly_past_drain = view.is_lead_past_drain && !was_past_drain;
         match self.step.clone() {
             Step::Rest { until } if until <= now || is_newly_past_drain => self.trigger(view),
-            Step::Probing { limit } if limit <= now => self.probed_down(view),
+            Step::Probing { deadline } if deadline <= now => self.probed_down(view),
             Step::Agreeing { .. } if view.is_lead_down => self.claim(now),
-            Step::Agreeing { limit } if limit <= now => self.rest(now),
-            Step::Looking { limit } if limit <= now => self.looked(view),
-            Step::Suspending { limit } if limit <= now => self.settle(view),
-            Step::Watching { next, limit, nominee } => {
-                if limit <= now {
+            Step::Agreeing { deadline } if deadline <= now => self.rest(now),
+            Step::Looking { deadline } if deadline <= now => self.looked(view),
+            Step::Suspending { deadline } if deadline <= now => self.settle(view),
+            Step::Watching { next, deadline, candidate } => {
+                if deadline <= now {
                     self.give_up(now);
-                } else if view.lead == Some(nominee.as_str()) {
-                    self.done(&nominee, None, now);
+                } else if view.lead == Some(candidate.as_str()) {
+                    self.done(&candidate, None, now);
                 } else if next <= now {
-                    self.orders.push(Order::Look { id: nominee.clone() });
-                    self.step = Step::Watching { nominee, next: now + WATCH_GAP_US, limit };
+                    self.effects.push(Effect::Look { id: candidate.clone() });
+                    self.step = Step::Watching { candidate, next: now + WATCH_GAP_US, deadline };
                 }
             }
-            Step::Claiming { limit }
-            | Step::Showing { limit, .. }
-            | Step::Fencing { limit }
-            | Step::Comparing { limit, .. }
-            | Step::Deposing { limit, .. }
-            | Step::Confirming { limit, .. }
-                if limit <= now =>
+            Step::Claiming { deadline }
+            | Step::Showing { deadline, .. }
+            | Step::Fencing { deadline }
+            | Step::Comparing { deadline, .. }
+            | Step::Deposing { deadline, .. }
+            | Step::Confirming { deadline, .. }
+                if deadline <= now =>
             {
                 self.give_up(now)
             }
             // Silence of the platform is no no: first it is looked at what came of the call.
-            Step::Posting { limit, nominee } if limit <= now => self.watch(nominee, now),
+            Step::Posting { deadline, candidate } if deadline <= now => self.watch(candidate, now),
             _ => {}
         }
     }
 
     fn trigger(&mut self, view: &View<'_>) {
         let Some(lead) = view.lead else { return };
-        let seat = view.seats.iter().find(|seat| seat.id == lead);
-        let has_other = view.seats.iter().any(|seat| seat.id != lead && seat.left.is_none());
+        let database = view.databases.iter().find(|database| database.id == lead);
+        let has_other = view.databases.iter().any(|database| database.id != lead && database.left.is_none());
         if !has_other {
             return;
         }
         // A planned end needs no second look; a lead that anyone calls down gets one from here.
-        if view.is_raise_wanted || seat.is_none_or(|seat| seat.is_draining) {
+        if view.is_raise_wanted || database.is_none_or(|database| database.is_draining) {
             self.claim(view.now);
         } else if !view.is_lead_doubted {
             self.pause = PAUSE_FIRST_US;
         } else {
-            self.orders.push(Order::Look { id: lead.to_owned() });
-            self.enter(Step::Probing { limit: view.now + ROWS_US });
+            self.effects.push(Effect::Look { id: lead.to_owned() });
+            self.enter(Step::Probing { deadline: view.now + ROWS_US });
         }
     }
 
@@ -157,29 +157,29 @@
         if view.is_lead_down {
             return self.claim(view.now);
         }
-        self.enter(Step::Agreeing { limit: view.now + AGREE_US });
+        self.enter(Step::Agreeing { deadline: view.now + AGREE_US });
     }
 
     pub(crate) fn claim(&mut self, now: u64) {
         self.is_fencing = false;
-        self.orders.push(Order::Claim);
-        self.enter(Step::Claiming { limit: now + CLAIM_US });
+        self.effects.push(Effect::Claim);
+        self.enter(Step::Claiming { deadline: now + CLAIM_US });
     }
 
     pub(crate) fn look_all(&mut self, view: &View<'_>) {
         self.rows.clear();
         self.is_relooked = false;
         self.asked = replicas(view);
-        self.orders.extend(self.asked.iter().map(|id| Order::Look { id: id.clone() }));
-        self.enter(Step::Looking { limit: view.now + ROWS_US });
+        self.effects.extend(self.asked.iter().map(|id| Effect::Look { id: id.clone() }));
+        self.enter(Step::Looking { deadline: view.now + ROWS_US });
     }
 
-    pub(crate) fn watch(&mut self, nominee: String, now: u64) {
-        self.enter(Step::Watching { nominee, next: now + WATCH_GAP_US, limit: now + WATCH_US });
+    pub(crate) fn watch(&mut self, candidate: String, now: u64) {
+        self.enter(Step::Watching { candidate, next: now + WATCH_GAP_US, deadline: now + WATCH_US });
     }
 
     pub(crate) fn done(&mut self, id: &str, term: Option<u64>, now: u64) {
-        self.orders.push(Order::Led { id: id.to_owned(), term: term.unwrap_or(self.term + 1) });
+        self.effects.push(Effect::Led { id: id.to_owned(), term: term.unwrap_or(self.term + 1) });
         self.term = term.unwrap_or(self.term + 1);
         self.deposed = None;
         self.release(Some(id));
@@ -189,7 +189,7 @@
     pub(crate) fn release(&mut self, but: Option<&str>) {
         for id in std::mem::take(&mut self.suspended) {
             if Some(id.as_str()) != but {
-                self.orders.push(Order::Continue { id });
+                self.effects.push(Effect::Continue { id });
             }
         }
     }
--- a/crates/wv-promo/src/lib.rs
+++ b/crates/wv-promo/src/lib.rs
@@ -1,18 +1,18 @@
-//! The duty of promotion, one machine per service: events and time in, orders out.
+//! The duty of promotion, one machine per service: events and time in, effects out.
 mod choice;
 mod depose;
 mod duty;
 mod step;
 mod steps;
 
-pub use choice::{nominate, Obstacle, Verdict};
+pub use choice::{choose_candidate, Choice, Obstacle};
 pub use duty::Duty;
 
 use wv_wire::{Pos, Status};
 
 /// A database of the service as the duty sees it.
 #[derive(Clone, PartialEq, Eq, Debug)]
-pub struct Seat {
+pub struct Database {
     pub id: String,
     pub is_draining: bool,
     /// Whoever looks at it from an access node says its connections are refused, and has said so for this long.
@@ -28,7 +28,7 @@
     pub heir: Option<String>,
 }
 
-impl Seat {
+impl Database {
     /// Whether it may still receive, and say what it has.
     pub fn is_asked(&self) -> bool {
         self.left.as_ref().is_none_or(|left| left.ended_us.is_none())
@@ -41,7 +41,7 @@
     pub is_holder: bool,
     pub lead: Option<&'a str>,
     pub sync_replicas: u32,
-    pub seats: &'a [Seat],
+    pub databases: &'a [Database],
     /// The lead is to be left behind by a newer term, though nothing is wrong with it.
     pub is_raise_wanted: bool,
     /// Some node says the lead is down: reason enough to look, not to act.
@@ -58,7 +58,7 @@
 
 /// What the duty wants done; each but `Led` and `Stalled` comes back as an event.
 #[derive(Clone, PartialEq, Eq, Debug)]
-pub enum Order {
+pub enum Effect {
     /// Take the fence in the register.
     Claim,
     /// Make sure at a majority that the fence is still ours.
@@ -103,9 +103,9 @@
     Dark,
 }
 
-pub type Word = Result<Status, Silent>;
+pub type StatusReply = Result<Status, Silent>;
 
-/// What came of an order.
+/// What came of an effect.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Event {
     /// The fence, and whether another node held the duty before.
@@ -114,7 +114,7 @@
     /// What came of a `Look`, `Suspend` or `Depose`.
     Row {
         id: String,
-        word: Word,
+        reply: StatusReply,
     },
     /// The platform's return; `None` for silence.
     Posted(Option<u16>),
--- a/crates/wv-promo/src/step.rs
+++ b/crates/wv-promo/src/step.rs
@@ -6,7 +6,7 @@
 pub(crate) const AGREE_US: u64 = 800_000;
 pub(crate) const CLAIM_US: u64 = 1_200_000;
 pub(crate) const POST_US: u64 = 1_500_000;
-/// Between looks at a nominee that is on its way to lead.
+/// Between looks at a candidate that is on its way to lead.
 pub(crate) const WATCH_GAP_US: u64 = 300_000;
 pub(crate) const WATCH_US: u64 = 2_500_000;
 /// After an attempt that led nowhere.
@@ -22,72 +22,72 @@
     },
     /// The holder's own look at a lead that another calls down.
     Probing {
-        limit: u64,
+        deadline: u64,
     },
     /// From here it is down as well; others have still to agree.
     Agreeing {
-        limit: u64,
+        deadline: u64,
     },
     Claiming {
-        limit: u64,
+        deadline: u64,
     },
     /// The fence is confirmed, to be shown to the platform.
     Showing {
         lead: String,
-        limit: u64,
+        deadline: u64,
     },
     /// A predecessor may have a call under way: the platform is shown the new fence first.
     Fencing {
-        limit: u64,
+        deadline: u64,
     },
     Looking {
-        limit: u64,
+        deadline: u64,
     },
     Suspending {
-        limit: u64,
+        deadline: u64,
     },
     /// The primary's own row is asked for, as a silent replica is in the way.
     Comparing {
         candidate: String,
-        limit: u64,
+        deadline: u64,
     },
     /// The primary is told to yield, once the fence is confirmed.
     Deposing {
         candidate: String,
-        limit: u64,
+        deadline: u64,
     },
     Confirming {
-        nominee: String,
-        limit: u64,
+        candidate: String,
+        deadline: u64,
     },
     Posting {
-        nominee: String,
-        limit: u64,
+        candidate: String,
+        deadline: u64,
     },
     Watching {
-        nominee: String,
+        candidate: String,
         next: u64,
-        limit: u64,
+        deadline: u64,
     },
 }
 
 impl Step {
     /// From then on nothing that was asked for in it counts any more.
-    pub(crate) fn limit(&self) -> Option<u64> {
+    pub(crate) fn deadline(&self) -> Option<u64> {
         match self {
             Step::Rest { .. } => None,
-            Step::Probing { limit }
-            | Step::Agreeing { limit }
-            | Step::Claiming { limit }
-            | Step::Fencing { limit }
-            | Step::Looking { limit }
-            | Step::Suspending { limit }
-            | Step::Showing { limit, .. }
-            | Step::Comparing { limit, .. }
-            | Step::Deposing { limit, .. }
-            | Step::Confirming { limit, .. }
-            | Step::Posting { limit, .. }
-            | Step::Watching { limit, .. } => Some(*limit),
+            Step::Probing { deadline }
+            | Step::Agreeing { deadline }
+            | Step::Claiming { deadline }
+            | Step::Fencing { deadline }
+            | Step::Looking { deadline }
+            | Step::Suspending { deadline }
+            | Step::Showing { deadline, .. }
+            | Step::Comparing { deadline, .. }
+            | Step::Deposing { deadline, .. }
+            | Step::Confirming { deadline, .. }
+            | Step::Posting { deadline, .. }
+            | Step::Watching { deadline, .. } => Some(*deadline),
         }
     }
 }
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -1,10 +1,10 @@
 //! Events of a promotion under way.
 use crate::step::{Step, CLAIM_US, PAUSE_FIRST_US, PAUSE_LAST_US, PAUSE_UP_US, POST_US, ROWS_US};
-use crate::{nominate, Duty, Event, Obstacle, Order, Verdict, View};
+use crate::{choose_candidate, Choice, Duty, Effect, Event, Obstacle, View};
 
 impl Duty {
     fn is_over(&self, now: u64) -> bool {
-        self.step.limit().is_some_and(|limit| limit <= now)
+        self.step.deadline().is_some_and(|deadline| deadline <= now)
     }
 
     pub fn event(&mut self, event: Event, view: &View<'_>) {
@@ -15,7 +15,7 @@
             return self.tick(view);
         }
         match (self.step.clone(), event) {
-            (Step::Probing { .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => match word {
+            (Step::Probing { .. }, Event::Row { id, reply }) if Some(id.as_str()) == view.lead => match reply {
                 // It lives, or does not lead and beats will tell who does: the doubt of some nodes is looked into more
                 // and more rarely.
                 Ok(_) => self.rest_longer(now),
@@ -36,35 +36,35 @@
             // Whatever the return, the fence was seen, or the next call's return will say that it was not.
             (Step::Fencing { .. }, Event::Posted(Some(_))) => self.look_all(view),
             (Step::Fencing { .. }, Event::Posted(None)) => self.give_up(now),
-            (Step::Looking { .. }, Event::Row { id, word }) if self.asked.contains(&id) => {
-                self.rows.insert(id, word);
+            (Step::Looking { .. }, Event::Row { id, reply }) if self.asked.contains(&id) => {
+                self.rows.insert(id, reply);
                 if self.rows.len() >= self.asked.len() {
                     self.looked(view);
                 }
             }
-            (Step::Suspending { .. }, Event::Row { id, word }) if self.asked.contains(&id) => {
-                self.rows.insert(id, word);
+            (Step::Suspending { .. }, Event::Row { id, reply }) if self.asked.contains(&id) => {
+                self.rows.insert(id, reply);
                 if self.asked.iter().all(|id| self.rows.contains_key(id)) {
                     self.settle(view);
                 }
             }
-            (Step::Comparing { candidate, .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => {
-                self.compared(candidate, word, view)
+            (Step::Comparing { candidate, .. }, Event::Row { id, reply }) if Some(id.as_str()) == view.lead => {
+                self.compared(candidate, reply, view)
             }
             (Step::Deposing { candidate, .. }, Event::Confirmed(true)) => self.depose(candidate, view),
-            (Step::Deposing { candidate, .. }, Event::Row { id, word }) if Some(id.as_str()) == view.lead => {
-                self.yielded(candidate, word, view)
+            (Step::Deposing { candidate, .. }, Event::Row { id, reply }) if Some(id.as_str()) == view.lead => {
+                self.yielded(candidate, reply, view)
             }
             (Step::Showing { lead, .. }, Event::Confirmed(true)) => {
                 if let Some(fence) = self.fence {
-                    self.orders.push(Order::Post { id: lead, fence });
-                    self.enter(Step::Fencing { limit: now + POST_US });
+                    self.effects.push(Effect::Post { id: lead, fence });
+                    self.enter(Step::Fencing { deadline: now + POST_US });
                 }
             }
-            (Step::Confirming { nominee, .. }, Event::Confirmed(true)) => {
+            (Step::Confirming { candidate, .. }, Event::Confirmed(true)) => {
                 if let Some(fence) = self.fence {
-                    self.orders.push(Order::Post { id: nominee.clone(), fence });
-                    self.enter(Step::Posting { nominee, limit: now + POST_US });
+                    self.effects.push(Effect::Post { id: candidate.clone(), fence });
+                    self.enter(Step::Posting { candidate, deadline: now + POST_US });
                 }
             }
             // Another has it; or a call was not made, because its confirmation was over when its turn came.
@@ -76,24 +76,24 @@
                 | Step::Posting { .. },
                 Event::Confirmed(false),
             ) => self.give_up(now),
-            (Step::Posting { nominee, .. }, Event::Posted(code)) => match code {
-                Some(200..=299) | None => self.watch(nominee, now),
+            (Step::Posting { candidate, .. }, Event::Posted(code)) => match code {
+                Some(200..=299) | None => self.watch(candidate, now),
                 _ => self.give_up(now),
             },
-            (Step::Watching { nominee, .. }, Event::Row { id, word: Ok(status) })
-                if id == nominee && status.is_primary =>
+            (Step::Watching { candidate, .. }, Event::Row { id, reply: Ok(status) })
+                if id == candidate && status.is_primary =>
             {
-                self.done(&nominee, Some(status.term), now)
+                self.done(&candidate, Some(status.term), now)
             }
             _ => {}
         }
     }
 
     /// A lead that is down gets nothing acknowledged by being left a replica: all are suspended in one round, where
-    /// the term is known. A planned end looks first, so that the nominee can go on receiving.
+    /// the term is known. A planned end looks first, so that the candidate can go on receiving.
     fn look_or_suspend(&mut self, view: &View<'_>) {
         let is_planned = view.is_raise_wanted
-            || view.seats.iter().any(|seat| Some(seat.id.as_str()) == view.lead && seat.is_draining);
+            || view.databases.iter().any(|database| Some(database.id.as_str()) == view.lead && database.is_draining);
         if is_planned || self.is_cautious || view.term == 0 || !view.is_lead_down {
             return self.look_all(view);
         }
@@ -112,16 +112,17 @@
         // One that leads already ends the matter: a predecessor's call went through. Without a fence of one's own only a
         // term counts that is newer than any that was seen.
         let least = if self.fence.is_some() { known } else { known.max(view.term) + 1 };
-        let is_led = |word: &crate::Word| word.is_ok_and(|status| status.is_primary && status.term >= least);
-        let led = self.rows.iter().find(|(_, word)| is_led(word)).map(|(id, word)| (id.clone(), *word));
+        let is_led = |reply: &crate::StatusReply| reply.is_ok_and(|status| status.is_primary && status.term >= least);
+        let led = self.rows.iter().find(|(_, reply)| is_led(reply)).map(|(id, reply)| (id.clone(), *reply));
         if self.fence.is_some() {
             // A primary of a term that is over is told so.
-            let is_stray = |word: &crate::Word| word.is_ok_and(|status| status.is_primary && status.term < known);
-            let strays = self.rows.iter().filter(|(_, word)| is_stray(word)).map(|(id, _)| id.clone());
-            self.orders.extend(strays.map(|id| Order::Yield { id, term: known }));
+            let is_stray =
+                |reply: &crate::StatusReply| reply.is_ok_and(|status| status.is_primary && status.term < known);
+            let strays = self.rows.iter().filter(|(_, reply)| is_stray(reply)).map(|(id, _)| id.clone());
+            self.effects.extend(strays.map(|id| Effect::Yield { id, term: known }));
         }
         if self.fence.is_none() {
-            let held = |id: &String| self.rows.get(id).is_some_and(|word| word.is_ok_and(|status| status.held > 0));
+            let held = |id: &String| self.rows.get(id).is_some_and(|reply| reply.is_ok_and(|status| status.held > 0));
             self.suspended = std::mem::take(&mut self.suspended).into_iter().filter(held).collect();
         }
         if let Some((id, status)) = led {
@@ -134,18 +135,19 @@
         };
         // To show the fence is a call like any other: not once somebody has a higher one.
         if let Some(lead) = view.lead.filter(|_| std::mem::take(&mut self.is_fencing)) {
-            self.orders.push(Order::Confirm);
-            self.enter(Step::Showing { lead: lead.to_owned(), limit: view.now + CLAIM_US });
+            self.effects.push(Effect::Confirm);
+            self.enter(Step::Showing { lead: lead.to_owned(), deadline: view.now + CLAIM_US });
             return;
         }
         let lead = view.lead;
-        let verdict = nominate(view.seats, lead, &self.rows, view.sync_replicas, view.fenced, view.is_lead_down);
-        let nominee = match verdict {
-            Verdict::Nominee(nominee) => nominee,
-            Verdict::Blocked(obstacle) => return self.blocked(obstacle, view),
+        let choice =
+            choose_candidate(view.databases, lead, &self.rows, view.sync_replicas, view.fenced, view.is_lead_down);
+        let candidate = match choice {
+            Choice::Candidate(candidate) => candidate,
+            Choice::Blocked(obstacle) => return self.blocked(obstacle, view),
         };
-        // The nominee goes on receiving: what the old primary can still get acknowledged then stands in its log.
-        let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != nominee).collect();
+        // The candidate goes on receiving: what the old primary can still get acknowledged then stands in its log.
+        let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != candidate).collect();
         let asked = others.iter().filter(|id| self.rows.get(*id).is_some_and(Result::is_ok)).cloned().collect();
         self.suspend(asked, view);
     }
@@ -157,37 +159,44 @@
         }
         for id in self.asked.clone() {
             self.rows.remove(&id);
-            self.orders.push(Order::Suspend { id: id.clone(), term: self.term + 1 });
+            self.effects.push(Effect::Suspend { id: id.clone(), term: self.term + 1 });
             self.suspended.push(id);
         }
-        self.enter(Step::Suspending { limit: view.now + ROWS_US });
+        self.enter(Step::Suspending { deadline: view.now + ROWS_US });
     }
 
     /// All others are suspended: whoever has received most leads on.
     pub(crate) fn settle(&mut self, view: &View<'_>) {
-        match nominate(view.seats, view.lead, &self.rows, view.sync_replicas, view.fenced, view.is_lead_down) {
+        match choose_candidate(
+            view.databases,
+            view.lead,
+            &self.rows,
+            view.sync_replicas,
+            view.fenced,
+            view.is_lead_down,
+        ) {
             // Only the one that was left receiving may have grown since its row; any other must be suspended.
-            Verdict::Nominee(nominee) => {
+            Choice::Candidate(candidate) => {
                 let loose: Vec<String> =
-                    self.rows.keys().filter(|id| **id != nominee && !self.suspended.contains(id)).cloned().collect();
+                    self.rows.keys().filter(|id| **id != candidate && !self.suspended.contains(id)).cloned().collect();
                 if loose.is_empty() {
-                    self.orders.push(Order::Confirm);
-                    self.enter(Step::Confirming { nominee, limit: view.now + CLAIM_US });
+                    self.effects.push(Effect::Confirm);
+                    self.enter(Step::Confirming { candidate, deadline: view.now + CLAIM_US });
                     return;
                 }
                 // While the primary lives the one left receiving is ahead again at once: its row is only older.
                 if !std::mem::replace(&mut self.is_relooked, true) {
                     loose.iter().for_each(|id| {
                         self.rows.remove(id);
-                        self.orders.push(Order::Look { id: id.clone() });
+                        self.effects.push(Effect::Look { id: id.clone() });
                     });
                     self.asked = loose;
-                    self.enter(Step::Suspending { limit: view.now + ROWS_US });
+                    self.enter(Step::Suspending { deadline: view.now + ROWS_US });
                     return;
                 }
                 self.suspend(loose, view);
             }
-            Verdict::Blocked(obstacle) => self.blocked(obstacle, view),
+            Choice::Blocked(obstacle) => self.blocked(obstacle, view),
         }
     }
 
@@ -202,7 +211,7 @@
     }
 
     pub(crate) fn stall(&mut self, obstacle: Obstacle, now: u64) {
-        self.orders.push(Order::Stalled(obstacle));
+        self.effects.push(Effect::Stalled(obstacle));
         self.give_up(now);
     }
 
@@ -216,9 +225,9 @@
 }
 
 pub(crate) fn replicas(view: &View<'_>) -> Vec<String> {
-    view.seats
+    view.databases
         .iter()
-        .filter(|seat| Some(seat.id.as_str()) != view.lead && seat.is_asked())
-        .map(|seat| seat.id.clone())
+        .filter(|database| Some(database.id.as_str()) != view.lead && database.is_asked())
+        .map(|database| database.id.clone())
         .collect()
 }
--- a/crates/wv-promo/tests/depose.rs
+++ b/crates/wv-promo/tests/depose.rs
@@ -1,5 +1,5 @@
-//! Stories of a primary that leaves while a replica is silent, on the bare duty: who is asked and told what, in which order.
-use wv_promo::{Duty, Event, Obstacle, Order, Seat, Silent, View, Word};
+//! Stories of a primary that leaves while a replica is silent, on the bare duty: who is asked and told what, in which effect.
+use wv_promo::{Database, Duty, Effect, Event, Obstacle, Silent, StatusReply, View};
 use wv_wire::{Pos, Status};
 
 const S: u64 = 1_000_000;
@@ -12,12 +12,12 @@
     fence: u64,
 }
 
-fn row(is_primary: bool, term: u64, number: u64) -> Word {
+fn row(is_primary: bool, term: u64, number: u64) -> StatusReply {
     Ok(Status { is_primary, term, received: Pos { term: 3, number }, ..Status::default() })
 }
 
-fn look(id: &str) -> Order {
-    Order::Look { id: id.to_owned() }
+fn look(id: &str) -> Effect {
+    Effect::Look { id: id.to_owned() }
 }
 
 impl Story {
@@ -29,14 +29,15 @@
         story
     }
 
-    fn with(&mut self, act: impl FnOnce(&mut Duty, &View<'_>)) -> Vec<Order> {
-        let seat = |id: &str, is_draining| Seat { id: id.to_owned(), is_draining, refused_us: None, left: None };
+    fn with(&mut self, act: impl FnOnce(&mut Duty, &View<'_>)) -> Vec<Effect> {
+        let database =
+            |id: &str, is_draining| Database { id: id.to_owned(), is_draining, refused_us: None, left: None };
         let view = View {
             now: self.now,
             is_holder: true,
             lead: Some("p"),
             sync_replicas: 1,
-            seats: &[seat("p", true), seat("c", false), seat("d", false)],
+            databases: &[database("p", true), database("c", false), database("d", false)],
             is_raise_wanted: false,
             is_lead_doubted: false,
             is_lead_past_drain: self.is_past_drain,
@@ -45,64 +46,64 @@
             fenced: Some((S, Pos { term: 3, number: 8 })),
         };
         act(&mut self.duty, &view);
-        self.duty.take_orders()
+        self.duty.take_effects()
     }
 
-    fn tick(&mut self) -> Vec<Order> {
+    fn tick(&mut self) -> Vec<Effect> {
         self.with(|duty, view| duty.tick(view))
     }
 
-    fn hear(&mut self, event: Event) -> Vec<Order> {
+    fn hear(&mut self, event: Event) -> Vec<Effect> {
         self.with(|duty, view| duty.event(event, view))
     }
 
-    fn hear_row(&mut self, id: &str, word: Word) -> Vec<Order> {
-        self.hear(Event::Row { id: id.to_owned(), word })
+    fn hear_row(&mut self, id: &str, reply: StatusReply) -> Vec<Effect> {
+        self.hear(Event::Row { id: id.to_owned(), reply })
     }
 
     /// The replicas' rows: `c` has received so much, `d` says nothing.
-    fn hear_rows(&mut self, number: u64) -> Vec<Order> {
+    fn hear_rows(&mut self, number: u64) -> Vec<Effect> {
         self.hear_row("c", row(false, 3, number));
         self.hear_row("d", Err(Silent::Dark))
     }
 
     /// A new attempt, as far as the replicas' rows; what it leads to.
-    fn attempt(&mut self, number: u64) -> Vec<Order> {
+    fn attempt(&mut self, number: u64) -> Vec<Effect> {
         self.now += 2 * S;
-        assert_eq!(self.tick(), [Order::Claim]);
+        assert_eq!(self.tick(), [Effect::Claim]);
         self.fence += 1;
         assert_eq!(self.hear(Event::Claimed(Some((self.fence, false)))), [look("c"), look("d")]);
         self.hear_rows(number)
     }
 }
 
-fn stalled(orders: &[Order]) -> Option<Obstacle> {
-    orders.iter().find_map(|order| match order {
-        Order::Stalled(obstacle) => Some(obstacle.clone()),
+fn stalled(effects: &[Effect]) -> Option<Obstacle> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Stalled(obstacle) => Some(obstacle.clone()),
         _ => None,
     })
 }
 
-fn told(orders: &[Order]) -> bool {
-    orders.iter().any(|order| matches!(order, Order::Depose { .. } | Order::Post { .. }))
+fn told(effects: &[Effect]) -> bool {
+    effects.iter().any(|effect| matches!(effect, Effect::Depose { .. } | Effect::Post { .. }))
 }
 
 #[test]
 fn given_clients_that_the_primary_still_serves_then_the_silent_one_is_waited_for() {
     let mut story = Story::begin(false);
-    let orders = story.attempt(8);
-    assert!(matches!(stalled(&orders), Some(Obstacle::Silent { replica, .. }) if replica == "d"));
-    assert!(!told(&orders));
+    let effects = story.attempt(8);
+    assert!(matches!(stalled(&effects), Some(Obstacle::Silent { replica, .. }) if replica == "d"));
+    assert!(!told(&effects));
 }
 
 #[test]
 fn given_a_primary_past_its_bound_then_it_says_where_its_log_ends_and_who_has_it_all_leads() {
     let mut story = Story::begin(true);
     assert_eq!(story.attempt(8), [look("p")]);
-    assert_eq!(story.hear_row("p", row(true, 3, 8)), [Order::Confirm]);
-    assert_eq!(story.hear(Event::Confirmed(true)), [Order::Depose { id: "p".to_owned(), term: 4 }]);
-    assert_eq!(story.hear_row("p", row(false, 3, 8)), [Order::Confirm]);
-    let post = Order::Post { id: "c".to_owned(), fence: story.fence };
+    assert_eq!(story.hear_row("p", row(true, 3, 8)), [Effect::Confirm]);
+    assert_eq!(story.hear(Event::Confirmed(true)), [Effect::Depose { id: "p".to_owned(), term: 4 }]);
+    assert_eq!(story.hear_row("p", row(false, 3, 8)), [Effect::Confirm]);
+    let post = Effect::Post { id: "c".to_owned(), fence: story.fence };
     assert_eq!(story.hear(Event::Confirmed(true)), [post]);
 }
 
@@ -110,19 +111,19 @@
 fn given_a_candidate_that_lacks_what_the_primary_has_then_the_primary_is_told_nothing() {
     let mut story = Story::begin(true);
     assert_eq!(story.attempt(8), [look("p")]);
-    let orders = story.hear_row("p", row(true, 3, 9));
-    assert!(matches!(stalled(&orders), Some(Obstacle::Behind { ahead, .. }) if ahead == "p"));
-    assert!(!told(&orders));
+    let effects = story.hear_row("p", row(true, 3, 9));
+    assert!(matches!(stalled(&effects), Some(Obstacle::Behind { ahead, .. }) if ahead == "p"));
+    assert!(!told(&effects));
     // What was under way arrives, and the next attempt goes through.
     assert_eq!(story.attempt(9), [look("p")]);
-    assert_eq!(story.hear_row("p", row(true, 3, 9)), [Order::Confirm]);
+    assert_eq!(story.hear_row("p", row(true, 3, 9)), [Effect::Confirm]);
 }
 
 #[test]
 fn given_a_fence_that_is_another_nodes_by_then_then_the_primary_is_told_nothing() {
     let mut story = Story::begin(true);
     story.attempt(8);
-    assert_eq!(story.hear_row("p", row(true, 3, 8)), [Order::Confirm]);
+    assert_eq!(story.hear_row("p", row(true, 3, 8)), [Effect::Confirm]);
     assert!(!told(&story.hear(Event::Confirmed(false))));
 }
 
@@ -130,9 +131,9 @@
 fn given_one_that_says_it_is_a_replica_and_was_not_told_so_here_then_nobody_leads_by_its_row() {
     let mut story = Story::begin(true);
     assert_eq!(story.attempt(8), [look("p")]);
-    let orders = story.hear_row("p", row(false, 3, 8));
-    assert!(stalled(&orders).is_some());
-    assert!(!told(&orders));
+    let effects = story.hear_row("p", row(false, 3, 8));
+    assert!(stalled(&effects).is_some());
+    assert!(!told(&effects));
     // Nor by that of a primary of an older term.
     assert_eq!(story.attempt(8), [look("p")]);
     assert!(!told(&story.hear_row("p", row(true, 2, 8))));
@@ -147,9 +148,9 @@
     assert!(!told(&story.hear_row("p", Err(Silent::Dark))));
     // It did yield: known by what it was told.
     assert_eq!(story.attempt(8), [look("p")]);
-    assert_eq!(story.hear_row("p", row(false, 3, 8)), [Order::Confirm]);
+    assert_eq!(story.hear_row("p", row(false, 3, 8)), [Effect::Confirm]);
     assert!(told(&story.hear(Event::Confirmed(true))));
-    assert_eq!(story.hear_row("p", row(false, 3, 8)), [Order::Confirm]);
+    assert_eq!(story.hear_row("p", row(false, 3, 8)), [Effect::Confirm]);
 }
 
 #[test]
@@ -158,9 +159,9 @@
     story.attempt(8);
     story.hear_row("p", row(true, 3, 8));
     story.hear(Event::Confirmed(true));
-    let orders = story.hear_row("p", row(false, 3, 9));
-    assert!(matches!(stalled(&orders), Some(Obstacle::Behind { .. })));
-    assert!(!told(&orders));
+    let effects = story.hear_row("p", row(false, 3, 9));
+    assert!(matches!(stalled(&effects), Some(Obstacle::Behind { .. })));
+    assert!(!told(&effects));
 }
 
 #[test]
@@ -173,7 +174,7 @@
     // The call does not go through, and nothing more is heard of the primary.
     story.hear(Event::Confirmed(true));
     story.hear(Event::Posted(Some(429)));
-    assert_eq!(story.attempt(8), [Order::Confirm]);
+    assert_eq!(story.attempt(8), [Effect::Confirm]);
     // One that lacks some of it does not.
     let mut other = Story::begin(true);
     other.attempt(8);
@@ -193,12 +194,12 @@
         story.attempt(8);
         story.hear_row("p", row(true, 3, 8));
         story.hear(Event::Confirmed(true));
-        let mut orders = story.hear_row("p", row(false, 3, 8));
-        if orders == [Order::Confirm] {
-            orders = story.hear(Event::Confirmed(true));
+        let mut effects = story.hear_row("p", row(false, 3, 8));
+        if effects == [Effect::Confirm] {
+            effects = story.hear(Event::Confirmed(true));
         }
-        let fence = orders.iter().find_map(|order| match order {
-            Order::Post { fence, .. } => Some(*fence),
+        let fence = effects.iter().find_map(|effect| match effect {
+            Effect::Post { fence, .. } => Some(*fence),
             _ => None,
         });
         assert!(fence.is_none_or(|fence| fence > last), "{fence:?} after {last}");
--- a/crates/wv-promo/tests/fence_model/mod.rs
+++ b/crates/wv-promo/tests/fence_model/mod.rs
@@ -3,10 +3,10 @@
 //! a node that is frozen is one of which nothing happens. What the register's answers mean stands for `duties.rs` of
 //! wv-control, the wait before a call for `request.rs`.
 mod steps;
-use wv_promo::{Duty, Event, Order, Seat, Silent, View};
+use wv_promo::{Database, Duty, Effect, Event, Silent, View};
 use wv_wire::{Pos, Status};
 
-/// Longer than any limit or pause of a duty.
+/// Longer than any deadline or pause of a duty.
 const LAPSE_US: u64 = 2_600_000;
 
 /// A guard that is taken out, to see that the model finds what it guards against.
@@ -129,14 +129,14 @@
     }
 
     fn with(&mut self, at: usize, act: impl FnOnce(&mut Duty, &View<'_>)) -> Result<(), String> {
-        let seat = |id: &str| Seat { id: id.to_owned(), is_draining: false, refused_us: None, left: None };
+        let database = |id: &str| Database { id: id.to_owned(), is_draining: false, refused_us: None, left: None };
         let node = &mut self.nodes[at];
         let view = View {
             now: node.now,
             is_holder: node.is_holder,
             lead: Some(node.lead),
             sync_replicas: 0,
-            seats: &[seat("p"), seat("r")],
+            databases: &[database("p"), database("r")],
             is_raise_wanted: false,
             is_lead_doubted: node.lead == "p",
             is_lead_past_drain: false,
@@ -145,11 +145,11 @@
             fenced: None,
         };
         act(&mut node.duty, &view);
-        let orders = node.duty.take_orders();
-        orders.into_iter().try_for_each(|order| self.obey(at, order))
+        let effects = node.duty.take_effects();
+        effects.into_iter().try_for_each(|effect| self.obey(at, effect))
     }
 
-    fn obey(&mut self, at: usize, order: Order) -> Result<(), String> {
+    fn obey(&mut self, at: usize, effect: Effect) -> Result<(), String> {
         let status = |is_primary| Status {
             is_primary,
             term: if is_primary { 2 } else { 1 },
@@ -159,34 +159,34 @@
             busy: 0,
             connections: 0,
         };
-        if matches!(order, Order::Claim | Order::Confirm) {
+        if matches!(effect, Effect::Claim | Effect::Confirm) {
             self.nodes[at].asked_at = self.nodes[at].now;
         }
-        match order {
-            Order::Claim => self.nodes[at].asked.push(true),
-            Order::Confirm if self.setup.without == Without::Confirm => {
+        match effect {
+            Effect::Claim => self.nodes[at].asked.push(true),
+            Effect::Confirm if self.setup.without == Without::Confirm => {
                 self.nodes[at].events.push(Event::Confirmed(true));
             }
-            Order::Confirm if self.setup.is_prompt => {
+            Effect::Confirm if self.setup.is_prompt => {
                 let is_own = self.register == (self.nodes[at].fence, at);
                 return self.with(at, |duty, view| duty.event(Event::Confirmed(is_own), view));
             }
-            Order::Confirm => self.nodes[at].asked.push(false),
+            Effect::Confirm => self.nodes[at].asked.push(false),
             // The old primary is down for good; the other database answers.
-            Order::Look { id } | Order::Suspend { id, .. } => {
-                let word = if id == "r" { Ok(status(self.leads == "r")) } else { Err(Silent::Refused) };
-                self.nodes[at].events.push(Event::Row { id, word });
+            Effect::Look { id } | Effect::Suspend { id, .. } => {
+                let reply = if id == "r" { Ok(status(self.leads == "r")) } else { Err(Silent::Refused) };
+                self.nodes[at].events.push(Event::Row { id, reply });
             }
-            Order::Post { id, fence } => {
+            Effect::Post { id, fence } => {
                 if self.nodes[at].now - self.nodes[at].asked_at >= LAPSE_US {
-                    return Err("a call rests on an answer that came after its limit".to_owned());
+                    return Err("a call rests on an answer that came after its deadline".to_owned());
                 }
                 self.nodes[at].calls.push((id, fence));
                 if self.setup.is_prompt {
                     return self.call(at, self.nodes[at].calls.len() - 1);
                 }
             }
-            Order::Led { id, .. } => self.nodes[at].lead = if id == "r" { "r" } else { "p" },
+            Effect::Led { id, .. } => self.nodes[at].lead = if id == "r" { "r" } else { "p" },
             _ => {}
         }
         Ok(())
--- a/crates/wv-promo/tests/fence_model/steps.rs
+++ b/crates/wv-promo/tests/fence_model/steps.rs
@@ -3,7 +3,7 @@
 use std::hash::Hasher;
 use wv_promo::Event;
 
-fn word(event: &Event) -> String {
+fn reply(event: &Event) -> String {
     match event {
         Event::Claimed(claimed) => format!("its claim of {}", claimed.map_or(0, |claimed| claimed.0)),
         Event::Confirmed(true) => "that its fence stands".to_owned(),
@@ -25,14 +25,14 @@
             steps.extend(
                 [true, false].into_iter().filter(|kind| node.asked.contains(kind)).map(|kind| Step::Decide(at, kind)),
             );
-            steps.extend(node.events.iter().enumerate().map(|(place, event)| Step::Hear(at, place, word(event))));
+            steps.extend(node.events.iter().enumerate().map(|(place, event)| Step::Hear(at, place, reply(event))));
             steps.extend(node.calls.iter().enumerate().map(|(place, call)| Step::Call(at, place, call.1)));
         }
         steps
     }
 
     fn take(&mut self, step: &Step) -> Result<(), String> {
-        let word = match step {
+        let reply = match step {
             Step::Turn(at) => {
                 self.turns -= 1;
                 // Whoever had it goes on as its holder until it next looks at the clock.
@@ -65,7 +65,7 @@
             }
         };
         (0..self.nodes.len()).for_each(|at| self.note_engaged(at));
-        word
+        reply
     }
 
     fn digest(&self, hasher: &mut dyn Hasher) {
--- a/crates/wv-promo/tests/model_fence.rs
+++ b/crates/wv-promo/tests/model_fence.rs
@@ -31,7 +31,7 @@
     let Some(found) = seen.found else { panic!("{:?} is not missed", setup.without) };
     let steps: Vec<String> = found.steps.iter().map(|step| format!("{step:?}")).collect();
     expect_that!(found.fault, eq(fault));
-    let told = |word: &&str| word.strip_prefix("claim ").map_or(vec![(*word).to_owned()], claims);
+    let told = |reply: &&str| reply.strip_prefix("claim ").map_or(vec![(*reply).to_owned()], claims);
     expect_that!(steps, eq(&story.iter().flat_map(told).collect::<Vec<String>>()));
 }
 
