--- a/crates/wv-access/tests/drain.rs
+++ b/crates/wv-access/tests/drain.rs
@@ -160,3 +160,14 @@
     bare.run(20 * MS);
     expect_that!(is_written(&mut bare, "w2"), eq(false));
 }
+
+#[gtest]
+fn given_machines_that_are_soon_in_touch_again_then_new_work_ends_before_a_late_word_could_matter() {
+    let mut bare = Bare::new();
+    bare.core.set_drain(7_000 * MS, 800 * MS);
+    tell(&mut bare, 8, 2, true, 0);
+    bare.run(680 * MS);
+    expect_that!(is_written(&mut bare, "w1"), eq(true));
+    bare.run(20 * MS);
+    expect_that!(is_written(&mut bare, "w2"), eq(false));
+}
--- a/crates/wv-access/tests/stale.rs
+++ b/crates/wv-access/tests/stale.rs
@@ -161,3 +161,18 @@
     node.change(2, owner("a1", 3));
     expect_that!(node.core.owners(), elements_are![eq(&("s".to_owned(), "a2".to_owned(), 4))]);
 }
+
+#[gtest]
+fn given_a_primary_that_leaves_past_its_bound_when_one_of_an_older_term_was_told_of_then_that_one_does_not_lead() {
+    let mut node =
+        Node::new(vec![conf(1, "a"), inst("d1", 1, false, false), inst("d2", 1, false, false), lead("d1", 5)]);
+    node.change(8, lead("d2", 4));
+    node.change(9, inst("d1", 2, true, false));
+    node.run(S);
+    expect_that!(node.route("d1"), eq("writer"));
+    node.run(7 * S);
+    expect_that!((node.route("d1").as_str(), node.route("d2").as_str()), eq(("softdraining", "online")));
+    // Its successor is told of.
+    node.change(10, lead("d2", 6));
+    expect_that!(node.route("d2"), eq("writer"));
+}
--- a/crates/wv-control/tests/drains.rs
+++ b/crates/wv-control/tests/drains.rs
@@ -147,3 +147,18 @@
     let is_old = |msg: &Msg| matches!(msg, Msg::Inst { inst, .. } if inst.leaving_us >= S);
     expect_that!(told.iter().all(|(_, msg)| is_old(msg)), eq(true));
 }
+
+#[gtest]
+fn given_a_peer_that_was_out_of_contact_then_it_is_told_of_leaves_that_it_may_know_to_be_younger() {
+    let mut node = serving();
+    beat(&mut node, "draining", 2);
+    node.serve(2 * S);
+    node.sent.clear();
+    // Its digests are equal: it knows that the database leaves, and not since when.
+    node.run(2 * S);
+    let digests = node.take(|msg| matches!(msg, Msg::Digests { .. }));
+    let Some((_, Msg::Digests { ranges })) = digests.first().cloned() else { return };
+    node.sent.clear();
+    node.hear(PEER, Msg::Recap { asker: 5, request: 1, ranges });
+    expect_that!(ages(&mut node), elements_are![ge(&(4 * S))]);
+}
--- a/crates/wv-promo/tests/depose.rs
+++ b/crates/wv-promo/tests/depose.rs
@@ -136,7 +136,7 @@
     assert!(!told(&effects));
     // Nor by that of a primary of an older term.
     assert_eq!(story.attempt(8), [look("p")]);
-    assert!(!told(&story.hear_row("p", row(true, 2, 8))));
+    assert!(stalled(&story.hear_row("p", row(true, 2, 8))).is_some());
 }
 
 #[test]
@@ -208,3 +208,16 @@
     }
     assert!(last > 0, "calls were made");
 }
+
+#[test]
+fn given_one_that_goes_on_as_primary_or_is_of_a_later_term_after_the_yield_then_nobody_leads_by_its_row() {
+    for answer in [row(true, 3, 8), row(false, 5, 8)] {
+        let mut story = Story::begin(true);
+        story.attempt(8);
+        story.hear_row("p", row(true, 3, 8));
+        story.hear(Event::Confirmed(true));
+        let effects = story.hear_row("p", answer);
+        assert!(!effects.contains(&Effect::Confirm), "{effects:?}");
+        assert!(!told(&effects));
+    }
+}
