Sightings count how long they waited at a control node that stood still; settings read again reach the bound on leaves

Cause: fenced_ago_us was reckoned where the sighting was made, and a holder that thawed took it for as old as when it was sent. Refusals are not made older: they would prove more. SIGHUP sets the bound on leaves at control nodes too.

--- a/crates/wv-control/src/contact.rs
+++ b/crates/wv-control/src/contact.rs
@@ -32,6 +32,8 @@
     /// Planned shards whose maps were read in this spell, or are being read.
     pub synced: BTreeSet<String>,
     pub syncing: BTreeSet<String>,
+    /// What is read after this process stood still may have waited as long.
+    pub stalls: wv_inner::StallWatch,
 }
 
 impl Core {
@@ -39,7 +41,7 @@
     /// still, with answers from before that still to be read.
     pub(crate) fn at(&mut self, now: u64) {
         self.now = self.now.max(now);
-        self.drains.observe(self.now);
+        self.contact.stalls.observe(self.now);
         if self.contact.is_held && !self.is_fresh() {
             self.reckon_contact();
             if !self.is_fresh() {
--- a/crates/wv-control/src/drain.rs
+++ b/crates/wv-control/src/drain.rs
@@ -7,7 +7,7 @@
 //! ago, and may have been acknowledged: nobody here knows since when.
 use crate::core::Core;
 use std::collections::{BTreeMap, BTreeSet};
-use wv_inner::{Inst, LeavingSince, Msg, News, StallWatch, LONG_AGO_US};
+use wv_inner::{Inst, LeavingSince, Msg, News, LONG_AGO_US};
 
 /// A leave that turns out to be older by this much is told to followers anew.
 const TELL_AGAIN_US: u64 = 50_000;
@@ -26,7 +26,6 @@
 pub(crate) struct Drains {
     since: BTreeMap<String, LeavingSince>,
     in_service: BTreeSet<String>,
-    stalls: StallWatch,
     /// How long after it said that it leaves access nodes give a database new work.
     new_work_us: u64,
 }
@@ -36,19 +35,15 @@
         Drains {
             since: BTreeMap::new(),
             in_service: BTreeSet::new(),
-            stalls: StallWatch::default(),
             new_work_us: wv_inner::new_work_us(wv_inner::DRAIN_US, wv_inner::CONTACT_US),
         }
     }
 }
 
 impl Drains {
-    pub(crate) fn observe(&mut self, now: u64) {
-        self.stalls.observe(now);
-    }
-
-    /// Takes a word on a database that stands in the table as `held`. Returns whether its leave is older than was known.
-    fn hear(&mut self, word: &Inst, held: &Inst, teller: Teller, now: u64) -> bool {
+    /// Takes a word on a database that stands in the table as `held`, which may have waited here for `lag_us`. Returns whether
+    /// its leave is older than was known.
+    fn hear(&mut self, word: &Inst, held: &Inst, teller: Teller, (now, lag_us): (u64, u64)) -> bool {
         if !held.draining {
             self.since.remove(&held.id);
             if teller == Teller::Database || word.leaving_us == 0 {
@@ -65,7 +60,7 @@
             Teller::Database => LONG_AGO_US,
             Teller::Peer => word.leaving_us,
         };
-        let since = LeavingSince::ago(now, age_us.saturating_add(self.stalls.lag_us(now)));
+        let since = LeavingSince::ago(now, age_us.saturating_add(lag_us));
         let known = self.since.entry(held.id.clone()).or_insert(since);
         let is_older = since.age_us(now) > known.age_us(now) + TELL_AGAIN_US;
         *known = (*known).min(since);
@@ -115,7 +110,7 @@
     /// Dates the leave of a database that the table has just been told of; followers hear of one that is older than known.
     pub(crate) fn date_leave(&mut self, word: &Inst, teller: Teller) {
         let Some(held) = self.table.get(&word.id).filter(|held| !held.gone) else { return };
-        if self.drains.hear(word, held, teller, self.now) {
+        if self.drains.hear(word, held, teller, (self.now, self.contact.stalls.lag_us(self.now))) {
             let inst = held.clone();
             self.publish(News::Inst(inst));
         }
--- a/crates/wv-control/src/peers.rs
+++ b/crates/wv-control/src/peers.rs
@@ -200,7 +200,10 @@
                 }
             }
             Msg::InstHeld { asker, request, id } => self.inst_held(addr, (asker, request), &id),
-            Msg::PeerSights { node, sights } => self.take_sights(&node, sights),
+            Msg::PeerSights { node, mut sights } => {
+                self.date_sights(&mut sights);
+                self.take_sights(&node, sights)
+            }
             Msg::Lead(lead) => self.lead_told(lead),
             Msg::Owner(owner) => self.owner_told(owner),
             Msg::Slots(map) => self.slots_told(map),
--- a/crates/wv-control/src/run.rs
+++ b/crates/wv-control/src/run.rs
@@ -28,6 +28,7 @@
             let seeds = settings.seeds.iter().map(|seed| seed.to_string()).collect();
             self.node.core.borrow_mut().set_seeds(seeds);
             self.leave_us = settings.grace_us / 4;
+            self.node.core.borrow_mut().set_drain(settings.drain_us, settings.contact_us);
         }
     }
 }
--- a/crates/wv-control/src/words.rs
+++ b/crates/wv-control/src/words.rs
@@ -10,8 +10,16 @@
 const WITNESSES_MAX: usize = 4;
 
 impl Core {
+    /// What was sent to this node may have waited for as long as the process stood still: a fenced sighting counts as that
+    /// much older, here and wherever it is passed on to. Bad words are not made older by it, since they would prove more.
+    pub(crate) fn date_sights(&self, sights: &mut [Sighting]) {
+        let lag_us = self.contact.stalls.lag_us(self.now);
+        sights.iter_mut().for_each(|sight| sight.fenced_ago_us = sight.fenced_ago_us.saturating_add(lag_us));
+    }
+
     /// A node's words, heard on its own session.
-    pub(crate) fn hear_sights(&mut self, node: &str, sights: Vec<Sighting>) {
+    pub(crate) fn hear_sights(&mut self, node: &str, mut sights: Vec<Sighting>) {
+        self.date_sights(&mut sights);
         self.hand_over(node, &sights);
         self.take_sights(node, sights);
     }
