--- a/crates/wv-access/tests/common/mod.rs
+++ b/crates/wv-access/tests/common/mod.rs
@@ -28,6 +28,20 @@
     pub links: Vec<u64>,
 }
 
+/// The only database of the service `s`, its primary.
+pub fn database() -> Inst {
+    Inst {
+        id: "d1".to_owned(),
+        service: "s".to_owned(),
+        addr: "10.0.0.1:1".to_owned(),
+        zone: "z0".to_owned(),
+        capacity: 10,
+        primary: true,
+        sequence: 1,
+        ..Inst::default()
+    }
+}
+
 impl Bare {
     pub fn new() -> Bare {
         Bare::with("", Vec::new())
@@ -47,16 +61,7 @@
     }
 
     fn with(partners: &str, more: Vec<News>) -> Bare {
-        let inst = Inst {
-            id: "d1".to_owned(),
-            service: "s".to_owned(),
-            addr: "10.0.0.1:1".to_owned(),
-            zone: "z0".to_owned(),
-            capacity: 10,
-            primary: true,
-            sequence: 1,
-            ..Inst::default()
-        };
+        let inst = database();
         let lead = Lead { service: "s".to_owned(), id: "d1".to_owned(), term: 3 };
         let conf = CONF.replace("PARTNERS", partners).into_bytes();
         let first = [News::Conf { version: 1, body: conf }, News::Inst(inst), News::Lead(lead), News::Nodes(1)];
--- a/crates/wv-access/tests/drain.rs
+++ b/crates/wv-access/tests/drain.rs
@@ -1,7 +1,7 @@
 //! Stories of a database that leaves, at one access node: until when it is given new work.
 mod common;
 
-use common::{Bare, MS};
+use common::{database, Bare, MS};
 use googletest::prelude::*;
 use wv_inner::{new_work_us, Inst, Msg, News, CONTACT_US, DRAIN_US, LONG_AGO_US};
 
@@ -15,18 +15,7 @@
 
 /// The control side says of the node's only database that it leaves, or that it is in service.
 fn tell(bare: &mut Bare, place: u64, sequence: u64, draining: bool, leaving_us: u64) {
-    let inst = Inst {
-        id: "d1".to_owned(),
-        service: "s".to_owned(),
-        addr: "10.0.0.1:1".to_owned(),
-        zone: "z0".to_owned(),
-        capacity: 10,
-        primary: true,
-        sequence,
-        draining,
-        leaving_us,
-        ..Inst::default()
-    };
+    let inst = Inst { sequence, draining, leaving_us, ..database() };
     let taken = bare.core.feed(Msg::Change { place, news: News::Inst(inst) }, bare.now);
     assert!(taken.is_ok(), "the change fits on");
     bare.obey();
--- a/crates/wv-settings/src/lib.rs
+++ b/crates/wv-settings/src/lib.rs
@@ -36,7 +36,6 @@
     pub seeds: Vec<std::net::SocketAddr>,
     pub initial_start: bool,
     pub data_dir: Option<std::path::PathBuf>,
-    pub heartbeat_us: u64,
     pub contact_us: u64,
     pub grace_us: u64,
     pub drain_us: u64,
@@ -127,7 +126,6 @@
             } else {
                 None
             },
-            heartbeat_us: us("heartbeatMs", 1000.0, 1e3)?,
             contact_us: us("timers.contactMs", 4000.0, 1e3)?,
             grace_us: us("timers.graceS", 6.0, 1e6)?,
             drain_us: us("timers.drainMs", 7000.0, 1e3)?,
