--- a/crates/wv-fleet/tests/change.rs
+++ b/crates/wv-fleet/tests/change.rs
@@ -1,5 +1,8 @@
 //! Stories of changed configurations: who is sent what of them.
+mod steps;
+
 use googletest::prelude::*;
+use steps::put;
 use wv_fleet::{World, MS, S};
 
 /// Seven voters and one machine without a disk behind a thin link, the last one.
@@ -32,12 +35,6 @@
     value.to_string().into_bytes()
 }
 
-fn put(world: &mut World, control: usize, body: &[u8]) -> u16 {
-    let token = world.call(control, "PUT", "/configuration", body);
-    world.run(1200 * MS);
-    world.returns.get(&token).map_or(0, |ret| ret.0)
-}
-
 /// What came to one node meanwhile.
 fn crossed(world: &mut World, name: &str, course: impl FnOnce(&mut World)) -> wv_fleet::Crossed {
     world.crossed = Some(Default::default());
--- a/crates/wv-fleet/tests/control.rs
+++ b/crates/wv-fleet/tests/control.rs
@@ -1,19 +1,10 @@
 //! Stories of the register, configurations, beats and lost disks.
+mod steps;
+
 use googletest::prelude::*;
+use steps::{get, put};
 use wv_fleet::{World, MS, S};
 
-fn put(world: &mut World, control: usize, body: &[u8]) -> u16 {
-    let token = world.call(control, "PUT", "/configuration", body);
-    world.run(1200 * MS);
-    world.returns.get(&token).map_or(0, |ret| ret.0)
-}
-
-fn get(world: &mut World, control: usize) -> (u16, Vec<u8>) {
-    let token = world.call(control, "GET", "/configuration", b"");
-    world.run(1200 * MS);
-    world.returns.get(&token).cloned().unwrap_or_default()
-}
-
 fn restart(world: &mut World, control: usize) {
     world.kill_control(control);
     world.start_control(control, false);
--- a/crates/wv-fleet/tests/departed.rs
+++ b/crates/wv-fleet/tests/departed.rs
@@ -1,25 +1,18 @@
 //! Stories of databases that left with what nobody else has, and of who must still know of them much later.
+mod steps;
+
 use googletest::prelude::*;
+use steps::{busy, delete};
 use wv_fleet::{World, MS, S};
 
 /// One replica receives nothing, so that all that was acknowledged of late stands at the primary and at the other one.
 fn alone() -> World {
-    let mut world = World::serving(4, 3);
-    world.load(10, "p");
-    world.load(5, "b");
-    world.run(3 * S);
+    let mut world = busy(4, 3);
     world.bases[1].is_deaf = true;
     world.run(S);
     world
 }
 
-fn delete(world: &mut World, base: usize) {
-    let id = world.bases[base].id.clone();
-    world.bases[base].is_left = true;
-    world.call(1, "DELETE", &format!("/instances/{id}"), b"");
-    world.run(20 * MS);
-}
-
 /// Another database at the same place, with the log of the one before.
 fn inherit(world: &mut World, base: usize, id: &str) {
     world.bases[base].id = id.to_owned();
--- a/crates/wv-fleet/tests/drain.rs
+++ b/crates/wv-fleet/tests/drain.rs
@@ -1,31 +1,19 @@
 //! Stories of databases that leave while nobody can take their place: once the bound is over they get no new work.
+mod steps;
+
 use googletest::prelude::*;
+use steps::{busy, end};
 use wv_fleet::{World, DRAIN, MS, S};
 
-/// Clients write, and some look up, at every node.
-fn busy() -> World {
-    let mut world = World::serving(4, 3);
-    world.load(10, "p");
-    world.load(5, "b");
-    world.run(3 * S);
-    world
-}
-
 /// The database says that it leaves, to whichever control node.
 fn drain(world: &mut World, base: usize) {
     world.bases[base].is_draining = true;
     world.run(1300 * MS);
 }
 
-fn end(world: &mut World) -> Vec<String> {
-    world.stop_load();
-    world.run(wv_fleet::REST);
-    world.judge()
-}
-
 #[gtest]
 fn given_a_primary_that_leaves_while_its_replicas_are_dark_then_it_gets_no_new_work_past_the_bound() {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     world.darken(1);
     world.darken(2);
     drain(&mut world, 0);
@@ -36,7 +24,7 @@
 
 #[gtest]
 fn given_the_only_database_of_a_service_that_leaves_then_it_gets_no_new_work_past_the_bound() {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     for base in [1, 2] {
         world.bases[base].is_left = true;
         let id = world.bases[base].id.clone();
@@ -51,7 +39,7 @@
 
 #[gtest]
 fn given_a_successor_that_goes_dark_when_only_the_one_that_leaves_has_received_then_a_third_leads_within_the_bound() {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     drain(&mut world, 0);
     let successor = world.primary();
     expect_that!(successor, not(eq(0)));
@@ -71,7 +59,7 @@
 
 /// The primary leaves, and nobody can take its place; `trouble` befalls the fleet right after the acknowledgement.
 fn left_alone(trouble: impl FnOnce(&mut World)) -> Vec<String> {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     world.darken(1);
     world.darken(2);
     drain(&mut world, 0);
@@ -111,7 +99,7 @@
 #[gtest]
 fn given_an_access_node_that_stands_still_while_a_database_leaves_then_it_is_bound_once_it_is_in_touch() {
     for thaw in [1, 3, 5, 6, 8] {
-        let mut world = busy();
+        let mut world = busy(4, 3);
         world.darken(1);
         world.darken(2);
         world.freeze_access(0);
@@ -138,7 +126,7 @@
 #[gtest]
 fn given_a_core_that_is_cut_into_halves_while_a_database_leaves_then_both_halves_followers_are_bound() {
     for alone in 0..3 {
-        let mut world = busy();
+        let mut world = busy(4, 3);
         world.darken(1);
         world.darken(2);
         let others: Vec<usize> = (0..3).filter(|at| *at != alone).collect();
@@ -161,7 +149,7 @@
 
 #[gtest]
 fn given_a_primary_that_says_only_that_it_is_gone_while_a_replica_is_dark_then_the_other_leads() {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     world.darken(2);
     world.run(S);
     let id = world.bases[0].id.clone();
@@ -178,7 +166,7 @@
 
 #[gtest]
 fn given_a_replica_in_the_dark_that_has_what_the_candidate_lacks_then_nobody_leads_before_the_primary_ends() {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     // The candidate receives nothing; the other one goes dark with all there was.
     world.bases[1].is_deaf = true;
     world.run(S);
--- a/crates/wv-fleet/tests/failover.rs
+++ b/crates/wv-fleet/tests/failover.rs
@@ -1,21 +1,10 @@
 //! Stories of primaries that crash, go dark, drain or lose their lead.
+mod steps;
+
 use googletest::prelude::*;
+use steps::{busy, end};
 use wv_fleet::{World, MS, S};
 
-fn busy(access: usize, controls: usize) -> World {
-    let mut world = World::serving(access, controls);
-    world.load(10, "p");
-    world.load(5, "b");
-    world.run(3 * S);
-    world
-}
-
-fn end(world: &mut World) -> Vec<String> {
-    world.stop_load();
-    world.run(wv_fleet::REST);
-    world.judge()
-}
-
 fn recovers(world: &mut World, within: u64) {
     let before = world.load_done().0;
     world.run(within);
--- a/crates/wv-fleet/tests/learners.rs
+++ b/crates/wv-fleet/tests/learners.rs
@@ -1,25 +1,16 @@
 //! Stories of a second loss right after a replacement: what was acknowledged stands on a majority of the next set before
 //! it is settled, and who survives is never stuck with all of it in hands.
+mod steps;
+
 use googletest::prelude::*;
 use std::collections::BTreeSet;
+use steps::{get, put_version};
 use wv_fleet::{World, MS, S};
 use wv_reg::{Seat, Store};
 
 /// Five times there and back, at a millisecond each and with disks that take no time.
 const WINDOW: u64 = 5 * MS;
 
-fn put(world: &mut World, control: usize, version: u64) -> u16 {
-    let token = world.call(control, "PUT", "/configuration", &World::conf(version));
-    world.run(1200 * MS);
-    world.returns.get(&token).map_or(0, |ret| ret.0)
-}
-
-fn get(world: &mut World, control: usize) -> (u16, Vec<u8>) {
-    let token = world.call(control, "GET", "/configuration", b"");
-    world.run(1200 * MS);
-    world.returns.get(&token).cloned().unwrap_or_default()
-}
-
 /// What the disk of `control` says of the sets, and the version of the configuration on it.
 fn disk(world: &World, control: usize) -> (Seat, u64) {
     let files = Box::new(world.controls[control].files.copy());
@@ -50,7 +41,7 @@
 /// Three voters and a learner; one voter goes for good, and its replacement has just begun.
 fn replacing(gone: usize) -> World {
     let mut world = World::serving(1, 4);
-    assert_eq!(put(&mut world, gone, 20), 200);
+    assert_eq!(put_version(&mut world, gone, 20), 200);
     world.run(2 * S);
     world.kill_control(gone);
     assert!(until(&mut world, 6 * S, is_under_way), "no change came about");
@@ -70,7 +61,7 @@
             world.run(2 * MS);
             let is_known = newest(&world, &left).number == 2;
             world.run(4 * S);
-            let status = put(&mut world, left[0], 21);
+            let status = put_version(&mut world, left[0], 21);
             expect_that!(status, if is_known { eq(200) } else { eq(503) }, "{gone} {also} at {step}");
             if is_known {
                 going += 1;
@@ -81,7 +72,7 @@
             // The second one's disk was not lost: all goes on with it, whatever was under way.
             world.start_control(also, false);
             world.run(5 * S);
-            expect_that!(put(&mut world, also, 22), eq(200), "{gone} {also} at {step}");
+            expect_that!(put_version(&mut world, also, 22), eq(200), "{gone} {also} at {step}");
             expect_that!(newest(&world, &left).number, ge(2), "{gone} {also} at {step}");
         }
     }
@@ -126,14 +117,14 @@
 #[gtest]
 fn given_a_newcomer_that_holds_nothing_yet_then_the_set_stays_as_it_is_and_goes_on_until_it_is_ready() {
     let mut world = World::serving(1, 3);
-    expect_that!(put(&mut world, 0, 20), eq(200));
+    expect_that!(put_version(&mut world, 0, 20), eq(200));
     world.kill_control(2);
     let new = world.add_control(&[0, 1]);
     // Its disk takes nothing: it is there, and answers, and can learn nothing.
     world.controls[new].files.is_full.set(true);
     world.run(5 * S);
     expect_that!(newest(&world, &[0, 1]).number, eq(1));
-    expect_that!(put(&mut world, 1, 21), eq(200));
+    expect_that!(put_version(&mut world, 1, 21), eq(200));
     world.controls[new].files.is_full.set(false);
     expect_that!(until(&mut world, 6 * S, |world| newest(world, &[0, 1]).number == 2), eq(true));
     expect_that!(disk(&world, new).1, eq(21));
@@ -156,7 +147,7 @@
     // Five of seven vote, and one of those is gone: it would be replaced by now.
     world.run(4500 * MS);
     expect_that!(newest(&world, &[1]).number, eq(number));
-    expect_that!(put(&mut world, 1, 20), eq(200));
+    expect_that!(put_version(&mut world, 1, 20), eq(200));
     expect_that!(until(&mut world, 3 * S, |world| newest(world, &[1]).number > number), eq(true));
     expect_that!(world.now - started, le(7 * S));
     expect_that!(newest(&world, &[1]).has(&world.controls[0].addr), eq(false));
--- a/crates/wv-fleet/tests/leaving.rs
+++ b/crates/wv-fleet/tests/leaving.rs
@@ -1,15 +1,10 @@
 //! Stories of databases that leave for good while they know what no other knows.
+mod steps;
+
 use googletest::prelude::*;
+use steps::{busy, end};
 use wv_fleet::{World, MS, S};
 
-fn busy() -> World {
-    let mut world = World::serving(4, 3);
-    world.load(10, "p");
-    world.load(5, "b");
-    world.run(3 * S);
-    world
-}
-
 /// It says so, and ends.
 fn leave(world: &mut World, base: usize) {
     let id = world.bases[base].id.clone();
@@ -19,15 +14,9 @@
     world.crash(base);
 }
 
-fn end(world: &mut World) -> Vec<String> {
-    world.stop_load();
-    world.run(wv_fleet::REST);
-    world.judge()
-}
-
 #[gtest]
 fn given_a_draining_replica_that_alone_received_when_the_primary_crashes_then_it_leads_until_another_can() {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     world.bases[1].is_deaf = true;
     world.bases[2].is_draining = true;
     world.run(S);
@@ -45,7 +34,7 @@
 
 #[gtest]
 fn given_a_replica_that_alone_received_and_left_when_the_primary_crashes_then_its_heir_is_waited_for() {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     world.bases[1].is_deaf = true;
     world.run(S);
     world.crash(0);
@@ -64,7 +53,7 @@
 
 #[gtest]
 fn given_a_replica_that_left_and_a_primary_seen_after_it_then_the_other_may_lead_without_it() {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     leave(&mut world, 2);
     world.run(3 * S);
     world.crash(0);
@@ -77,7 +66,7 @@
 
 #[gtest]
 fn given_a_primary_that_only_says_that_it_is_gone_soon_after_another_left_then_one_leads_after_it() {
-    let mut world = busy();
+    let mut world = busy(4, 3);
     world.bases[0].is_draining = true;
     world.run(1500 * MS);
     let second = world.primary();
--- a/crates/wv-fleet/tests/leaving_voters.rs
+++ b/crates/wv-fleet/tests/leaving_voters.rs
@@ -1,13 +1,10 @@
 //! Stories of control nodes that are told to end: what they hold is in others' hands before they do.
+mod steps;
+
 use googletest::prelude::*;
+use steps::put_version;
 use wv_fleet::{World, MS, S};
 
-fn put(world: &mut World, control: usize, version: u64) -> u16 {
-    let token = world.call(control, "PUT", "/configuration", &World::conf(version));
-    world.run(1200 * MS);
-    world.returns.get(&token).map_or(0, |ret| ret.0)
-}
-
 /// The number of the set as `control` knows it, and the addresses in it.
 fn voters(world: &mut World, control: usize) -> (u64, String) {
     let token = world.call(control, "GET", "/voters", b"");
@@ -37,7 +34,7 @@
 fn given_a_voter_of_three_that_ends_where_one_stands_by_then_the_next_set_stands_before_it_goes() {
     for gone in 0..3 {
         let mut world = World::serving(1, 4);
-        expect_that!(put(&mut world, gone, 20), eq(200));
+        expect_that!(put_version(&mut world, gone, 20), eq(200));
         expect_that!(term(&mut world, gone), le(1700 * MS), "gone {gone}");
         let other = (gone + 1) % 3;
         let (number, members) = voters(&mut world, other);
@@ -46,7 +43,7 @@
         // One more loss in the moment of its end.
         world.kill_control((gone + 2) % 3);
         world.run(500 * MS);
-        expect_that!(put(&mut world, other, 21), eq(200), "gone {gone}");
+        expect_that!(put_version(&mut world, other, 21), eq(200), "gone {gone}");
         let token = world.call(3, "GET", "/configuration", b"");
         world.run(1200 * MS);
         expect_that!(world.returns.get(&token), some(eq(&(200, World::conf(21)))), "gone {gone}");
@@ -64,7 +61,7 @@
         world.run(300 * MS);
         world.start_control(at, false);
         world.run(S);
-        expect_that!(put(&mut world, (at + 1) % 8, 20 + at as u64), eq(200), "control {at}");
+        expect_that!(put_version(&mut world, (at + 1) % 8, 20 + at as u64), eq(200), "control {at}");
     }
     expect_that!(voters(&mut world, 0), eq(&before));
 }
@@ -75,7 +72,7 @@
     expect_that!(term(&mut world, 1), le(1700 * MS));
     world.run(4 * S);
     expect_that!(voters(&mut world, 0).0, eq(1));
-    expect_that!(put(&mut world, 2, 20), eq(200));
+    expect_that!(put_version(&mut world, 2, 20), eq(200));
 }
 
 #[gtest]
--- a/crates/wv-fleet/tests/recovery.rs
+++ b/crates/wv-fleet/tests/recovery.rs
@@ -1,5 +1,8 @@
 //! Stories of databases that come back under a full load and bear only so much at first.
+mod steps;
+
 use googletest::prelude::*;
+use steps::end;
 use wv_fleet::{World, MS, S};
 
 /// Six nodes under load; with `is_eased` they ease databases in, without it they rush as one.
@@ -29,12 +32,6 @@
     world.revive(0);
 }
 
-fn end(world: &mut World) -> Vec<String> {
-    world.stop_load();
-    world.run(wv_fleet::REST);
-    world.judge()
-}
-
 #[gtest]
 fn given_a_lone_database_back_under_full_load_then_the_fleet_together_starts_no_more_than_it_bears() {
     let mut world = loaded(true);
--- a/crates/wv-fleet/tests/shards.rs
+++ b/crates/wv-fleet/tests/shards.rs
@@ -1,6 +1,9 @@
 //! Stories of shards that pass between the nodes of partners, and of the work in flight meanwhile.
+mod steps;
+
 use googletest::prelude::*;
 use std::collections::BTreeMap;
+use steps::end;
 use wv_fleet::{World, MS, S};
 
 fn services() -> Vec<String> {
@@ -54,12 +57,6 @@
     world.run(2 * S);
 }
 
-fn end(world: &mut World) -> Vec<String> {
-    world.stop_load();
-    world.run(wv_fleet::REST);
-    world.judge()
-}
-
 /// Operations done within `us`, and those that failed.
 fn during(world: &mut World, us: u64) -> (u32, u32) {
     let before = world.load_done();
--- a/crates/wv-fleet/tests/voters.rs
+++ b/crates/wv-fleet/tests/voters.rs
@@ -1,13 +1,10 @@
 //! Stories of the set of voters: machines that go for good, others that come, and all that was acknowledged stays.
+mod steps;
+
 use googletest::prelude::*;
+use steps::{put_version, voters};
 use wv_fleet::{World, MS, S};
 
-fn put(world: &mut World, control: usize, version: u64) -> u16 {
-    let token = world.call(control, "PUT", "/configuration", &World::conf(version));
-    world.run(1200 * MS);
-    world.returns.get(&token).map_or(0, |ret| ret.0)
-}
-
 fn read(world: &mut World, control: usize) -> (u16, String) {
     let token = world.call(control, "GET", "/configuration", b"");
     world.run(1200 * MS);
@@ -19,16 +16,6 @@
     String::from_utf8_lossy(&World::conf(version)).into_owned()
 }
 
-/// The voters as `control` knows them: the set's number and the addresses in it.
-fn voters(world: &mut World, control: usize) -> (u64, Vec<String>) {
-    let token = world.call(control, "GET", "/voters", b"");
-    let body = world.returns.get(&token).cloned().unwrap_or_default().1;
-    let value: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
-    let members = value["members"].as_array().cloned().unwrap_or_default();
-    let addrs = members.iter().filter_map(|member| member["address"].as_str().map(str::to_owned)).collect();
-    (value["number"].as_u64().unwrap_or(0), addrs)
-}
-
 /// Gone for good; an empty machine comes to another address a second later. Returns its place.
 fn replace(world: &mut World, control: usize) -> usize {
     world.kill_control(control);
@@ -42,7 +29,7 @@
 fn given_each_voter_replaced_in_turn_then_the_set_follows_and_nothing_acknowledged_is_missing() {
     for gone in 0..3 {
         let mut world = World::serving(2, 3);
-        expect_that!(put(&mut world, (gone + 1) % 3, 20), eq(200));
+        expect_that!(put_version(&mut world, (gone + 1) % 3, 20), eq(200));
         let new = replace(&mut world, gone);
         world.run(3 * S);
         let (number, addrs) = voters(&mut world, new);
@@ -53,7 +40,7 @@
         world.kill_control((gone + 1) % 3);
         expect_that!(read(&mut world, new), eq(&(200, conf(20))), "gone {gone}");
         world.run(2 * S);
-        expect_that!(put(&mut world, new, 21), eq(200), "gone {gone}");
+        expect_that!(put_version(&mut world, new, 21), eq(200), "gone {gone}");
     }
 }
 
@@ -63,11 +50,11 @@
     let mut new = Vec::new();
     for gone in 0..3 {
         let by = if gone < 2 { gone + 1 } else { new[0] };
-        expect_that!(put(&mut world, by, 30 + gone as u64), eq(200));
+        expect_that!(put_version(&mut world, by, 30 + gone as u64), eq(200));
         new.push(replace(&mut world, gone));
         world.run(3500 * MS);
     }
-    expect_that!(put(&mut world, new[1], 40), eq(200));
+    expect_that!(put_version(&mut world, new[1], 40), eq(200));
     new.iter().for_each(|at| world.kill_control(*at));
     world.run(S);
     // Their seeds are all gone: they find each other by what their disks keep.
@@ -85,7 +72,7 @@
     let (number, addrs) = voters(&mut world, 7);
     expect_that!(number, eq(3));
     expect_that!(addrs.len(), eq(7));
-    expect_that!(put(&mut world, 0, 20), eq(200));
+    expect_that!(put_version(&mut world, 0, 20), eq(200));
     // Two lose their disks while one more is away.
     for at in [0, 1] {
         world.kill_control(at);
@@ -94,7 +81,7 @@
     world.kill_control(2);
     world.run(500 * MS);
     expect_that!(read(&mut world, 5), eq(&(200, conf(20))));
-    expect_that!(put(&mut world, 6, 21), eq(200));
+    expect_that!(put_version(&mut world, 6, 21), eq(200));
     [0, 1].into_iter().for_each(|at| world.start_control(at, false));
     world.run(4 * S);
     expect_that!(read(&mut world, 0), eq(&(200, conf(21))));
@@ -121,7 +108,7 @@
             (0..7).filter(|at| *at != (split % 3) as usize).map(|at| voters(&mut world, at)).collect();
         expect_that!(all.iter().all(|held| *held == all[0]), eq(true), "split {split}: {all:?}");
         expect_that!(all[0].1.len() % 2, eq(1));
-        expect_that!(put(&mut world, 3, 20), eq(200), "split {split}");
+        expect_that!(put_version(&mut world, 3, 20), eq(200), "split {split}");
     }
 }
 
@@ -130,7 +117,7 @@
     // A change takes some ten messages of half a millisecond each: every one of its moments is tried.
     for step in 0..24u64 {
         let mut world = World::serving(1, 4);
-        expect_that!(put(&mut world, 1, 20), eq(200));
+        expect_that!(put_version(&mut world, 1, 20), eq(200));
         world.kill_control(0);
         world.run(1900 * MS);
         let is_under_way = |world: &World| (1..4).find(|at| world.is_changing(*at));
@@ -148,7 +135,7 @@
         world.start_control(holder, false);
         world.run(6 * S);
         expect_that!(read(&mut world, new), eq(&(200, conf(20))), "step {step}");
-        expect_that!(put(&mut world, new, 22), eq(200), "step {step}");
+        expect_that!(put_version(&mut world, new, 22), eq(200), "step {step}");
     }
 }
 
@@ -190,14 +177,14 @@
     let (number, addrs) = voters(&mut world, 2);
     expect_that!(number, eq(2));
     expect_that!(addrs.contains(&world.controls[0].addr), eq(false));
-    expect_that!(put(&mut world, 3, 20), eq(200));
+    expect_that!(put_version(&mut world, 3, 20), eq(200));
     // What it still holds is old; alone with one of the others it must not pass for a majority.
     world.kill_control(2);
     world.kill_control(3);
     world.cut.clear();
     world.run(S);
     expect_that!(read(&mut world, 0).0, eq(503));
-    expect_that!(put(&mut world, 0, 19), eq(503));
+    expect_that!(put_version(&mut world, 0, 19), eq(503));
     world.start_control(3, false);
     world.run(3 * S);
     expect_that!(read(&mut world, 0), eq(&(200, conf(20))));
@@ -206,7 +193,7 @@
 #[gtest]
 fn given_a_voter_whose_disk_came_back_empty_then_it_is_taken_in_anew_at_its_old_address() {
     let mut world = World::serving(1, 3);
-    expect_that!(put(&mut world, 0, 20), eq(200));
+    expect_that!(put_version(&mut world, 0, 20), eq(200));
     world.kill_control(2);
     world.controls[2].files.files.borrow_mut().clear();
     world.start_control(2, false);
