--- a/crates/wv-promo/tests/depose.rs
+++ b/crates/wv-promo/tests/depose.rs
@@ -84,7 +84,8 @@
     })
 }
 
-fn told(effects: &[Effect]) -> bool {
+/// Whether the primary is told to yield, or the platform is called.
+fn is_acted_on(effects: &[Effect]) -> bool {
     effects.iter().any(|effect| matches!(effect, Effect::Depose { .. } | Effect::Post { .. }))
 }
 
@@ -93,7 +94,7 @@
     let mut story = Story::begin(false);
     let effects = story.attempt(8);
     assert!(matches!(stalled(&effects), Some(Obstacle::Silent { replica, .. }) if replica == "d"));
-    assert!(!told(&effects));
+    assert!(!is_acted_on(&effects));
 }
 
 #[test]
@@ -113,7 +114,7 @@
     assert_eq!(story.attempt(8), [look("p")]);
     let effects = story.hear_row("p", row(true, 3, 9));
     assert!(matches!(stalled(&effects), Some(Obstacle::Behind { ahead, .. }) if ahead == "p"));
-    assert!(!told(&effects));
+    assert!(!is_acted_on(&effects));
     // What was under way arrives, and the next attempt goes through.
     assert_eq!(story.attempt(9), [look("p")]);
     assert_eq!(story.hear_row("p", row(true, 3, 9)), [Effect::Confirm]);
@@ -124,7 +125,7 @@
     let mut story = Story::begin(true);
     story.attempt(8);
     assert_eq!(story.hear_row("p", row(true, 3, 8)), [Effect::Confirm]);
-    assert!(!told(&story.hear(Event::Confirmed(false))));
+    assert!(!is_acted_on(&story.hear(Event::Confirmed(false))));
 }
 
 #[test]
@@ -133,7 +134,7 @@
     assert_eq!(story.attempt(8), [look("p")]);
     let effects = story.hear_row("p", row(false, 3, 8));
     assert!(stalled(&effects).is_some());
-    assert!(!told(&effects));
+    assert!(!is_acted_on(&effects));
     // Nor by that of a primary of an older term.
     assert_eq!(story.attempt(8), [look("p")]);
     assert!(stalled(&story.hear_row("p", row(true, 2, 8))).is_some());
@@ -145,11 +146,11 @@
     story.attempt(8);
     story.hear_row("p", row(true, 3, 8));
     story.hear(Event::Confirmed(true));
-    assert!(!told(&story.hear_row("p", Err(Silent::Dark))));
+    assert!(!is_acted_on(&story.hear_row("p", Err(Silent::Dark))));
     // It did yield: known by what it was told.
     assert_eq!(story.attempt(8), [look("p")]);
     assert_eq!(story.hear_row("p", row(false, 3, 8)), [Effect::Confirm]);
-    assert!(told(&story.hear(Event::Confirmed(true))));
+    assert!(is_acted_on(&story.hear(Event::Confirmed(true))));
     assert_eq!(story.hear_row("p", row(false, 3, 8)), [Effect::Confirm]);
 }
 
@@ -161,7 +162,7 @@
     story.hear(Event::Confirmed(true));
     let effects = story.hear_row("p", row(false, 3, 9));
     assert!(matches!(stalled(&effects), Some(Obstacle::Behind { .. })));
-    assert!(!told(&effects));
+    assert!(!is_acted_on(&effects));
 }
 
 #[test]
@@ -218,6 +219,6 @@
         story.hear(Event::Confirmed(true));
         let effects = story.hear_row("p", answer);
         assert!(!effects.contains(&Effect::Confirm), "{effects:?}");
-        assert!(!told(&effects));
+        assert!(!is_acted_on(&effects));
     }
 }
