Read again: one definition of new work, one way to confirm a candidate, a field's name, a comment that a rename had bent

Cause: send.rs and leaving.rs each said which statement is new work, steps.rs and depose.rs each how a candidate is confirmed; Deposed.told was a withdrawn word. No behaviour changes.

--- a/crates/wv-access/src/leaving.rs
+++ b/crates/wv-access/src/leaving.rs
@@ -32,11 +32,15 @@
         LeavingSince::ago(self.now, inst.leaving_us.saturating_add(self.drain.stalls.lag_us(self.now)))
     }
 
-    /// Whether what the client waits for would be new work, and its database has become one that gets none.
-    pub(crate) fn is_too_late(&self, client: u64, spot: Spot) -> bool {
+    /// Whether what the client waits for is new work for a database: a statement on its own, or the first of a transaction.
+    pub(crate) fn is_new_work(&self, client: u64) -> bool {
         let is_going_on = |client: &crate::types::Client| client.txn.as_ref().is_some_and(|txn| txn.is_begun);
-        let is_new = self.clients.get(&client).is_some_and(|client| !is_going_on(client));
-        is_new && self.checks.is_past_drain(spot, self.now)
+        self.clients.get(&client).is_some_and(|client| !is_going_on(client))
+    }
+
+    /// Whether that is new work, and its database has become one that gets none.
+    pub(crate) fn is_too_late(&self, client: u64, spot: Spot) -> bool {
+        self.is_new_work(client) && self.checks.is_past_drain(spot, self.now)
     }
 
     /// The transaction stands at a database that gets no new work by now: it is rolled back there and begun elsewhere.
--- a/crates/wv-access/src/send.rs
+++ b/crates/wv-access/src/send.rs
@@ -58,8 +58,7 @@
 
     fn send_text(&mut self, id: u64, db: u64, mark: &str) {
         let now = self.now;
-        let is_new = self.clients.get(&id).is_some_and(|client| client.txn.as_ref().is_none_or(|txn| !txn.is_begun));
-        if let Some(spot) = self.dbs.get(&db).map(|held| held.spot).filter(|_| is_new) {
+        if let Some(spot) = self.dbs.get(&db).map(|held| held.spot).filter(|_| self.is_new_work(id)) {
             self.watch_new_work(spot);
         }
         self.mark(id);
--- a/crates/wv-check/src/member.rs
+++ b/crates/wv-check/src/member.rs
@@ -9,6 +9,7 @@
 const LOOK_LAST_US: u64 = 800_000;
 /// How long a primary's `READONLY` stands against what the control side last said.
 const DOUBT_US: u64 = 400_000;
+
 /// A database's leave as this node knows it.
 #[derive(Clone, Copy, Debug)]
 pub struct Leaving {
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -144,7 +144,7 @@
 
     pub(crate) fn lead_told(&mut self, lead: Lead) {
         let held = self.feed.lead(&lead.service);
-        // A term already known to be over is old news; the same reply again is none.
+        // A term already known to be over is old news; the same word again is none.
         if held.is_none_or(|held| held.term < lead.term && !(held.id == lead.id && held.term == lead.term)) {
             self.note_led(&lead);
             self.is_table_due = true;
--- a/crates/wv-promo/src/depose.rs
+++ b/crates/wv-promo/src/depose.rs
@@ -20,15 +20,15 @@
 pub(crate) struct Deposed {
     primary: String,
     term: u64,
-    /// The term that it was told, once it was.
-    told: Option<u64>,
+    /// The term under which it was ordered to yield, once it was.
+    yield_term: Option<u64>,
     end: Option<Pos>,
 }
 
 impl Deposed {
     /// Whether this row of a replica is one of the primary that yielded, and of no later term than that.
     fn is_yielded(&self, status: &Status) -> bool {
-        !status.is_primary && (status.term == self.term || Some(status.term) == self.told)
+        !status.is_primary && (status.term == self.term || Some(status.term) == self.yield_term)
     }
 }
 
@@ -50,7 +50,8 @@
         self.rows.get(candidate).is_some_and(|reply| reply.is_ok_and(|status| status.received >= end))
     }
 
-    fn confirm(&mut self, candidate: String, now: u64) {
+    /// The fence is confirmed, and then the candidate is named to the platform.
+    pub(crate) fn confirm(&mut self, candidate: String, now: u64) {
         self.effects.push(Effect::Confirm);
         self.enter(Step::Confirming { candidate, deadline: now + CLAIM_US });
     }
@@ -62,14 +63,16 @@
             return self
                 .stall(Obstacle::Silent { candidate, replica: primary.to_owned(), reply: reply.err() }, view.now);
         };
-        let is_told = self.deposed.as_ref().is_some_and(|told| told.primary == primary && told.is_yielded(&status));
+        let has_yielded =
+            self.deposed.as_ref().is_some_and(|deposed| deposed.primary == primary && deposed.is_yielded(&status));
         // One that says it is a replica, and was not told so by this holder, may have been deposed by a promotion.
-        let is_primary = (status.is_primary && status.term >= self.term_led(view)) || is_told;
+        let is_primary = (status.is_primary && status.term >= self.term_led(view)) || has_yielded;
         if !is_primary || !self.has_received(&candidate, status.received) {
             return self.primary_ahead(candidate, primary, status, view.now);
         }
-        if !is_told {
-            self.deposed = Some(Deposed { primary: primary.to_owned(), term: status.term, told: None, end: None });
+        if !has_yielded {
+            self.deposed =
+                Some(Deposed { primary: primary.to_owned(), term: status.term, yield_term: None, end: None });
         }
         self.term = self.term.max(status.term);
         self.effects.push(Effect::Confirm);
@@ -95,7 +98,7 @@
     pub(crate) fn depose(&mut self, candidate: String, view: &View<'_>) {
         let Some(primary) = view.lead else { return self.give_up(view.now) };
         let term = self.term + 1;
-        self.deposed.iter_mut().for_each(|deposed| deposed.told = Some(term));
+        self.deposed.iter_mut().for_each(|deposed| deposed.yield_term = Some(term));
         self.effects.push(Effect::Depose { id: primary.to_owned(), term });
         self.enter(Step::Deposing { candidate, deadline: view.now + ROWS_US });
     }
@@ -103,7 +106,7 @@
     /// The primary's answer to that. Whoever has received all of its log leads on, whatever a silent one holds.
     pub(crate) fn yielded(&mut self, candidate: String, reply: StatusReply, view: &View<'_>) {
         let Some(primary) = view.lead else { return self.give_up(view.now) };
-        let deposed = self.deposed.clone().filter(|told| told.primary == primary);
+        let deposed = self.deposed.clone().filter(|deposed| deposed.primary == primary);
         let (Ok(status), Some(deposed)) = (reply, deposed) else { return self.give_up(view.now) };
         if !deposed.is_yielded(&status) {
             return self.give_up(view.now);
--- a/crates/wv-promo/src/steps.rs
+++ b/crates/wv-promo/src/steps.rs
@@ -180,9 +180,7 @@
                 let loose: Vec<String> =
                     self.rows.keys().filter(|id| **id != candidate && !self.suspended.contains(id)).cloned().collect();
                 if loose.is_empty() {
-                    self.effects.push(Effect::Confirm);
-                    self.enter(Step::Confirming { candidate, deadline: view.now + CLAIM_US });
-                    return;
+                    return self.confirm(candidate, view.now);
                 }
                 // While the primary lives the one left receiving is ahead again at once: its row is only older.
                 if !std::mem::replace(&mut self.is_relooked, true) {
