--- a/review/standins/src/bin/stale_owner.rs
+++ b/review/standins/src/bin/stale_owner.rs
@@ -150,6 +150,17 @@
     judge(&load, changed_ms);
 }
 
+/// What it means to clients, beside the verdict: how many of these things a read at the same front doesn't find.
+fn tell_unread(load: &Load, things: &[String]) {
+    let mut caller = load.caller("shop");
+    let mut absent = 0;
+    for (number, thing) in things.iter().enumerate() {
+        let ending = caller.ask(&format!("r{number}"), &format!("READ {thing}"));
+        absent += usize::from(matches!(ending, Ending::Success { rows, .. } if rows.is_empty()));
+    }
+    load.fleet.record.tell(&format!("reads at the same front do not find {absent} of these {} things", things.len()));
+}
+
 /// CONFIG: a machine goes back. The effect of the second version is the first statement that a database of the new
 /// service ran for a client at the first machine.
 fn judge(load: &Load, changed_ms: u64) -> ! {
@@ -177,6 +188,12 @@
     for (id, at_ms) in &back {
         record.line(&format!("CONFIG: {id}, sent at {} ms, was run by ledger at {at_ms} ms", sent.at_ms[id]));
     }
+    let things: Vec<String> = sent
+        .acknowledged
+        .iter()
+        .filter(|(_, id)| back.iter().any(|(run, _)| run == *id))
+        .map(|(thing, _)| thing.clone())
+        .collect();
     let times: Vec<u64> = back.iter().map(|(id, _)| sent.at_ms[id] - effect_ms).collect();
     record.tell(&format!(
         "{} statements sent more than {SLACK_MS} ms after it were run by the old service, sent {:?} to {:?} ms after it; {written} of them are acknowledged writes",
@@ -184,6 +201,8 @@
         times.iter().min(),
         times.iter().max()
     ));
+    drop(sent);
+    tell_unread(load, &things);
     record.flush();
     std::process::exit(i32::from(!back.is_empty()));
 }
