--- a/review/standins/src/bin/stale_owner.rs
+++ b/review/standins/src/bin/stale_owner.rs
@@ -88,7 +88,7 @@
 fn signal(name: &str) {
     for process in ["PID_control1", "PID_access1"] {
         let pid = std::env::var(process).unwrap_or_default();
-        let _ = std::process::Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        let _ = std::process::Command::new("sh").args(["-c", &format!("kill -{name} {pid}")]).status();
     }
 }
 
