--- a/review/standins-2/src/day.rs
+++ b/review/standins-2/src/day.rs
@@ -2,7 +2,7 @@
 use crate::fleet::{Fleet, ZONES};
 use crate::load::Answers;
 use crate::record::Record;
-use crate::world::World;
+use crate::world::{State, World};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
@@ -128,20 +128,20 @@
         Ok(())
     }
 
-    /// Waits until another database than `old` leads the service.
-    pub fn await_successor(&self, service: &str, old: &str, wait: Duration) -> Option<String> {
+    pub fn wait(&self, wait: Duration) {
+        std::thread::sleep(wait);
+    }
+
+    /// Waits until `is_so` holds for the state of the databases.
+    pub fn wait_for(&self, wait: Duration, is_so: impl Fn(&State) -> bool) -> bool {
         let until = Instant::now() + wait;
         while Instant::now() < until {
-            if let Some(id) = self.world.primary(service).filter(|id| id != old) {
-                return Some(id);
+            if is_so(&self.world.lock()) {
+                return true;
             }
             std::thread::sleep(Duration::from_millis(5));
         }
-        None
-    }
-
-    pub fn wait(&self, wait: Duration) {
-        std::thread::sleep(wait);
+        false
     }
 
     /// LOST: commits that clients were told of, and that were missing from the log of a database that was promoted.
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,10 +1,10 @@
 //! `standins-2 CASE BINARY FOLDER RECORD`: plays one case of the review against the project's processes. Exit status: 1 if the
 //! rule was broken, 0 if it held, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 mod day;
-mod departed;
 mod fleet;
 mod flood;
 mod http;
+mod late;
 mod load;
 mod multiline;
 mod platform;
@@ -23,10 +23,11 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_default();
     let is_quiet = trouble == "0";
     match case.as_str() {
-        "departed" => {
-            let mut day = Day::start(binary, dir, record, Duration::from_millis(20))?;
+        "late" => {
+            let delay = if is_quiet { Duration::from_millis(20) } else { late::PLATFORM_DELAY };
+            let mut day = Day::start(binary, dir, record, delay)?;
             day.start_clients(2)?;
-            let verdict = departed::run(&mut day, !is_quiet && trouble != "crash", !is_quiet && trouble != "leave");
+            let verdict = late::run(&mut day, !is_quiet, trouble != "hears");
             day.end();
             Ok(verdict)
         }
--- a/review/standins-2/src/platform.rs
+++ b/review/standins-2/src/platform.rs
@@ -1,7 +1,6 @@
 //! The platform (`POST /promotion`, with checked fences) and the beats of the databases.
 use crate::http;
-use crate::wire::is_beating;
-use crate::world::{Leaving, World};
+use crate::world::World;
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -25,6 +24,7 @@
     let holder = http::header(&head, "x-duty-holder").unwrap_or("-").to_owned();
     let call = format!("promotion of {id} for {service}, fence {fence}, holder {holder}");
     world.record.line(&format!("platform gets a call: {call}"));
+    world.lock().calls.push((service.clone(), id.clone()));
     std::thread::sleep(delay);
     let (status, is_new) = {
         let mut state = world.lock();
@@ -47,48 +47,31 @@
 
 /// Sends the beats of one database to one control node after the other, a change of its role at once.
 pub fn beat(world: World, id: String, controls: Vec<String>, mut at: usize) {
-    let (mut last, mut told) = (None::<Instant>, None);
+    let mut last: Option<(Instant, bool)> = None;
     while !world.lock().is_over {
         std::thread::sleep(Duration::from_millis(10));
-        let Some(Some((body, role, leaving, is_acked))) =
-            world.with(&id, |database| {
+        let Some(Some((body, is_primary))) = world.with(&id, |database| {
+            let is_due = last.is_none_or(|(at, told)| at.elapsed() >= HEARTBEAT || told != database.is_primary);
+            (database.is_up && is_due).then(|| {
+                database.sequence += 1;
                 let role = if database.is_primary { "primary" } else { "replica" };
-                let leaving = database.leaving;
-                let is_telling = is_beating(database) || (database.is_up && database.leave_acked.is_none());
-                is_telling.then(|| {
-                    let body =
-                        format!(
+                let body = format!(
                     "{{\"destination\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"issue\":\"v1\",\"capacity\":10,\
                      \"state\":\"in_service\",\"coldLeftMs\":0,\"dbRole\":\"{role}\",\"sequence\":{}}}",
-                    database.service, database.address, database.zone, database.sequence + 1
+                    database.service, database.address, database.zone, database.sequence
                 );
-                    (body, role, leaving, database.leave_acked.is_some())
-                })
+                (body, database.is_primary)
             })
-        else {
+        }) else {
             continue;
         };
-        let is_leave = leaving == Leaving::Deleted && !is_acked;
-        let is_due = last.is_none_or(|at| at.elapsed() >= HEARTBEAT) || told != Some(role) || is_leave;
-        if !is_due {
-            continue;
-        }
-        world.with(&id, |database| database.sequence += 1);
-        let method = if is_leave { "DELETE" } else { "PUT" };
         let path = format!("/instances/{id}");
-        let status = http::call(&controls[at % controls.len()], method, &path, if is_leave { "" } else { &body });
-        let status = status.map(|(status, _)| status);
-        if is_leave || status != Some(200) {
-            world.record.line(&format!("database {id} says {method} {path}: {status:?}"));
-        }
-        match status {
-            Some(200) => {
-                (last, told) = (Some(Instant::now()), Some(role));
-                if is_leave {
-                    world.with(&id, |database| database.leave_acked = Some(Instant::now()));
-                }
+        match http::call(&controls[at % controls.len()], "PUT", &path, &body) {
+            Some((200, _)) => last = Some((Instant::now(), is_primary)),
+            answer => {
+                world.record.line(&format!("database {id} says PUT {path}: {:?}", answer.map(|answer| answer.0)));
+                at += 1;
             }
-            _ => at += 1,
         }
     }
 }
--- a/review/standins-2/src/wire.rs
+++ b/review/standins-2/src/wire.rs
@@ -1,5 +1,5 @@
 //! The wire of the databases: lines that end with CR LF, as the protocol's page has it.
-use crate::world::{Database, Entry, Leaving, State, World};
+use crate::world::{Database, Entry, State, World};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -239,8 +239,3 @@
     }
     Answer::Text(format!("COMPLETE -\r\n{}", idle(own, session)))
 }
-
-/// Whether the database may still beat.
-pub fn is_beating(database: &Database) -> bool {
-    database.is_up && database.leaving == Leaving::No
-}
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -17,13 +17,6 @@
     pub at: Instant,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-pub enum Leaving {
-    No,
-    /// The database says DELETE and serves on.
-    Deleted,
-}
-
 pub struct Database {
     pub id: String,
     pub service: String,
@@ -36,8 +29,6 @@
     pub is_up: bool,
     /// Receives nothing from its primary.
     pub is_deaf: bool,
-    pub leaving: Leaving,
-    pub leave_acked: Option<Instant>,
     pub sequence: u64,
     /// Raised by each crash; connections of an earlier life are closed.
     pub life: u64,
@@ -67,6 +58,8 @@
     pub databases: Vec<Database>,
     /// Highest fence that the platform has seen, by service.
     pub fences: BTreeMap<String, u64>,
+    /// Calls that the platform got: service and database.
+    pub calls: Vec<(String, String)>,
     /// Commits that a primary has answered: the statement's id, and its service.
     pub committed: BTreeMap<String, String>,
     /// Statements that clients have sent: id and text.
@@ -106,8 +99,6 @@
             suspended: 0,
             is_up: true,
             is_deaf: false,
-            leaving: Leaving::No,
-            leave_acked: None,
             sequence: 0,
             life: 0,
             streams: Vec::new(),
