A line ends at CR LF only: a line feed inside a message is text

Rows with a line feed lost their second line on the way back.

Cause: wv-wire-protocol's split_line ended a line at any line feed and took the CR before it as optional. It is the only splitter of the wire, so clients, databases, forwarded requests and the control nodes' own statements were all affected.

Change: split_line looks for CR LF. The two hand-run stand-ins, which split at line feeds by themselves, read lines the same way. The test node of wv-access splits what it is sent at CR LF too: with lines() it could not have shown the fault.

--- a/crates/wv-access/tests/common/mod.rs
+++ b/crates/wv-access/tests/common/mod.rs
@@ -124,7 +124,8 @@
             Effect::CloseDb(db) => _ = self.dbs.remove(&db),
             Effect::WriteDb(db) => {
                 let out = self.core.db_output(db).map(std::mem::take).unwrap_or_default();
-                for line in String::from_utf8_lossy(&out).lines() {
+                let out = String::from_utf8_lossy(&out);
+                for line in out.split_terminator("\r\n") {
                     if line.starts_with("SETUP") {
                         self.core.db_data(db, b"IDLE I -\r\n", self.now);
                     } else if line.ends_with("ENQUIRY") {
--- a/crates/wv-simulation/examples/standin.rs
+++ b/crates/wv-simulation/examples/standin.rs
@@ -1,6 +1,6 @@
 //! Simulated database on a loopback address, for manual tests:
 //! `standin CONTROL LISTEN ID SERVICE primary|replica`. Data is kept in memory only and not replicated.
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use wv_simulation::{Database, StandaloneReply};
@@ -29,8 +29,8 @@
 fn serve(stream: TcpStream, connection_id: u64, database: &Shared) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut out = stream.try_clone()?;
-    for line in BufReader::new(stream).lines() {
-        let line = line?;
+    let mut reader = BufReader::new(stream);
+    while let Some(line) = wv_simulation::read_line(&mut reader)? {
         let words: Vec<&str> = line.splitn(3, ' ').collect();
         let Ok(mut instance) = database.lock() else { break };
         let text = match words[..] {
--- a/crates/wv-simulation/examples/standins.rs
+++ b/crates/wv-simulation/examples/standins.rs
@@ -56,8 +56,8 @@
 fn serve(stream: TcpStream, connection_id: u64, databases: &Shared, at: usize) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut out = stream.try_clone()?;
-    for line in BufReader::new(stream).lines() {
-        let line = line?;
+    let mut reader = BufReader::new(stream);
+    while let Some(line) = wv_simulation::read_line(&mut reader)? {
         let words: Vec<&str> = line.splitn(3, ' ').collect();
         let mut all = lock(databases);
         let text = match words[..] {
--- a/crates/wv-wire-protocol/src/lib.rs
+++ b/crates/wv-wire-protocol/src/lib.rs
@@ -1,4 +1,6 @@
 //! Line protocol spoken by clients and databases. Parsed lines borrow from the input buffer.
+//!
+//! A line ends at CR LF and at nothing else, and its fields are bytes: they need not be UTF-8.
 mod client;
 mod database;
 mod error_code;
@@ -7,15 +9,20 @@
 pub use database::{parse_status, DatabaseLine, DatabaseStatus, LogPosition};
 pub use error_code::ErrorCode;
 
+use memchr::memmem::Finder;
+use std::sync::LazyLock;
+
 /// Upper bound on the message size, regardless of configured limits.
 pub const MAX_MESSAGE_BYTES: usize = 1 << 20;
 
+/// Ends every line. A CR or LF on its own is part of a field.
+const TERMINATOR: &[u8] = b"\r\n";
+
+static TERMINATOR_FINDER: LazyLock<Finder<'static>> = LazyLock::new(|| Finder::new(TERMINATOR));
+
 /// Returns the first complete line of `buf` without its terminator, and the number of bytes consumed.
 pub fn split_line(buf: &[u8]) -> Option<(&[u8], usize)> {
-    memchr::memchr(b'\n', buf).map(|end| {
-        let line = &buf[..end];
-        (line.strip_suffix(b"\r").unwrap_or(line), end + 1)
-    })
+    TERMINATOR_FINDER.find(buf).map(|end| (&buf[..end], end + TERMINATOR.len()))
 }
 
 /// Splits `line` at the first space.
@@ -31,7 +38,7 @@
         }
         out.extend_from_slice(part);
     }
-    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(TERMINATOR);
 }
 
 /// Writes `QUERY id text`.
@@ -51,7 +58,7 @@
         Some(pos) => out.extend_from_slice(pos.to_string().as_bytes()),
         None => out.push(b'-'),
     }
-    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(TERMINATOR);
 }
 
 /// Writes an `ERROR` line followed by `IDLE`.
