A message of the greatest length is taken where it is cut before its line feed

What callers saw: OVERSIZE and a closed session for a message that is exactly as long as the bound, only if the bytes up to its CR came first.

Cause: the bound was compared with the incomplete line, its CR included. Change: is_overlong leaves a CR at the end out; clients and databases' answers use it. Why it works: a CR at the end may be the terminator's, and if it is not, the next byte decides.

--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -2,7 +2,7 @@
 use crate::core::Core;
 use crate::timer::Timer;
 use crate::types::{Client, Effect, Request, TxnFailure, Verb};
-use wv_wire_protocol::{split_line, ClientLine, ErrorCode, Statement};
+use wv_wire_protocol::{is_overlong, split_line, ClientLine, ErrorCode, Statement};
 
 /// Longer logins are truncated.
 const LOGIN_MAX_BYTES: usize = 128;
@@ -73,7 +73,7 @@
                 break;
             }
             let Some((line, len)) = split_line(&buf[at..]) else {
-                if buf.len() - at > max_line_bytes {
+                if is_overlong(&buf[at..], max_line_bytes) {
                     self.close_with_error(id, ErrorCode::Oversize, "a message is over the bound");
                 }
                 break;
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -1,7 +1,7 @@
 //! Database connections: matches received lines with pending replies.
 use crate::core::Core;
 use crate::types::{Effect, Pending, Reply, Verb};
-use wv_wire_protocol::{split_line, write_line, DatabaseLine, ErrorCode, LogPosition};
+use wv_wire_protocol::{is_overlong, split_line, write_line, DatabaseLine, ErrorCode, LogPosition};
 
 /// Responses up to this size are buffered until complete, so that interrupted reads can be retried.
 const BUFFERED_RESPONSE_MAX_BYTES: usize = 64 << 10;
@@ -43,7 +43,7 @@
             }
         }
         let rest = &whole[at..];
-        if rest.len() > wv_wire_protocol::MAX_MESSAGE_BYTES {
+        if is_overlong(rest, wv_wire_protocol::MAX_MESSAGE_BYTES) {
             return self.fail_db(db);
         }
         let rest = rest.to_vec();
--- a/crates/wv-access/tests/line_feeds.rs
+++ b/crates/wv-access/tests/line_feeds.rs
@@ -7,6 +7,8 @@
 
 const OK: &str = "COMPLETE stamp-1\r\nIDLE I 3.9\r\n";
 const TWO_LINES: &str = "WRITE k left with neighbour\nQUERY f0 WRITE l forged";
+/// `headerBytes` and `bodyBytes` of the test configuration together.
+const MAX_LINE_BYTES: usize = 16_384 + 262_144;
 const ROWS: &str = "ROW gate 4\nIDLE I 3.9\nring twice\r\nCOMPLETE stamp-1\r\nIDLE I 3.9\r\n";
 
 /// Guards against the rest of a message after a line feed being executed as another client's statement, or dropped.
@@ -103,3 +105,23 @@
     expect_that!(node.sent_statements.len(), eq(1));
     expect_that!(node.sent_statements[0].1, eq("QUERY w1 WRITE k d\n"));
 }
+
+/// Guards against a message of the greatest length being refused because it was cut between its CR and its LF.
+#[gtest]
+fn given_a_message_of_the_greatest_length_cut_anywhere_in_its_end_then_it_is_executed() {
+    let message = format!("QUERY w1 WRITE k {}\r\n", "d".repeat(MAX_LINE_BYTES - "QUERY w1 WRITE k ".len()));
+    for cut in [message.len() - 3, message.len() - 2, message.len() - 1] {
+        let mut node = TestNode::new();
+        let client = node.connect_client("shop");
+        for part in [&message[..cut], &message[cut..]] {
+            node.core.client_data(client, part.as_bytes(), node.now);
+            node.apply_effects();
+        }
+        expect_that!(node.statement_count("QUERY w1"), eq(1), "cut at {cut}");
+        expect_that!(node.take_output(client), eq(""), "cut at {cut}");
+    }
+    let mut node = TestNode::new();
+    let client = node.connect_client("shop");
+    node.send_line(client, &format!("QUERY w1 WRITE k {}", "d".repeat(MAX_LINE_BYTES)));
+    expect_that!(node.take_output(client), starts_with("ERROR OVERSIZE"));
+}
--- a/crates/wv-wire-protocol/src/lib.rs
+++ b/crates/wv-wire-protocol/src/lib.rs
@@ -25,6 +25,11 @@
     TERMINATOR_FINDER.find(buf).map(|end| (&buf[..end], end + TERMINATOR.len()))
 }
 
+/// Whether an incomplete line already holds more than `max_bytes`. A CR at its end may belong to the terminator.
+pub fn is_overlong(incomplete: &[u8], max_bytes: usize) -> bool {
+    incomplete.strip_suffix(b"\r").unwrap_or(incomplete).len() > max_bytes
+}
+
 /// Splits `line` at the first space.
 pub fn split_word(line: &[u8]) -> (&[u8], &[u8]) {
     memchr::memchr(b' ', line).map_or((line, &line[line.len()..]), |at| (&line[..at], &line[at + 1..]))
--- a/crates/wv-wire-protocol/tests/lines.rs
+++ b/crates/wv-wire-protocol/tests/lines.rs
@@ -1,6 +1,6 @@
 //! Line splitting: only CR LF ends a line, wherever the input is cut.
 use googletest::prelude::*;
-use wv_wire_protocol::{split_line, write_query, ClientLine};
+use wv_wire_protocol::{is_overlong, split_line, write_query, ClientLine};
 
 /// The lines of `input` when it arrives in the given parts.
 fn lines_of(parts: &[&[u8]]) -> Vec<Vec<u8>> {
@@ -43,3 +43,9 @@
     let text: &[u8] = b"WRITE a x\nRELEASE";
     expect_that!(ClientLine::parse(line), eq(ClientLine::Query { id: b"q1", text }));
 }
+
+#[gtest]
+fn given_a_line_as_long_as_the_bound_then_it_is_not_overlong_while_its_terminator_is_incomplete() {
+    expect_that!((is_overlong(b"abc", 3), is_overlong(b"abc\r", 3)), eq((false, false)));
+    expect_that!((is_overlong(b"abcd", 3), is_overlong(b"abc\r\r", 3)), eq((true, true)));
+}
