Keys and rows of a planned shard are bytes on their way: they need not be UTF-8

What callers saw: in a shard with a split plan the first write of a key that is not UTF-8 was refused each time; a row that is not UTF-8 made its batch of a split fail until the split was given up.

Cause: keys were turned into text, changed where they are none, in the reports of dirty and new keys (split_reports.rs), so that the coordinator's acknowledgement named another key; the control nodes' statements took rows as text only (statements.rs).

Change: Vec<u8> in DirtyKeys, ShardReport, KeyNames, RowCopier, Command::Run, Reply and Effect::RunStatements. The encoding between nodes is unchanged for text. Stored lists are as they were but for a CR at the end of a name, which reading cut off.

Evidence: against the code before (its types adapted), given_a_key_that_is_not_utf8… failed (reported as caf\u{fffd}\n\u{fffd}, the write not sent) and given_a_row_of_any_bytes… failed for every cut (no reply); both pass now. Why it works: no step from the client to the copy changes a byte.

--- a/crates/wv-access/src/split_reports.rs
+++ b/crates/wv-access/src/split_reports.rs
@@ -18,7 +18,7 @@
 
 /// A write to a key that is being copied.
 struct TrackedWrite {
-    key: String,
+    key: Vec<u8>,
     client: u64,
     request_number: u64,
     /// Arrival time of the transaction's first byte, which identifies it; `None` for a single statement.
@@ -29,7 +29,7 @@
 
 #[derive(Default)]
 pub(crate) struct DirtyKeyTracker {
-    keys: std::collections::BTreeSet<String>,
+    keys: std::collections::BTreeSet<Vec<u8>>,
     writes: Vec<TrackedWrite>,
     is_report_due: bool,
     is_final: bool,
@@ -41,9 +41,8 @@
 impl DirtyKeyTracker {
     /// Must be called before the write is sent to the database.
     pub fn track_write(&mut self, key: &[u8], client: u64, number: u64, txn: Option<u64>) {
-        let key = String::from_utf8_lossy(key).into_owned();
         self.writes.push(TrackedWrite {
-            key,
+            key: key.to_vec(),
             client,
             request_number: number,
             txn_started_at: txn,
@@ -90,7 +89,7 @@
 pub(crate) struct KeySampler {
     sample: Sample,
     pending_samples: std::collections::BTreeMap<u64, KeySample>,
-    pending_keys: std::collections::BTreeSet<String>,
+    pending_keys: std::collections::BTreeSet<Vec<u8>>,
     /// Hashes of the keys that the coordinator has persisted.
     acked_keys: hashbrown::HashSet<u64, ahash::RandomState>,
     is_write_waiting: bool,
@@ -110,7 +109,7 @@
             }
         }
         if !self.acked_keys.contains(&hash) {
-            self.pending_keys.insert(String::from_utf8_lossy(key).into_owned());
+            self.pending_keys.insert(key.to_vec());
         }
     }
 
@@ -120,7 +119,7 @@
         let is_acked = self.acked_keys.contains(&hash(key));
         if !is_acked {
             self.is_write_waiting = true;
-            self.pending_keys.insert(String::from_utf8_lossy(key).into_owned());
+            self.pending_keys.insert(key.to_vec());
         }
         is_acked
     }
@@ -154,7 +153,7 @@
             }
             if dirty.in_flight.is_none() && dirty.is_report_due && shard.map.phase != SplitPhase::Resting {
                 dirty.serial += 1;
-                let keys: Vec<String> = dirty.keys.iter().take(MAX_KEYS_PER_REPORT).cloned().collect();
+                let keys: Vec<Vec<u8>> = dirty.keys.iter().take(MAX_KEYS_PER_REPORT).cloned().collect();
                 keys.iter().for_each(|key| {
                     dirty.keys.remove(key);
                 });
@@ -177,7 +176,7 @@
             {
                 sampler.serial += 1;
                 sampler.next_report_at = now + MIN_SAMPLE_REPORT_INTERVAL_US;
-                let keys: Vec<String> = sampler.pending_keys.iter().take(MAX_KEYS_PER_REPORT).cloned().collect();
+                let keys: Vec<Vec<u8>> = sampler.pending_keys.iter().take(MAX_KEYS_PER_REPORT).cloned().collect();
                 keys.iter().for_each(|key| {
                     sampler.pending_keys.remove(key);
                 });
@@ -219,7 +218,7 @@
         if sampler.acked_keys.len() >= MAX_ACKED_KEYS {
             sampler.acked_keys.clear();
         }
-        sampler.acked_keys.extend(sent.keys.iter().map(|key| hash(key.as_bytes())));
+        sampler.acked_keys.extend(sent.keys.iter().map(|key| hash(key)));
         self.slots.is_report_due |= sampler.is_report_due();
         self.dispatch_unplaced();
     }
--- a/crates/wv-access/tests/split_reports.rs
+++ b/crates/wv-access/tests/split_reports.rs
@@ -54,3 +54,41 @@
     node.apply_effects();
     expect_that!(node.statement_count("QUERY w2"), eq(1));
 }
+
+/// Guards against a key that is not UTF-8 being reported under another name: its first write was never run, and a
+/// split left its row behind.
+#[gtest]
+fn given_a_key_that_is_not_utf8_then_it_is_reported_byte_for_byte_and_its_write_proceeds() {
+    let key = b"caf\xe9\n\xc3".to_vec();
+    let moving = Some(SlotRange { from: 0, until: 1024, target: "t".to_owned() });
+    let (shard, phase) = ("s".to_owned(), SplitPhase::Copying);
+    let map = SlotMap { shard, phase, moving, version: 9, term: 3, attempt: 5, ..SlotMap::default() };
+    let mut node = TestNode::with_split_plan(map);
+    let client = node.connect_client("shop");
+    node.core.client_data(client, &[b"QUERY w1 WRITE ", &key[..], b" d\r\n"].concat(), node.now);
+    node.apply_effects();
+    let mut reported_keys = Vec::new();
+    for message in node.core.take_split_reports(false) {
+        match message {
+            Message::DirtyKeys(report) => {
+                node.core.dirty_keys_acked("s", 5, (NODE_INCARNATION, report.serial), node.now);
+            }
+            Message::ShardReport(report) => {
+                node.core.shard_report_acked("s", (NODE_INCARNATION, report.serial), node.now);
+                reported_keys.extend(report.keys);
+            }
+            _ => {}
+        }
+    }
+    node.apply_effects();
+    expect_that!(reported_keys, eq(&vec![key.clone()]));
+    expect_that!(node.statement_count("QUERY w1 WRITE caf"), eq(1));
+    // The write has ended: the key is copied again.
+    let db = node.busy_connection().expect("the write was sent");
+    node.db_sends(db, "COMPLETE stamp-1\r\nIDLE I 3.9\r\n", 1);
+    let dirty = node.core.take_split_reports(false).into_iter().find_map(|message| match message {
+        Message::DirtyKeys(report) => Some(report.keys),
+        _ => None,
+    });
+    expect_that!(dirty, some(eq(&vec![key])));
+}
--- a/crates/wv-control/src/shard_registers.rs
+++ b/crates/wv-control/src/shard_registers.rs
@@ -27,11 +27,10 @@
     SlotMap { shard: map.shard.clone(), version: 1, term: u64::MAX, ..SlotMap::default() }
 }
 
-/// Decodes a list of keys, one per line.
-fn decode_keys(cell: &RegisterValue) -> String {
-    let text =
-        wv_compression::decompress(&cell.bytes, wv_configuration::MAX_BODY_BYTES * 16).map(|text| text.into_owned());
-    String::from_utf8(text.unwrap_or_default()).unwrap_or_default()
+/// Decompresses a list of keys, one per line.
+fn decompress_keys(cell: &RegisterValue) -> Vec<u8> {
+    let list = wv_compression::decompress(&cell.bytes, wv_configuration::MAX_BODY_BYTES * 16);
+    list.map(|list| list.into_owned()).unwrap_or_default()
 }
 
 /// Advances a register to the next ballot and keeps its value.
@@ -90,13 +89,13 @@
         self.write_register(shard, "fill", ShardRegisterOp::WriteUsage, (version, value));
     }
 
-    pub(crate) fn write_keys(&mut self, shard: &str, version: u64, (at, text): (usize, &str)) {
-        let value = wv_compression::compress(text.as_bytes());
+    pub(crate) fn write_keys(&mut self, shard: &str, version: u64, (at, list): (usize, &[u8])) {
+        let value = wv_compression::compress(list);
         self.write_register(shard, &format!("things-{at}"), ShardRegisterOp::WriteKeys(at), (version, value));
     }
 
-    pub(crate) fn write_new_keys(&mut self, shard: &str, version: u64, text: &str) {
-        let value = wv_compression::compress(text.as_bytes());
+    pub(crate) fn write_new_keys(&mut self, shard: &str, version: u64, list: &[u8]) {
+        let value = wv_compression::compress(list);
         self.write_register(shard, "fresh", ShardRegisterOp::WriteNewKeys, (version, value));
     }
 
@@ -127,10 +126,10 @@
                 self.on_shard_register(&shard, |read| read.usage = usage);
             }
             (ShardRegisterOp::ReadKeys, OperationOutcome::Written(cell)) => {
-                self.on_shard_register(&shard, |read| read.names.load_chunk(&decode_keys(&cell)));
+                self.on_shard_register(&shard, |read| read.names.load_chunk(&decompress_keys(&cell)));
             }
             (ShardRegisterOp::ReadNewKeys, OperationOutcome::Written(cell)) => {
-                self.on_shard_register(&shard, |read| read.names.load_new(&decode_keys(&cell)));
+                self.on_shard_register(&shard, |read| read.names.load_new(&decompress_keys(&cell)));
             }
             (
                 op @ (ShardRegisterOp::WriteSlots(_)
--- a/crates/wv-control/src/shard_requests.rs
+++ b/crates/wv-control/src/shard_requests.rs
@@ -25,7 +25,7 @@
             if let Some(name) = names().find(|name| name.contains(' ') || name.len() > 1024) {
                 return Err(format!("{name:?} is no name of a thing"));
             }
-            names().for_each(|name| split.key_names.add_listed(name));
+            names().for_each(|name| split.key_names.add_listed(name.as_bytes()));
             Ok(())
         });
     }
--- a/crates/wv-control/src/shard_usage.rs
+++ b/crates/wv-control/src/shard_usage.rs
@@ -178,14 +178,14 @@
         let is_usage_due = state.usage.is_dirty
             && (state.usage.written_at + WRITE_INTERVAL_US <= self.now || !state.usage.pending_calls.is_empty());
         state.usage.is_writing = true;
-        if let Some(text) = state.split.key_names.take_new() {
+        if let Some(list) = state.split.key_names.take_new() {
             state.usage.in_flight_acks = std::mem::take(&mut state.usage.pending_acks);
-            self.write_new_keys(shard, state.next_version(), &text);
+            self.write_new_keys(shard, state.next_version(), &list);
         } else if is_usage_due {
             (state.usage.is_dirty, state.usage.written_at) = (false, self.now);
             self.write_usage(shard, state.next_version(), SerBin::serialize_bin(&state.usage.to_stored()));
-        } else if let Some((at, text)) = state.split.key_names.take_dirty_chunk() {
-            self.write_keys(shard, state.next_version(), (at, &text));
+        } else if let Some((at, list)) = state.split.key_names.take_dirty_chunk() {
+            self.write_keys(shard, state.next_version(), (at, &list));
         } else {
             state.usage.is_writing = false;
         }
--- a/crates/wv-control/src/statements.rs
+++ b/crates/wv-control/src/statements.rs
@@ -9,14 +9,14 @@
 const REPLY_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(2_500);
 const REPLY_MAX_BYTES: usize = 2 << 20;
 
-/// Reads one reply. `None` if it is malformed or a row is not UTF-8, since such a row could not be written back.
+/// Reads one reply. `None` if it is malformed.
 async fn read(stream: &mut tokio::net::TcpStream, buf: &mut Vec<u8>) -> Option<Reply> {
     let mut reply = Reply::default();
     loop {
         while let Some((line, len)) = split_line(buf) {
             let is_complete = match DatabaseLine::parse(line) {
                 DatabaseLine::Row(row) => {
-                    reply.rows.push(std::str::from_utf8(row).ok()?.to_owned());
+                    reply.rows.push(row.to_vec());
                     false
                 }
                 DatabaseLine::Complete(_) => false,
@@ -54,7 +54,7 @@
 async fn exchange(
     stream: &mut tokio::net::TcpStream,
     buf: &mut Vec<u8>,
-    statements: &[String],
+    statements: &[Vec<u8>],
     replies: &mut Vec<Reply>,
 ) -> Option<()> {
     // Unsolicited data would be mistaken for the first reply and shift all that follow.
@@ -62,7 +62,7 @@
         return None;
     }
     let mut out = Vec::new();
-    statements.iter().for_each(|text| wv_wire_protocol::write_query(&mut out, b"-", &[text.as_bytes()]));
+    statements.iter().for_each(|text| wv_wire_protocol::write_query(&mut out, b"-", &[text]));
     stream.write_all(&out).await.ok()?;
     for _ in statements {
         replies.push(read(stream, buf).await?);
@@ -74,9 +74,9 @@
 ///
 /// Statements after `BEGIN` are sent once it is acknowledged, the last one once all others succeeded. `None` if the
 /// last one, which ends the transaction, was sent and its outcome is unknown. Nothing is sent twice.
-pub async fn run_statements(addr: &str, service: &str, id: &str, statements: &[String]) -> Option<Vec<Reply>> {
+pub async fn run_statements(addr: &str, service: &str, id: &str, statements: &[Vec<u8>]) -> Option<Vec<Reply>> {
     let (mut buf, mut replies) = (Vec::new(), Vec::new());
-    let begin = statements.iter().position(|text| text == "BEGIN").map_or(0, |at| at + 1);
+    let begin = statements.iter().position(|text| text == b"BEGIN").map_or(0, |at| at + 1);
     let last = statements.len().saturating_sub(1).max(begin);
     let body = async {
         let mut stream = set_up(addr, service, id, &mut buf).await?;
@@ -103,7 +103,7 @@
         request: u64,
         service: String,
         (id, addr): (String, String),
-        statements: Vec<String>,
+        statements: Vec<Vec<u8>>,
     ) {
         let replies = run_statements(&addr, &service, &id, &statements).await;
         self.with_core(|core, now| core.on_statements_run(request, replies, now));
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -34,7 +34,7 @@
         service: String,
         id: String,
         addr: String,
-        statements: Vec<String>,
+        statements: Vec<Vec<u8>>,
     },
     /// Call `wake` after this many microseconds.
     Wake {
--- a/crates/wv-control/tests/statements.rs
+++ b/crates/wv-control/tests/statements.rs
@@ -1,5 +1,5 @@
 //! Statements at a database that closes the connection at any point: a commit must be sent at most once, and an unknown
-//! outcome must be reported as such.
+//! outcome must be reported as such. Rows come back byte for byte.
 use googletest::prelude::*;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -55,7 +55,7 @@
     let addr = listener.local_addr().expect("its address").to_string();
     let seen = Rc::new(RefCell::new(Vec::new()));
     tokio::task::spawn_local(database(listener, cut, extra, seen.clone()));
-    let statements: Vec<String> = STATEMENTS.iter().map(|text| (*text).to_owned()).collect();
+    let statements: Vec<Vec<u8>> = STATEMENTS.iter().map(|text| text.as_bytes().to_vec()).collect();
     let replies = wv_control::run_statements(&addr, "s", "d1", &statements).await;
     for _ in 0..64 {
         tokio::task::yield_now().await;
@@ -101,3 +101,37 @@
         }
     });
 }
+
+/// A database that answers every line with `reply`, in two parts, until the connection closes.
+async fn database_with_row(listener: tokio::net::TcpListener, reply: Vec<u8>, cut: usize) {
+    let Ok((stream, _)) = listener.accept().await else { return };
+    let _ = stream.set_nodelay(true);
+    let (reader, mut writer) = stream.into_split();
+    let mut lines = BufReader::new(reader).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        if line.starts_with("SETUP") {
+            let _ = writer.write_all(b"IDLE I -\r\n").await;
+            continue;
+        }
+        let _ = writer.write_all(&reply[..cut]).await;
+        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+        let _ = writer.write_all(&reply[cut..]).await;
+    }
+}
+
+/// Guards against a row that holds line feeds, or bytes that are not UTF-8, ending the copy of its batch.
+#[gtest]
+fn given_a_row_of_any_bytes_then_it_is_returned_unchanged_for_every_cut() {
+    run_local(async {
+        let row = b"one\nIDLE I 3.9\ntwo\r \xc3";
+        let reply = [b"ROW ", &row[..], b"\r\nCOMPLETE -\r\nIDLE I 3.9\r\n"].concat();
+        for cut in 0..=reply.len() {
+            let listener = wv_http::listen(([127, 0, 0, 1], 0).into()).expect("a port");
+            let addr = listener.local_addr().expect("its address").to_string();
+            tokio::task::spawn_local(database_with_row(listener, reply.clone(), cut));
+            let replies = wv_control::run_statements(&addr, "s", "d1", &[b"READ k".to_vec()]).await;
+            let rows = replies.and_then(|replies| Some(replies.first()?.rows.clone()));
+            expect_that!(rows, some(eq(&vec![row.to_vec()])), "cut at {cut}");
+        }
+    });
+}
--- a/crates/wv-internal-protocol/src/slots.rs
+++ b/crates/wv-internal-protocol/src/slots.rs
@@ -88,7 +88,7 @@
     pub attempt: u64,
     pub incarnation: u64,
     pub serial: u64,
-    pub keys: Vec<String>,
+    pub keys: Vec<Vec<u8>>,
     /// The node sends no further writes to the moving slots.
     pub is_last: bool,
 }
@@ -109,5 +109,5 @@
     pub incarnation: u64,
     pub serial: u64,
     pub samples: Vec<KeySample>,
-    pub keys: Vec<String>,
+    pub keys: Vec<Vec<u8>>,
 }
--- a/crates/wv-shard-split/src/copy_states.rs
+++ b/crates/wv-shard-split/src/copy_states.rs
@@ -101,7 +101,7 @@
             self.key_names.add(key);
         }
         let Some(map) = &self.map else { return };
-        let moving: Vec<&String> = marks.keys.iter().filter(|key| map.is_moving(slot(key))).collect();
+        let moving: Vec<&Vec<u8>> = marks.keys.iter().filter(|key| map.is_moving(slot(key))).collect();
         moving.into_iter().for_each(|key| self.copier.enqueue(key));
         let is_current = marks.attempt == map.attempt;
         let writer = (node, marks.incarnation);
@@ -113,6 +113,6 @@
     }
 }
 
-fn slot(key: &str) -> u16 {
-    wv_internal_protocol::slot_for_key(key.as_bytes())
+fn slot(key: &[u8]) -> u16 {
+    wv_internal_protocol::slot_for_key(key)
 }
--- a/crates/wv-shard-split/src/key_names.rs
+++ b/crates/wv-shard-split/src/key_names.rs
@@ -11,18 +11,18 @@
 
 #[derive(Clone, Default, PartialEq, Debug)]
 pub struct KeyNames {
-    chunks: Vec<BTreeSet<Box<str>>>,
+    chunks: Vec<BTreeSet<Box<[u8]>>>,
     /// Chunks to write.
     dirty: BTreeSet<usize>,
     /// Names that no written chunk contains yet, and those being folded into their chunks.
-    new_names: BTreeSet<Box<str>>,
-    folding: BTreeSet<Box<str>>,
+    new_names: BTreeSet<Box<[u8]>>,
+    folding: BTreeSet<Box<[u8]>>,
     has_unwritten_names: bool,
     is_full: bool,
 }
 
-fn chunk_index(name: &str) -> usize {
-    name.bytes().fold(7u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(u32::from(byte))) as usize % NAME_CHUNKS
+fn chunk_index(name: &[u8]) -> usize {
+    name.iter().fold(7u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(u32::from(*byte))) as usize % NAME_CHUNKS
 }
 
 impl KeyNames {
@@ -39,7 +39,7 @@
         self.is_full
     }
 
-    fn insert(&mut self, name: &str) -> Option<usize> {
+    fn insert(&mut self, name: &[u8]) -> Option<usize> {
         self.chunks.resize_with(NAME_CHUNKS, BTreeSet::new);
         let at = chunk_index(name);
         if self.chunks[at].contains(name) {
@@ -54,7 +54,7 @@
     }
 
     /// Adds a name whose storage an access node waits for.
-    pub fn add(&mut self, name: &str) {
+    pub fn add(&mut self, name: &[u8]) {
         if self.insert(name).is_some() {
             self.new_names.insert(Box::from(name));
             self.has_unwritten_names = true;
@@ -62,17 +62,17 @@
     }
 
     /// Adds a name from a bulk import; it is written with its chunk.
-    pub fn add_listed(&mut self, name: &str) {
+    pub fn add_listed(&mut self, name: &[u8]) {
         let at = self.insert(name);
         self.dirty.extend(at);
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = &str> {
+    pub fn iter(&self) -> impl Iterator<Item = &[u8]> {
         self.chunks.iter().flat_map(|chunk| chunk.iter().map(|name| &**name))
     }
 
     /// The new names, one per line, if any were added since the last call.
-    pub fn take_new(&mut self) -> Option<String> {
+    pub fn take_new(&mut self) -> Option<Vec<u8>> {
         std::mem::take(&mut self.has_unwritten_names).then(|| to_lines(self.new_names.iter().chain(&self.folding)))
     }
 
@@ -82,7 +82,7 @@
     }
 
     /// The next chunk to write: its index and its names.
-    pub fn take_dirty_chunk(&mut self) -> Option<(usize, String)> {
+    pub fn take_dirty_chunk(&mut self) -> Option<(usize, Vec<u8>)> {
         if self.dirty.is_empty() && self.new_names.len() >= MAX_NEW_NAMES {
             self.folding = std::mem::take(&mut self.new_names);
             self.dirty = self.folding.iter().map(|name| chunk_index(name)).collect();
@@ -108,16 +108,16 @@
     }
 
     /// Loads a stored chunk.
-    pub fn load_chunk(&mut self, text: &str) {
-        text.lines().filter(|name| !name.is_empty()).for_each(|name| {
+    pub fn load_chunk(&mut self, list: &[u8]) {
+        names_of(list).for_each(|name| {
             self.insert(name);
         });
     }
 
     /// Loads the stored list of new names.
-    pub fn load_new(&mut self, text: &str) {
-        self.load_chunk(text);
-        self.new_names.extend(text.lines().filter(|name| !name.is_empty()).map(Box::from));
+    pub fn load_new(&mut self, list: &[u8]) {
+        self.load_chunk(list);
+        self.new_names.extend(names_of(list).map(Box::from));
     }
 
     /// Merges stored names into those received since.
@@ -129,6 +129,10 @@
     }
 }
 
-fn to_lines<'a>(names: impl Iterator<Item = &'a Box<str>>) -> String {
-    names.map(|name| format!("{name}\n")).collect()
+fn to_lines<'a>(names: impl Iterator<Item = &'a Box<[u8]>>) -> Vec<u8> {
+    names.flat_map(|name| name.iter().copied().chain([b'\n'])).collect()
+}
+
+fn names_of(list: &[u8]) -> impl Iterator<Item = &[u8]> {
+    list.split(|byte| *byte == b'\n').filter(|name| !name.is_empty())
 }
--- a/crates/wv-shard-split/src/lib.rs
+++ b/crates/wv-shard-split/src/lib.rs
@@ -58,7 +58,7 @@
 /// The reply to one statement.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 pub struct Reply {
-    pub rows: Vec<String>,
+    pub rows: Vec<Vec<u8>>,
     pub code: Option<ErrorCode>,
     pub position: Option<LogPosition>,
 }
@@ -75,7 +75,7 @@
         token: u64,
         side: Side,
         id: String,
-        statements: Vec<String>,
+        statements: Vec<Vec<u8>>,
     },
     Log(String),
 }
--- a/crates/wv-shard-split/src/row_copier.rs
+++ b/crates/wv-shard-split/src/row_copier.rs
@@ -23,7 +23,7 @@
 }
 
 struct Batch {
-    keys: Vec<String>,
+    keys: Vec<Vec<u8>>,
     is_writing: bool,
 }
 
@@ -31,8 +31,8 @@
 #[derive(Default)]
 pub struct RowCopier {
     /// First in, first out, so that frequently written keys do not starve others.
-    queue: VecDeque<String>,
-    queued: BTreeSet<String>,
+    queue: VecDeque<Vec<u8>>,
+    queued: BTreeSet<Vec<u8>>,
     batches: BTreeMap<u64, Batch>,
     failed_batches: u32,
     next_us: u64,
@@ -54,9 +54,9 @@
 
 impl RowCopier {
     /// Queues a key even if a batch in flight contains it: that batch may have read the row before the latest write.
-    pub fn enqueue(&mut self, key: &str) {
-        if self.queued.insert(key.to_owned()) {
-            self.queue.push_back(key.to_owned());
+    pub fn enqueue(&mut self, key: &[u8]) {
+        if self.queued.insert(key.to_vec()) {
+            self.queue.push_back(key.to_vec());
         }
     }
 
@@ -93,14 +93,12 @@
             }
             *next_token += 1;
             // Only a primary serves reads in a plain transaction; ABORT ends it without writing.
-            let reads = keys.iter().map(|key| format!("READ {key}"));
-            let statements =
-                ["ENQUIRY".to_owned(), "BEGIN".to_owned()].into_iter().chain(reads).chain(["ABORT".to_owned()]);
+            let reads = keys.iter().map(|key| [b"READ ", &key[..]].concat());
             commands.push(Command::Run {
                 token: *next_token,
                 side: Side::Source,
                 id: context.source.to_owned(),
-                statements: statements.collect(),
+                statements: transaction(reads, b"ABORT"),
             });
             let pause = keys.len() as u64 * 1_000_000 / u64::from(context.max_rows_per_s.max(1));
             self.next_us = self.next_us.max(context.now_us) + pause;
@@ -110,9 +108,9 @@
     }
 
     /// The next keys in queue order that are not in a batch in flight.
-    fn next_keys(&mut self) -> Vec<String> {
-        let in_flight: BTreeSet<&String> = self.batches.values().flat_map(|batch| &batch.keys).collect();
-        let keys: Vec<String> =
+    fn next_keys(&mut self) -> Vec<Vec<u8>> {
+        let in_flight: BTreeSet<&Vec<u8>> = self.batches.values().flat_map(|batch| &batch.keys).collect();
+        let keys: Vec<Vec<u8>> =
             self.queue.iter().filter(|key| !in_flight.contains(key)).take(MAX_BATCH_ROWS).cloned().collect();
         keys.iter().for_each(|key| {
             self.queued.remove(key);
@@ -133,7 +131,7 @@
         let statements = batch.keys.len() + 3;
         let expected_term = if batch.is_writing { context.target_term } else { context.source_term };
         let status = replies.as_ref().and_then(|replies| replies.first()?.rows.first().cloned());
-        let status = status.and_then(|row| parse_status(row.as_bytes()));
+        let status = status.and_then(|row| parse_status(&row));
         // Another term means that a promotion happened: copied rows may have been truncated.
         if status.is_some_and(|status| !status.is_primary || status.term != expected_term) {
             return (CopyOutcome::Abort, Vec::new());
@@ -155,18 +153,17 @@
             self.busy_source_pauses += 1;
             self.next_us = self.next_us.max(context.now_us + BUSY_SOURCE_PAUSE_US);
         }
-        let rows = batch.keys.iter().zip(&replies[2..]).filter_map(|(key, reply)| Some((key, reply.rows.first()?)));
-        let writes: Vec<String> = rows.map(|(key, row)| format!("WRITE {key} {row}")).collect();
         // Keys without a row at the source are not written to the target.
-        let written: Vec<String> = writes.iter().filter_map(|text| text.split(' ').nth(1).map(str::to_owned)).collect();
-        if written.is_empty() {
+        let found =
+            batch.keys.into_iter().zip(&replies[2..]).filter_map(|(key, reply)| Some((key, reply.rows.first()?)));
+        let (keys, rows): (Vec<Vec<u8>>, Vec<&Vec<u8>>) = found.unzip();
+        if keys.is_empty() {
             return (CopyOutcome::Continue, Vec::new());
         }
-        let statements =
-            ["ENQUIRY".to_owned(), "BEGIN".to_owned()].into_iter().chain(writes).chain(["COMMIT".to_owned()]);
-        let command =
-            Command::Run { token, side: Side::Target, id: context.target.to_owned(), statements: statements.collect() };
-        self.batches.insert(token, Batch { keys: written, is_writing: true });
+        let writes = keys.iter().zip(rows).map(|(key, row)| [b"WRITE ", &key[..], b" ", &row[..]].concat());
+        let statements = transaction(writes, b"COMMIT");
+        let command = Command::Run { token, side: Side::Target, id: context.target.to_owned(), statements };
+        self.batches.insert(token, Batch { keys, is_writing: true });
         (CopyOutcome::Continue, vec![command])
     }
 
@@ -181,3 +178,8 @@
         CopyOutcome::Continue
     }
 }
+
+/// A query of the database's status, then a transaction of `statements` that ends with `end`.
+fn transaction(statements: impl Iterator<Item = Vec<u8>>, end: &[u8]) -> Vec<Vec<u8>> {
+    [b"ENQUIRY".to_vec(), b"BEGIN".to_vec()].into_iter().chain(statements).chain([end.to_vec()]).collect()
+}
--- a/crates/wv-shard-split/src/term_probe.rs
+++ b/crates/wv-shard-split/src/term_probe.rs
@@ -26,7 +26,7 @@
             let (id, _) = leader?;
             *next_token += 1;
             self.tokens.push((*next_token, side));
-            let (token, id, statements) = (*next_token, id.to_owned(), vec!["ENQUIRY".to_owned()]);
+            let (token, id, statements) = (*next_token, id.to_owned(), vec![b"ENQUIRY".to_vec()]);
             Some(Command::Run { token, side, id, statements })
         };
         sides.into_iter().filter_map(command).collect()
@@ -36,7 +36,7 @@
     pub fn on_replies(&mut self, token: u64, replies: &Option<Vec<crate::Reply>>) -> bool {
         let Some((_, side)) = self.tokens.iter().find(|(sent, _)| *sent == token).copied() else { return false };
         let row = replies.as_ref().and_then(|replies| replies.first()?.rows.first());
-        let status = row.and_then(|row| parse_status(row.as_bytes())).filter(|status| status.is_primary);
+        let status = row.and_then(|row| parse_status(row)).filter(|status| status.is_primary);
         if let Some(status) = status {
             match side {
                 Side::Source => self.source_term = status.term,
--- a/crates/wv-shard-split/tests/row_copier.rs
+++ b/crates/wv-shard-split/tests/row_copier.rs
@@ -18,7 +18,9 @@
 
 fn runs(commands: &[Command]) -> Vec<(u64, Vec<String>)> {
     let run = |command: &Command| match command {
-        Command::Run { token, statements, .. } => Some((*token, statements.clone())),
+        Command::Run { token, statements, .. } => {
+            Some((*token, statements.iter().map(|text| String::from_utf8_lossy(text).into_owned()).collect()))
+        }
         _ => None,
     };
     commands.iter().filter_map(run).collect()
@@ -26,20 +28,20 @@
 
 /// Replies to a batch: the status row of a primary in term 2, then `row` for each statement.
 fn replies(statements: &[String], row: &str) -> Option<Vec<Reply>> {
-    let status = Reply { rows: vec!["primary 2 2.1 0 0 0 1".to_owned()], ..Reply::default() };
-    let rest = statements[1..].iter().map(|_| Reply { rows: vec![row.to_owned()], ..Reply::default() });
+    let status = Reply { rows: vec![b"primary 2 2.1 0 0 0 1".to_vec()], ..Reply::default() };
+    let rest = statements[1..].iter().map(|_| Reply { rows: vec![row.as_bytes().to_vec()], ..Reply::default() });
     Some(std::iter::once(status).chain(rest).collect())
 }
 
 #[gtest]
 fn given_a_key_written_again_while_it_is_copied_then_its_next_copy_starts_only_after_the_first_has_ended() {
     let (mut copier, mut token) = (RowCopier::default(), 0);
-    copier.enqueue("k");
+    copier.enqueue(b"k");
     let first = runs(&copier.start_batches(&context(1), &mut token));
     expect_that!(first.len(), eq(1));
     // Both keys are queued, but only the one without a batch in flight may start.
-    copier.enqueue("k");
-    copier.enqueue("other");
+    copier.enqueue(b"k");
+    copier.enqueue(b"other");
     let second = runs(&copier.start_batches(&context(2), &mut token));
     expect_that!(second.len(), eq(1));
     expect_that!(second[0].1.contains(&"READ k".to_owned()), eq(false));
@@ -59,7 +61,7 @@
 fn given_a_write_with_unknown_outcome_then_the_attempt_is_aborted_but_a_rejected_one_is_retried() {
     for is_refused in [true, false] {
         let (mut copier, mut token) = (RowCopier::default(), 0);
-        copier.enqueue("k");
+        copier.enqueue(b"k");
         let read = runs(&copier.start_batches(&context(1), &mut token));
         // A read without replies is retried.
         expect_that!(copier.on_replies(read[0].0, None, &context(2)).0, eq(CopyOutcome::Continue));
@@ -77,3 +79,26 @@
         expect_that!(runs(&copier.start_batches(&context(500_000), &mut token)).len(), eq(usize::from(is_refused)));
     }
 }
+
+/// The statements of the only batch among `commands`, and its token.
+fn only_run(commands: &[Command]) -> (u64, Vec<Vec<u8>>) {
+    match commands {
+        [Command::Run { token, statements, .. }] => (*token, statements.clone()),
+        _ => (0, Vec::new()),
+    }
+}
+
+/// Guards against rows and keys that are not UTF-8 being left behind or changed by a split.
+#[gtest]
+fn given_a_key_and_a_row_of_any_bytes_then_both_are_copied_unchanged() {
+    let (key, row) = (b"caf\xe9\nx\r".as_slice(), b"one\ntwo \xff\r".as_slice());
+    let (mut copier, mut token) = (RowCopier::default(), 0);
+    copier.enqueue(key);
+    let (read, statements) = only_run(&copier.start_batches(&context(1), &mut token));
+    expect_that!(statements.get(2), some(eq(&[b"READ ", key].concat())));
+    let mut found = replies(&["ENQUIRY", "BEGIN", "READ", "ABORT"].map(str::to_owned), "").unwrap_or_default();
+    found[2].rows = vec![row.to_vec()];
+    let (_, commands) = copier.on_replies(read, Some(found), &context(2));
+    let (_, statements) = only_run(&commands);
+    expect_that!(statements.get(2), some(eq(&[b"WRITE ", key, b" ", row].concat())));
+}
--- a/crates/wv-simulation/src/events.rs
+++ b/crates/wv-simulation/src/events.rs
@@ -106,7 +106,7 @@
         run: u64,
         database: usize,
         connection_id: u64,
-        statements: Vec<String>,
+        statements: Vec<Vec<u8>>,
     },
     StatementsDone {
         control: usize,
--- a/crates/wv-simulation/src/split_checks.rs
+++ b/crates/wv-simulation/src/split_checks.rs
@@ -12,7 +12,7 @@
 
 impl Simulation {
     /// Sends a control node's own statements: the connection opens now, the statements arrive later.
-    pub(crate) fn send_control_statements(&mut self, control: usize, run: u64, id: &str, statements: &[String]) {
+    pub(crate) fn send_control_statements(&mut self, control: usize, run: u64, id: &str, statements: &[Vec<u8>]) {
         let name = self.controls[control].name.clone();
         let is_open = |at: &usize| {
             let database = &self.databases[*at];
@@ -26,7 +26,7 @@
         let connection_id = self.next_connection_id;
         self.databases[database].connections.insert(connection_id, Connection { state: b'I', ..Connection::default() });
         let statements = statements.to_vec();
-        let is_copy = statements.last().is_some_and(|text| text == "COMMIT");
+        let is_copy = statements.last().is_some_and(|text| text == b"COMMIT");
         self.schedule(
             if is_copy { self.copy_delay_us } else { self.statements_delay_us },
             Event::RunStatements { control, run, database, connection_id, statements },
@@ -39,11 +39,12 @@
         run: u64,
         database: usize,
         connection_id: u64,
-        statements: &[String],
+        statements: &[Vec<u8>],
     ) {
         let mut replies = Vec::new();
         for text in statements {
-            let Some(reply) = self.run_control_statement(database, connection_id, text) else {
+            let Some(reply) = self.run_control_statement(database, connection_id, &String::from_utf8_lossy(text))
+            else {
                 return self.schedule(LINK_DELAY_US, Event::StatementsDone { control, run, replies: None });
             };
             let is_over = reply.code.is_some();
@@ -92,7 +93,7 @@
         let mut rest = output.as_bytes();
         while let Some((line, len)) = split_line(rest) {
             match DatabaseLine::parse(line) {
-                DatabaseLine::Row(row) => reply.rows.push(String::from_utf8_lossy(row).into_owned()),
+                DatabaseLine::Row(row) => reply.rows.push(row.to_vec()),
                 DatabaseLine::Error(code, _) => reply.code = Some(code),
                 DatabaseLine::Idle(_, pos) => reply.position = pos,
                 _ => {}
