Stored key names may hold line feeds: a split moves their rows

Cause: key names are stored one per line and were read back by line, so one name became two others. Change: key_list.rs escapes a list that needs it and marks its end; other lists are stored as before, and those of earlier versions are read.

Why it works: a stored list decodes to exactly the names that were encoded.

--- a/crates/wv-control/src/shard_registers.rs
+++ b/crates/wv-control/src/shard_registers.rs
@@ -27,7 +27,7 @@
     SlotMap { shard: map.shard.clone(), version: 1, term: u64::MAX, ..SlotMap::default() }
 }
 
-/// Decompresses a list of keys, one per line.
+/// Decompresses a stored list of key names.
 fn decompress_keys(cell: &RegisterValue) -> Vec<u8> {
     let list = wv_compression::decompress(&cell.bytes, wv_configuration::MAX_BODY_BYTES * 16);
     list.map(|list| list.into_owned()).unwrap_or_default()
--- a/crates/wv-shard-split/src/key_names.rs
+++ b/crates/wv-shard-split/src/key_names.rs
@@ -1,4 +1,5 @@
 //! The keys of a shard: the database protocol cannot list them, so rows to move must be known by key name.
+use crate::key_list::{decode_key_list, encode_key_list};
 use std::collections::BTreeSet;
 
 /// Number of chunks that the names are stored in, each written separately.
@@ -71,9 +72,10 @@
         self.chunks.iter().flat_map(|chunk| chunk.iter().map(|name| &**name))
     }
 
-    /// The new names, one per line, if any were added since the last call.
+    /// The list of new names to write, if any were added since the last call.
     pub fn take_new(&mut self) -> Option<Vec<u8>> {
-        std::mem::take(&mut self.has_unwritten_names).then(|| to_lines(self.new_names.iter().chain(&self.folding)))
+        let names = self.new_names.iter().chain(&self.folding).map(|name| &**name);
+        std::mem::take(&mut self.has_unwritten_names).then(|| encode_key_list(names))
     }
 
     /// Marks the new names as unwritten after a failed write.
@@ -88,7 +90,8 @@
             self.dirty = self.folding.iter().map(|name| chunk_index(name)).collect();
         }
         let at = self.dirty.pop_first()?;
-        Some((at, self.chunks.get(at).map(|chunk| to_lines(chunk.iter())).unwrap_or_default()))
+        let chunk = self.chunks.get(at).map(|chunk| encode_key_list(chunk.iter().map(|name| &**name)));
+        Some((at, chunk.unwrap_or_default()))
     }
 
     /// Marks a chunk as dirty again after a failed write.
@@ -109,7 +112,7 @@
 
     /// Loads a stored chunk.
     pub fn load_chunk(&mut self, list: &[u8]) {
-        names_of(list).for_each(|name| {
+        decode_key_list(list).iter().for_each(|name| {
             self.insert(name);
         });
     }
@@ -117,7 +120,7 @@
     /// Loads the stored list of new names.
     pub fn load_new(&mut self, list: &[u8]) {
         self.load_chunk(list);
-        self.new_names.extend(names_of(list).map(Box::from));
+        self.new_names.extend(decode_key_list(list));
     }
 
     /// Merges stored names into those received since.
@@ -128,11 +131,3 @@
         self.new_names.extend(stored.new_names);
     }
 }
-
-fn to_lines<'a>(names: impl Iterator<Item = &'a Box<[u8]>>) -> Vec<u8> {
-    names.flat_map(|name| name.iter().copied().chain([b'\n'])).collect()
-}
-
-fn names_of(list: &[u8]) -> impl Iterator<Item = &[u8]> {
-    list.split(|byte| *byte == b'\n').filter(|name| !name.is_empty())
-}
--- a/crates/wv-shard-split/src/lib.rs
+++ b/crates/wv-shard-split/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every slot map that revokes access is written after the shard's log has reached a newer term, and is bound to that
 //! term. A node that missed the map holds only connections on which the database rejects writes.
 mod copy_states;
+mod key_list;
 mod key_names;
 mod row_copier;
 mod slots;
@@ -11,6 +12,7 @@
 mod term_probe;
 mod transitions;
 
+pub use key_list::{decode_key_list, encode_key_list};
 pub use key_names::{KeyNames, MAX_NAMES, NAME_CHUNKS};
 pub use row_copier::{CopyContext, CopyOutcome, RowCopier};
 pub use slots::{held_slots, slots_to_move};
