Listed key names are taken as they are; a JSON array can list any text

Cause: the list was read by line and each name trimmed of all white space. Change: only blanks around a name and the CR of a CR LF are taken off; a body that is a JSON array of strings lists its strings.

Evidence: given_names_with_white_space_in_an_operators_list… before: no row at the target for any of the three names; passes now. Why it works: what separates names in a list is no part of a name, and nothing else is taken off.

--- a/crates/wv-control/src/shard_requests.rs
+++ b/crates/wv-control/src/shard_requests.rs
@@ -4,6 +4,19 @@
 use crate::shard_usage::{ShardUsage, SPLIT_REQUEST_VALIDITY_US};
 use wv_shard_forecast::History;
 
+/// Longer names are rejected in operators' lists.
+const MAX_LISTED_NAME_BYTES: usize = 1024;
+
+/// The names in an operator's list: a JSON array of strings, or one name per line, between blanks and before CR LF or LF.
+fn listed_names(text: &str) -> Vec<String> {
+    let line_names = || {
+        let lines = text.split('\n').map(|line| line.strip_suffix('\r').unwrap_or(line));
+        lines.map(|line| line.trim_matches(' ').to_owned()).collect()
+    };
+    let names: Vec<String> = serde_json::from_str(text).unwrap_or_else(|_| line_names());
+    names.into_iter().filter(|name| !name.is_empty()).collect()
+}
+
 impl Core {
     /// Requests a split now, or cancels one.
     pub(crate) fn request_split(&mut self, shard: &str, is_wanted: bool, token: u64) {
@@ -18,14 +31,14 @@
         });
     }
 
-    /// Adds key names that exist in the shard, one per line.
+    /// Adds key names that exist in the shard.
     pub(crate) fn add_listed_keys(&mut self, shard: &str, text: &str, token: u64) {
         self.update_usage(shard, token, |_, split| {
-            let names = || text.lines().map(str::trim).filter(|name| !name.is_empty());
-            if let Some(name) = names().find(|name| name.contains(' ') || name.len() > 1024) {
+            let names = listed_names(text);
+            if let Some(name) = names.iter().find(|name| name.contains(' ') || name.len() > MAX_LISTED_NAME_BYTES) {
                 return Err(format!("{name:?} is no name of a thing"));
             }
-            names().for_each(|name| split.key_names.add_listed(name.as_bytes()));
+            names.iter().for_each(|name| split.key_names.add_listed(name.as_bytes()));
             Ok(())
         });
     }
--- a/crates/wv-simulation/tests/split_key_names.rs
+++ b/crates/wv-simulation/tests/split_key_names.rs
@@ -1,4 +1,4 @@
-//! Key names with line feeds in a shard split: stored and loaded by the next duty holder without a change.
+//! Key names with line feeds in a shard split: stored, loaded by the next duty holder and listed without a change.
 mod split_test;
 
 use googletest::prelude::*;
@@ -35,3 +35,26 @@
     expect_that!(row_at_target(&split, &key), some(eq("gate 4\nring twice")));
     expect_that!(split.finish_and_check(), is_empty());
 }
+
+/// Guards against listed names being changed: a name with a tab at its end, or with a line feed, was listed as another.
+#[gtest]
+fn given_names_with_white_space_in_an_operators_list_then_a_split_moves_their_rows() {
+    let mut split = SplitTest::start();
+    let tabbed = moving_key("tab", "x\t");
+    let (returned, broken) = (moving_key("cr", "x\r"), moving_key("two", "\nlines "));
+    let keys = [tabbed.clone(), returned, broken.trim_end().to_owned()];
+    // Rows from before the databases were served through windvalve.
+    for database in split.sim.databases.iter_mut().filter(|database| database.service == "s") {
+        keys.iter().for_each(|key| _ = database.rows.insert(key.clone(), "v".to_owned()));
+    }
+    expect_that!(split.call("PUT", "/things/s", format!("{tabbed}\r\n").as_bytes()).0, eq(200));
+    let list = serde_json::to_vec(&keys[1..]).expect("a list of names");
+    expect_that!(split.call("PUT", "/things/s", &list).0, eq(200));
+    expect_that!(split.call("PUT", "/things/s", br#"["two words"]"#).0, eq(400));
+    split.request_split();
+    expect_that!(split.wait_for_move(60 * S), eq(true));
+    for key in &keys {
+        expect_that!(row_at_target(&split, key), some(eq("v")), "{key:?}");
+    }
+    expect_that!(split.finish_and_check(), is_empty());
+}
--- a/crates/wv-simulation/tests/split_test/mod.rs
+++ b/crates/wv-simulation/tests/split_test/mod.rs
@@ -1,4 +1,5 @@
 //! Shared fixture of the shard split tests: shard `s` with split target `t`, under load on many keys.
+#![allow(dead_code)]
 use wv_simulation::{Simulation, MS, S};
 
 /// A configuration with a split plan for shard `s`, adjusted by `change`.
