Recordings may hold any database's name: version 2 percent-encodes names

What operators saw: a recording with a database whose name holds a line feed, a tab or other white space could not be read back; replay named a line that the node itself had written. Found by following text of the wire to where it is recorded.

Cause: an event a line, words between white space, names as they are.

The check that a newer version is refused now says 3, since 2 is known: as strict as before. Why it works: an encoded name holds none of the characters that the format separates by.

--- a/crates/wv-access/src/recorder.rs
+++ b/crates/wv-access/src/recorder.rs
@@ -1,6 +1,7 @@
 //! Records session and request times for replay, never the contents of requests. Off by default.
-//! The format is version 1 of `wv-replay`'s. Memory is bounded; events that do not fit are counted as lost.
+//! The format is that of `wv-replay`. Memory is bounded; events that do not fit are counted as lost.
 use crate::core::Core;
+use crate::recorded_names::{encode_recorded_name, recording_version};
 use crate::types::Verb;
 
 /// Memory that one event takes.
@@ -117,8 +118,12 @@
         }
         let record = &self.recorder;
         let start = record.epoch_us as f64 / 1e6;
-        let mut out =
-            format!("recording 1 node={} start={start:.6} lost={}\n", self.forwarding.node_name, record.dropped_events);
+        let names = record.hosts.iter().flat_map(|(host, _, service)| [host.as_str(), service.as_str()]);
+        let version = recording_version(names);
+        let mut out = format!(
+            "recording {version} node={} start={start:.6} lost={}\n",
+            self.forwarding.node_name, record.dropped_events
+        );
         let mut open = hashbrown::HashSet::new();
         let mut count = 0usize;
         for event in &record.events {
@@ -127,6 +132,8 @@
                 EventKind::Open { host } if open.insert(client) => {
                     let Some((host, is_bounded, service)) = record.hosts.get(usize::from(host)) else { continue };
                     let category = if *is_bounded { "bounded" } else { "primary" };
+                    let host = encode_recorded_name(version, host);
+                    let service = encode_recorded_name(version, service);
                     format!("{at:.6} open {client:08x} {host} {category} {service}\n")
                 }
                 EventKind::Request { statements, is_txn, writes } if open.contains(&client) => {
--- a/crates/wv-replay/src/lib.rs
+++ b/crates/wv-replay/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use generator::{generate_recording, GeneratorOptions};
 pub use log_import::scenario_from_log;
-pub use recording::{format_kind, RecordedAction, RecordedEvent, Recording, RecordingError, FORMAT_VERSION};
+pub use recording::{format_kind, RecordedAction, RecordedEvent, Recording, RecordingError};
 pub use recording_player::{play_recording, NodeDrop, PlaybackOptions};
 pub use recording_report::{DropOutcome, RecordingReport};
 pub use scenario::{Action, Event, Scenario};
--- a/crates/wv-replay/src/recording.rs
+++ b/crates/wv-replay/src/recording.rs
@@ -1,22 +1,21 @@
-//! Recorded client traffic: sessions, the databases they used, and the times of their requests. Format version 1, one
-//! entry per line:
+//! Recorded client traffic: sessions, the databases they used, and the times of their requests, one entry per line:
 //!
 //! `recording 1 NAME=VALUE …`, then `SECONDS open CLIENT HOST bounded|primary SERVICE`, `SECONDS ask CLIENT
 //! read|write|txn:STATEMENTS:r|w`, `SECONDS close CLIENT`, and finally `end COUNT`. In merged recordings a client is
-//! named `NODE/CLIENT`.
+//! named `NODE/CLIENT`. In version 2, HOST and SERVICE are percent-encoded.
 use std::collections::BTreeMap;
+use wv_access::{decode_recorded_name, encode_recorded_name, recording_version, RECORDING_VERSION};
 use wv_simulation::RequestKind;
 
-pub const FORMAT_VERSION: u32 = 1;
 const MAX_LINES: usize = 40_000_000;
 
 #[derive(thiserror::Error, Debug, PartialEq, Eq)]
 pub enum RecordingError {
     #[error("{0}: the file is empty")]
     Empty(String),
-    #[error("{0}, line 1: {1:?} is not a recording header (expected: recording {FORMAT_VERSION} …)")]
+    #[error("{0}, line 1: {1:?} is not a recording header (expected: recording {RECORDING_VERSION} …)")]
     NotARecording(String, String),
-    #[error("{0}, line 1: unsupported version {1}, supported up to {FORMAT_VERSION}")]
+    #[error("{0}, line 1: unsupported version {1}, supported up to {RECORDING_VERSION}")]
     UnsupportedVersion(String, u32),
     #[error("{0}, line {1}: {2:?}: expected {3}")]
     InvalidLine(String, usize, String, &'static str),
@@ -84,13 +83,15 @@
     }
 }
 
-fn parse_action(words: &[&str]) -> Result<RecordedAction, &'static str> {
+fn parse_action(version: u32, words: &[&str]) -> Result<RecordedAction, &'static str> {
+    let name = |word| {
+        let name = decode_recorded_name(version, word).ok_or("percent-encoded UTF-8 names")?;
+        Ok::<String, &'static str>(name.into_owned())
+    };
     match words {
-        ["open", _, host, category @ ("bounded" | "primary"), service] => Ok(RecordedAction::Open {
-            host: (*host).to_owned(),
-            is_bounded: *category == "bounded",
-            service: (*service).to_owned(),
-        }),
+        ["open", _, host, category @ ("bounded" | "primary"), service] => {
+            Ok(RecordedAction::Open { host: name(host)?, is_bounded: *category == "bounded", service: name(service)? })
+        }
         ["open", ..] => Err("open CLIENT HOST bounded|primary SERVICE"),
         ["ask", _, word] => parse_kind(word).map(RecordedAction::Request).ok_or("read, write or txn:STATEMENTS:r|w"),
         ["ask", ..] => Err("ask CLIENT KIND"),
@@ -111,7 +112,7 @@
         let mut words = first.split_whitespace();
         let version = words.next().filter(|word| *word == "recording").and_then(|_| words.next()?.parse::<u32>().ok());
         let version = version.ok_or_else(|| RecordingError::NotARecording(file(), first.chars().take(60).collect()))?;
-        if version > FORMAT_VERSION {
+        if version > RECORDING_VERSION {
             return Err(RecordingError::UnsupportedVersion(file(), version));
         }
         let pair = |word: &str| word.split_once('=').map(|(name, value)| (name.to_owned(), value.to_owned()));
@@ -136,7 +137,7 @@
             let seconds = words.first().and_then(|word| word.parse::<f64>().ok());
             let at_us =
                 seconds.filter(|found| (0.0..=1e6).contains(found)).ok_or_else(|| invalid("a time in seconds"))?;
-            let (at_us, action) = ((at_us * 1e6).round() as u64, parse_action(&words[1..]).map_err(invalid)?);
+            let (at_us, action) = ((at_us * 1e6).round() as u64, parse_action(version, &words[1..]).map_err(invalid)?);
             if recording.events.last().is_some_and(|last| last.at_us > at_us) {
                 return Err(RecordingError::TimeDecreased(file(), at));
             }
@@ -162,12 +163,19 @@
 
     pub fn to_text(&self) -> String {
         let header: String = self.header.iter().map(|(name, value)| format!(" {name}={value}")).collect();
-        let mut out = format!("recording {FORMAT_VERSION}{header}\n");
+        let names = self.events.iter().flat_map(|event| match &event.action {
+            RecordedAction::Open { host, service, .. } => [host.as_str(), service.as_str()],
+            _ => ["", ""],
+        });
+        let version = recording_version(names);
+        let mut out = format!("recording {version}{header}\n");
         for event in &self.events {
             let (at, client) = (event.at_us as f64 / 1e6, &event.client);
             out.push_str(&match &event.action {
                 RecordedAction::Open { host, is_bounded, service } => {
                     let category = if *is_bounded { "bounded" } else { "primary" };
+                    let host = encode_recorded_name(version, host);
+                    let service = encode_recorded_name(version, service);
                     format!("{at:.6} open {client} {host} {category} {service}\n")
                 }
                 RecordedAction::Request(kind) => format!("{at:.6} ask {client} {}\n", format_kind(*kind)),
--- a/crates/wv-replay/tests/recordings.rs
+++ b/crates/wv-replay/tests/recordings.rs
@@ -117,7 +117,7 @@
     expect_that!(read(""), eq(&RecordingError::Empty("x".to_owned())));
     expect_that!(read("recording 1\nend 0\n"), eq(&RecordingError::Empty("x".to_owned())));
     expect_that!(read("0 conf 1\n"), eq(&RecordingError::NotARecording("x".to_owned(), "0 conf 1".to_owned())));
-    expect_that!(read("recording 2\n"), eq(&RecordingError::UnsupportedVersion("x".to_owned(), 2)));
+    expect_that!(read("recording 3\n"), eq(&RecordingError::UnsupportedVersion("x".to_owned(), 3)));
     expect_that!(read(open), eq(&RecordingError::Truncated("x".to_owned(), 2)));
     expect_that!(read(&format!("{open}end 7\n")), eq(&RecordingError::CountMismatch("x".to_owned(), 3, 1, 7)));
     expect_that!(
