Error texts of databases reach clients byte for byte

What callers saw: replacement characters in an ERROR text that is not UTF-8.

Cause: the text was turned into a String before it was written to the client, on this node (db.rs) and for an owner's answer (forward_response.rs). Change: fail and write_error take bytes.

Evidence: given_an_error_text_of_any_bytes… failed before (U+FFFD for each byte that is no text) and passes now. Why it works: nothing between the database's line and the client's reads the text.

--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -222,14 +222,13 @@
         if code == ErrorCode::ReadOnly {
             key.and_then(|key| self.health.database_mut(key)).into_iter().for_each(|member| member.on_readonly(now));
         }
-        let text = String::from_utf8_lossy(&client.request.response).into_owned();
-        client.request.response.clear();
+        let text = std::mem::take(&mut client.request.response);
         client.request.refused_by.extend(key);
         if !is_txn {
             if is_last {
                 self.release_db(db);
             }
-            return if code.is_not_executed() { self.retry(id, Some(code)) } else { self.fail(id, code, &text, b'I') };
+            return if code.is_not_executed() { self.retry(id, Some(code)) } else { self.fail(id, code, text, b'I') };
         }
         // The transaction has no completed statement, so it can restart elsewhere.
         let is_first = client.txn.as_ref().is_some_and(|txn| !txn.has_completed_statement);
@@ -237,7 +236,7 @@
             client.txn.iter_mut().for_each(|txn| txn.db = None);
             self.roll_back_db(db);
             return match (verb, code.is_not_executed()) {
-                (Verb::Commit, _) => self.fail(id, code, &text, b'I'),
+                (Verb::Commit, _) => self.fail(id, code, text, b'I'),
                 _ => self.retry(id, Some(code)),
             };
         }
@@ -245,6 +244,6 @@
             client.txn.iter_mut().for_each(|txn| txn.db = None);
             self.release_db(db);
         }
-        self.fail(id, code, &text, state);
+        self.fail(id, code, text, state);
     }
 }
--- a/crates/wv-access/src/forward_response.rs
+++ b/crates/wv-access/src/forward_response.rs
@@ -207,7 +207,7 @@
         }
         match error {
             None => self.complete_request(id, state, position),
-            Some((code, text)) => self.fail(id, code, &String::from_utf8_lossy(&text), state),
+            Some((code, text)) => self.fail(id, code, text, state),
         }
     }
 }
--- a/crates/wv-access/src/response.rs
+++ b/crates/wv-access/src/response.rs
@@ -21,7 +21,7 @@
     pub(crate) fn reply_error(&mut self, id: u64, code: ErrorCode, text: &str) {
         let state = self.client_state(id);
         if let Some(client) = self.clients.get_mut(&id) {
-            write_error(&mut client.out, code, text, state);
+            write_error(&mut client.out, code, text.as_bytes(), state);
             self.effects.push(Effect::WriteClient(id));
         }
     }
@@ -76,7 +76,7 @@
     }
 
     /// Fails the open request; `state` is the session state reported to the client.
-    pub(crate) fn fail(&mut self, id: u64, code: ErrorCode, text: &str, state: u8) {
+    pub(crate) fn fail(&mut self, id: u64, code: ErrorCode, text: impl AsRef<[u8]>, state: u8) {
         if !code.is_not_executed() {
             self.slots.shards.values_mut().for_each(|shard| shard.dirty_keys.mark_outcome_unknown(id));
         }
@@ -97,7 +97,7 @@
             b'E' => client.txn.iter_mut().for_each(|txn| txn.failure = Some(TxnFailure::Reported)),
             _ => {}
         }
-        write_error(&mut client.out, code, text, state);
+        write_error(&mut client.out, code, text.as_ref(), state);
         self.effects.push(Effect::WriteClient(id));
         self.after_request(id);
     }
@@ -119,7 +119,7 @@
         let wait_ms = self.retry_after_ms(id).unwrap_or(wait_ms);
         let Some(client) = self.clients.get(&id) else { return };
         let state = if client.txn.is_some() { b'E' } else { b'I' };
-        self.fail(id, code, &format!("not run, retry after {wait_ms} ms"), state);
+        self.fail(id, code, format!("not run, retry after {wait_ms} ms"), state);
     }
 
     /// Resolves the pending requests of a lost connection.
--- a/crates/wv-access/tests/line_feeds.rs
+++ b/crates/wv-access/tests/line_feeds.rs
@@ -125,3 +125,24 @@
     node.send_line(client, &format!("QUERY w1 WRITE k {}", "d".repeat(MAX_LINE_BYTES)));
     expect_that!(node.take_output(client), starts_with("ERROR OVERSIZE"));
 }
+
+/// Guards against the text of a database's error being changed on its way to the client, directly or by an owner.
+#[gtest]
+fn given_an_error_text_of_any_bytes_then_the_client_gets_it_unchanged() {
+    let answer = b"ERROR FAILED no room in caf\xe9\nat all \xc3\r\r\nIDLE I 3.9\r\n";
+    let expected = b"ERROR FAILED no room in caf\xe9\nat all \xc3\r\r\nIDLE I -\r\n".to_vec();
+    let mut node = TestNode::new();
+    let client = node.connect_client("shop");
+    node.send_line(client, "QUERY w1 WRITE k d");
+    let db = node.busy_connection().expect("the write was sent");
+    node.core.db_data(db, answer, node.now);
+    expect_that!(node.core.client_output(client).cloned(), some(eq(&expected)));
+
+    let mut node = TestNode::with_remote_owner();
+    let client = node.connect_client("shop");
+    node.send_line(client, "QUERY w1 WRITE k d");
+    let (link, session, request) = node.last_forwarded_request();
+    let message = ForwardMessage::Response { session, request, bytes: answer.to_vec() };
+    node.core.handle_forward_message(link, message, node.now);
+    expect_that!(node.core.client_output(client).cloned(), some(eq(&expected)));
+}
--- a/crates/wv-wire-protocol/src/lib.rs
+++ b/crates/wv-wire-protocol/src/lib.rs
@@ -67,7 +67,7 @@
 }
 
 /// Writes an `ERROR` line followed by `IDLE`.
-pub fn write_error(out: &mut Vec<u8>, code: ErrorCode, text: &str, state: u8) {
-    write_line(out, &[b"ERROR", code.as_str().as_bytes(), text.as_bytes()]);
+pub fn write_error(out: &mut Vec<u8>, code: ErrorCode, text: &[u8], state: u8) {
+    write_line(out, &[b"ERROR", code.as_str().as_bytes(), text]);
     write_idle(out, state, None);
 }
