A database name that is not UTF-8 is no database's

What callers saw: SETUP with a name that is not UTF-8 was taken as the name with replacement characters, so a client could be let into a database that it did not name. Cause: the name was turned into text before the route was looked up. Change: NODB; a configuration is JSON and cannot hold such a name. Evidence: the new test failed before (IDLE where NODB is due) and passes now.

--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -100,7 +100,10 @@
             ClientLine::Setup { database, login } if !is_set_up => {
                 let login = &login[..login.len().min(LOGIN_MAX_BYTES)];
                 client.login = String::from_utf8_lossy(login).into_owned();
-                let database = String::from_utf8_lossy(database).into_owned();
+                // Configurations are JSON, so no database has a name that is not UTF-8.
+                let Ok(database) = String::from_utf8(database.to_vec()) else {
+                    return self.close_with_error(id, ErrorCode::NoDb, "no such database");
+                };
                 match &self.configuration {
                     // The databases are not known yet, so the client waits for the first configuration.
                     None => client.pending_database = Some(database),
--- a/crates/wv-access/tests/common/mod.rs
+++ b/crates/wv-access/tests/common/mod.rs
@@ -60,10 +60,19 @@
         TestNode::with(plan, vec![FeedUpdate::Slots(map)])
     }
 
+    /// A node whose database `shop` has another name.
+    pub fn with_host(host: &str) -> TestNode {
+        TestNode::configured(&CONFIGURATION.replace("shop", host).replace("PARTNERS", ""), Vec::new())
+    }
+
     fn with(partners: &str, more: Vec<FeedUpdate>) -> TestNode {
+        TestNode::configured(&CONFIGURATION.replace("PARTNERS", partners), more)
+    }
+
+    fn configured(configuration: &str, more: Vec<FeedUpdate>) -> TestNode {
         let instance = database();
         let leader = Leader { service: "s".to_owned(), id: "d1".to_owned(), term: 3 };
-        let configuration = CONFIGURATION.replace("PARTNERS", partners).into_bytes();
+        let configuration = configuration.as_bytes().to_vec();
         let first = [
             FeedUpdate::Configuration { version: 1, body: configuration },
             FeedUpdate::Instance(instance),
--- a/crates/wv-access/tests/line_feeds.rs
+++ b/crates/wv-access/tests/line_feeds.rs
@@ -146,3 +146,16 @@
     node.core.handle_forward_message(link, message, node.now);
     expect_that!(node.core.client_output(client).cloned(), some(eq(&expected)));
 }
+
+/// Guards against a client being let into a database that it did not name.
+#[gtest]
+fn given_a_database_name_that_is_not_utf8_then_no_database_has_it() {
+    let mut node = TestNode::with_host("caf\u{fffd}");
+    let client = node.core.client_opened(node.now);
+    node.core.client_data(client, b"SETUP caf\xe9 me\r\n", node.now);
+    node.apply_effects();
+    expect_that!(node.take_output(client), starts_with("ERROR NODB"));
+    let client = node.core.client_opened(node.now);
+    node.send_line(client, "SETUP caf\u{fffd} me");
+    expect_that!(node.take_output(client), eq("IDLE I -\r\n"));
+}
