Simulated clients put a line feed and a query into the data of their writes

Change: each write of the load and workload clients ends with a line feed and what looks like a query; the oracle reports UNASKED if a database ran it.

--- a/crates/wv-simulation/src/load_clients.rs
+++ b/crates/wv-simulation/src/load_clients.rs
@@ -1,5 +1,6 @@
 //! Load generator: clients that run operations and retry them.
 use crate::clients::Expectation;
+use crate::oracle::EMBEDDED_QUERY;
 use crate::simulation::{Event, Simulation};
 use crate::{Rng, MS};
 use std::collections::BTreeMap;
@@ -166,10 +167,11 @@
         let mut text = text;
         if text.starts_with("WRITE") {
             load.tags.push(tag.clone());
-            // Each write stores a distinct value.
+            // With many keys, each write stores a distinct value.
             if let Some(start) = text.strip_suffix(" d").filter(|_| key_count > 0) {
                 text = format!("{start} {tag}");
             }
+            text.push_str(EMBEDDED_QUERY);
         }
         let statement = text.starts_with("EXECUTE").then(|| format!("q{}", at % 3));
         let expectation = Expectation { since, values: load.values.clone(), statement };
--- a/crates/wv-simulation/src/oracle.rs
+++ b/crates/wv-simulation/src/oracle.rs
@@ -2,6 +2,11 @@
 use crate::Database;
 use std::collections::BTreeMap;
 
+/// The id of the query in `EMBEDDED_QUERY`, which no client sends as a message.
+const EMBEDDED_ID: &str = "embedded";
+/// A line feed and a query, which load clients put into the data of their writes. No database may execute it.
+pub(crate) const EMBEDDED_QUERY: &str = "\nQUERY embedded WRITE k embedded";
+
 #[derive(Default)]
 pub struct Oracle {
     /// Tags of acknowledged commits, with the time of acknowledgement.
@@ -41,8 +46,12 @@
         self.acked.insert(tag, now);
     }
 
-    /// Checks that no acknowledged write is missing or duplicated and that no rejected write is in the log.
+    /// Checks that no acknowledged write is missing or duplicated, that no rejected write is in the log, and that no
+    /// database executed a query from the data of a write.
     pub fn check_log(&mut self, log: &[crate::database::LogEntry]) {
+        if self.executions.contains_key(EMBEDDED_ID) {
+            self.violations.push(format!("UNASKED: {EMBEDDED_ID}"));
+        }
         let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
         let own = |entry: &&crate::database::LogEntry| entry.write.tag != "-";
         log.iter().filter(own).for_each(|entry| *counts.entry(entry.write.tag.as_str()).or_default() += 1);
--- a/crates/wv-simulation/src/workload_requests.rs
+++ b/crates/wv-simulation/src/workload_requests.rs
@@ -1,5 +1,6 @@
 //! Runs a workload's requests statement by statement and retries those that were not applied.
 use crate::clients::Expectation;
+use crate::oracle::EMBEDDED_QUERY;
 use crate::simulation::{Event, Simulation};
 use crate::workload::{CurrentRequest, RequestKind, RequestOutcome, RETRY_DELAY_US};
 use crate::MS;
@@ -60,7 +61,7 @@
         let (Some(client), Some(current)) = (entry.client, entry.current.as_mut()) else { return };
         let mut text = current.statements[current.step].clone();
         if text.starts_with("WRITE") {
-            text = format!("{text} {tag}");
+            text = format!("{text} {tag}{EMBEDDED_QUERY}");
             current.tags.push(tag.clone());
         }
         current.is_awaiting_reply = true;
