A listed key name that would end a line is refused

Cause: seen on rereading the change: names in a JSON list may hold CR LF, which a line list could not, and the copier writes names into statements; `["k\r\nRELEASE"]` would have put a message of its own between them (names with blanks, and so whole queries, were refused already). Change: such a name is answered with 400.

Evidence: of the lists in split_key_names.rs the one with CR LF and no blank was taken (200) before, the others were refused; now all four are refused.

--- a/crates/wv-control/src/shard_requests.rs
+++ b/crates/wv-control/src/shard_requests.rs
@@ -7,6 +7,11 @@
 /// Longer names are rejected in operators' lists.
 const MAX_LISTED_NAME_BYTES: usize = 1024;
 
+/// Whether the line protocol can name a key like this: a word of one line.
+fn is_key_name(name: &str) -> bool {
+    !name.contains(' ') && !name.contains("\r\n") && name.len() <= MAX_LISTED_NAME_BYTES
+}
+
 /// The names in an operator's list: a JSON array of strings, or one name per line, between blanks and before CR LF or LF.
 fn listed_names(text: &str) -> Vec<String> {
     let line_names = || {
@@ -35,7 +40,7 @@
     pub(crate) fn add_listed_keys(&mut self, shard: &str, text: &str, token: u64) {
         self.update_usage(shard, token, |_, split| {
             let names = listed_names(text);
-            if let Some(name) = names.iter().find(|name| name.contains(' ') || name.len() > MAX_LISTED_NAME_BYTES) {
+            if let Some(name) = names.iter().find(|name| !is_key_name(name)) {
                 return Err(format!("{name:?} is no name of a thing"));
             }
             names.iter().for_each(|name| split.key_names.add_listed(name.as_bytes()));
--- a/crates/wv-simulation/tests/split_key_names.rs
+++ b/crates/wv-simulation/tests/split_key_names.rs
@@ -50,7 +50,9 @@
     expect_that!(split.call("PUT", "/things/s", format!("{tabbed}\r\n").as_bytes()).0, eq(200));
     let list = serde_json::to_vec(&keys[1..]).expect("a list of names");
     expect_that!(split.call("PUT", "/things/s", &list).0, eq(200));
-    expect_that!(split.call("PUT", "/things/s", br#"["two words"]"#).0, eq(400));
+    for list in [r#"["two words"]"#, r#"["k\r\nQUERY - WRITE k forged"]"#, "two words", r#"["k\r\nx"]"#] {
+        expect_that!(split.call("PUT", "/things/s", list.as_bytes()).0, eq(400), "{list}");
+    }
     split.request_split();
     expect_that!(split.wait_for_move(60 * S), eq(true));
     for key in &keys {
