A stored key list is marked at its beginning and read as whole names only

Cause: rereading the change, with lists cut at every byte: an escaped list without its last byte was read as a plain one, with other names, and a name that was cut off as a whole one; a holder of an earlier build took the mark at the end for a name.

--- a/crates/wv-replay/tests/recorded_names.rs
+++ b/crates/wv-replay/tests/recorded_names.rs
@@ -62,3 +62,15 @@
     );
     expect_that!(Recording::parse("a", text), err(eq(&expected)));
 }
+
+/// Guards against a recording that was cut off, also within an encoded name, being played as if it were whole.
+#[gtest]
+fn given_a_recording_cut_at_any_byte_then_it_is_refused_with_the_line_named() {
+    let text = record_session();
+    let whole = text.trim_end().len();
+    for cut in 0..whole {
+        let read = Recording::parse("a0", &text[..cut]);
+        expect_that!(read, err(displays_as(contains_substring("a0"))), "cut at {cut}");
+    }
+    expect_that!(Recording::parse("a0", &text[..whole]), ok(anything()));
+}
--- a/crates/wv-shard-split/src/key_list.rs
+++ b/crates/wv-shard-split/src/key_list.rs
@@ -1,35 +1,33 @@
-//! Stored form of a list of key names, one per line.
+//! Stored form of a list of key names, each followed by a line feed.
 //!
 //! Names are stored as they are, as in all earlier versions, unless one of them holds a line feed. The list is then
-//! escaped and ends with a marker; a list as stored by earlier versions is empty or ends with a line feed.
+//! escaped and begins with a marker that no list of an earlier version begins with.
 
-/// Ends an escaped list.
-const ESCAPED_LIST_MARKER: u8 = 0x02;
+/// Begins an escaped list. Earlier versions could store an empty name, but not two.
+const ESCAPED_LIST_MARKER: &[u8] = b"\n\n";
 
 /// Encodes names; an empty one is not kept.
 pub fn encode_key_list<'a>(names: impl Iterator<Item = &'a [u8]> + Clone) -> Vec<u8> {
     let is_escaped = names.clone().any(|name| name.contains(&b'\n'));
-    let mut list = Vec::new();
-    for name in names {
+    let mut list = if is_escaped { ESCAPED_LIST_MARKER.to_vec() } else { Vec::new() };
+    for name in names.filter(|name| !name.is_empty()) {
         match is_escaped {
             true => escape(name, &mut list),
             false => list.extend_from_slice(name),
         }
         list.push(b'\n');
     }
-    if is_escaped {
-        list.push(ESCAPED_LIST_MARKER);
-    }
     list
 }
 
-/// Decodes a list of this or an earlier version.
+/// Decodes a list of this or an earlier version. A name that was cut off at its end is not returned.
 pub fn decode_key_list(list: &[u8]) -> Vec<Box<[u8]>> {
-    let (lines, is_escaped) = match list.strip_suffix(&[ESCAPED_LIST_MARKER]) {
+    let (lines, is_escaped) = match list.strip_prefix(ESCAPED_LIST_MARKER) {
         Some(lines) => (lines, true),
         None => (list, false),
     };
-    let names = lines.split(|byte| *byte == b'\n').filter(|name| !name.is_empty());
+    let names = lines.split_inclusive(|byte| *byte == b'\n').filter_map(|line| line.strip_suffix(b"\n"));
+    let names = names.filter(|name| !name.is_empty());
     names.map(|name| if is_escaped { unescape(name) } else { Box::from(name) }).collect()
 }
 
--- a/crates/wv-shard-split/tests/key_list.rs
+++ b/crates/wv-shard-split/tests/key_list.rs
@@ -27,13 +27,21 @@
     expect_that!(decoded(b"\na\n"), eq(&vec![b"a".to_vec()]));
 }
 
-/// A list that was cut off is read as far as it goes, without a panic.
+/// Guards against a list that was cut off being read as other names.
 #[gtest]
-fn given_a_list_cut_at_any_byte_then_the_names_before_the_cut_are_read() {
-    let names: [&[u8]; 3] = [b"first", b"sec\nond", b"th\\ird"];
-    let list = encode_key_list(names.into_iter());
-    for cut in 0..list.len() {
-        expect_that!(decoded(&list[..cut]).len(), le(3), "cut at {cut}");
+fn given_a_list_cut_at_any_byte_then_the_names_before_the_cut_are_read_and_no_others() {
+    let plain: [&[u8]; 3] = [b"first", b"sec\\nond", b"third"];
+    let escaped: [&[u8]; 3] = [b"first", b"sec\nond", b"th\\ird"];
+    for names in [plain, escaped] {
+        let list = encode_key_list(names.into_iter());
+        for cut in 0..=list.len() {
+            let read = decoded(&list[..cut]);
+            expect_that!(
+                read,
+                eq(&names[..read.len()].iter().map(|name| name.to_vec()).collect::<Vec<_>>()),
+                "cut at {cut}"
+            );
+        }
+        expect_that!(decoded(&list).len(), eq(3));
     }
-    expect_that!(decoded(&list).len(), eq(3));
 }
