--- a/crates/wv-control/src/configuration.rs
+++ b/crates/wv-control/src/configuration.rs
@@ -55,10 +55,9 @@
     pub(crate) fn on_operation_completed(&mut self, completion: Completion) {
         let Some(operation) = self.operations.remove(&completion.token) else { return };
         let operation = match operation {
-            Operation::ClaimDuty(service, step) => {
-                return self.on_duty_claimed(service, step, completion.outcome, &completion.previous)
-            }
+            Operation::ClaimDuty(service, step) => return self.on_duty_claimed(service, step, completion.outcome),
             Operation::ConfirmPlatformCall(call) => return self.call_confirmed(*call, completion.outcome),
+            Operation::ReadDuty(service, step) => return self.on_duty_read(service, step, completion.outcome),
             Operation::ConfirmDuty(service, step) => return self.on_duty_confirmed(service, step, completion.outcome),
             Operation::SweepRegister => return,
             Operation::CheckShardMap(token, shard) => return self.shard_map_read(token, &shard, completion.outcome),
--- a/crates/wv-control/src/database_calls.rs
+++ b/crates/wv-control/src/database_calls.rs
@@ -8,7 +8,8 @@
 const QUERY_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(400);
 /// A machine that does not accept a connection within this counts as unreachable; a busy database still accepts one.
 const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(200);
-const PROMOTION_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1200);
+const PLATFORM_UNACKNOWLEDGED_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1200);
+const PLATFORM_RESPONSE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(30);
 const REPLY_MAX_BYTES: usize = 16 << 10;
 
 /// Reads lines until `IDLE` and returns the row before it, if any. `None` on an error or a malformed reply.
@@ -81,6 +82,7 @@
         self.with_core(|core, now| core.on_db_status(request, reply, now));
     }
 
+    /// Calls the platform once. Its answer is awaited for long, since a late one still proves what became of the call.
     pub(crate) async fn promote_database(
         self,
         request: u64,
@@ -88,17 +90,23 @@
         id: String,
         (fence, deadline_us): (u64, u64),
     ) {
-        let Some(platform) = self.platform.clone() else {
-            return self.with_core(|core, now| core.on_promotion_response(request, None, now));
-        };
+        let not_sent = |node: &Node| node.with_core(|core, now| core.promotion_not_sent(request, now));
         // After a process stall another duty holder may have called the platform already.
-        if self.now() > deadline_us {
-            return self.with_core(|core, now| core.promotion_expired(request, now));
-        }
+        let now = self.now();
+        let Some(platform) = self.platform.clone().filter(|_| now <= deadline_us) else {
+            return not_sent(&self);
+        };
         let headers = [("X-Duty-Holder", self.name.clone()), ("X-Fence-Number", fence.to_string())];
         let body = serde_json::json!({ "destination": service, "id": id }).to_string().into_bytes();
-        let code =
-            wv_http::send_request(platform.address, "POST", "/promotion", &headers, body, PROMOTION_TIMEOUT).await.ok();
-        self.with_core(|core, now| core.on_promotion_response(request, code, now));
+        let timeouts = wv_http::Timeouts {
+            connect: std::time::Duration::from_micros(deadline_us - now),
+            unacknowledged: PLATFORM_UNACKNOWLEDGED_TIMEOUT,
+            response: PLATFORM_RESPONSE_TIMEOUT,
+        };
+        let sent = wv_http::send_request(platform.address, "POST", "/promotion", &headers, body, timeouts).await;
+        match sent {
+            Err(wv_http::HttpError::Connect(_)) => not_sent(&self),
+            sent => self.with_core(|core, now| core.on_promotion_response(request, sent.ok(), now)),
+        }
     }
 }
--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -1,8 +1,7 @@
 //! Duties held by this node: inputs to the promotion state machines and execution of their effects.
 use crate::core::{Core, Effect};
 use crate::types::{Operation, PendingRequest};
-use wv_consensus::OperationOutcome;
-use wv_internal_protocol::{FeedUpdate, Health, HealthReport, Leader, Message, RegisterValue};
+use wv_internal_protocol::{FeedUpdate, Health, HealthReport, Leader, Message};
 use wv_promotion::{
     Database, Effect as PromotionEffect, Event, PromotionCoordinator, ServiceView, StatusError, StatusReply,
 };
@@ -10,10 +9,6 @@
 /// How long contact must have lasted before a duty is acted on, so that membership is known.
 const STABLE_CONTACT_US: u64 = 800_000;
 
-fn duty_key(service: &str) -> String {
-    format!("duty/{service}")
-}
-
 impl Core {
     pub(crate) fn record_health_reports(&mut self, node: &str, reports: Vec<HealthReport>) {
         let is_unhealthy = |report: &&HealthReport| !matches!(report.health, Health::Up | Health::Unknown);
@@ -51,7 +46,7 @@
         self.table.service_instances(service).filter(is_counted).map(database).collect()
     }
 
-    fn with_duty(&mut self, service: &str, run: impl FnOnce(&mut PromotionCoordinator, &ServiceView<'_>)) {
+    pub(crate) fn with_duty(&mut self, service: &str, run: impl FnOnce(&mut PromotionCoordinator, &ServiceView<'_>)) {
         let Some(mut duty) = self.duties.remove(service) else { return };
         let leader = self.feed.leader(service).map(|leader| leader.id.clone());
         let databases = self.databases(service, leader.as_deref());
@@ -120,7 +115,7 @@
 
     pub(crate) fn track_request(&mut self, service: &str, id: &str, step: u64) -> u64 {
         let request = self.allocate_id();
-        let pending = PendingRequest { service: service.to_owned(), id: id.to_owned(), step };
+        let pending = PendingRequest { service: service.to_owned(), id: id.to_owned(), step, fence: 0 };
         self.platform_calls.requests.insert(request, pending);
         request
     }
@@ -129,7 +124,9 @@
         log::info!("duty {service}: {effect:?}");
         let step = self.duty_step(service);
         match effect {
+            PromotionEffect::ReadDuty => self.read_duty(service),
             PromotionEffect::ClaimFence => self.claim_duty(service),
+            PromotionEffect::RecordCall { .. } => self.record_call(service),
             PromotionEffect::ConfirmFence => {
                 self.platform_calls.confirm_started.insert(service.to_owned(), self.now);
                 self.start_duty_op(service, Operation::ConfirmDuty(service.to_owned(), step), None);
@@ -180,7 +177,7 @@
     /// Handles a database's status reply, or the failure to get one.
     pub fn on_db_status(&mut self, request: u64, reply: StatusReply, now: u64) {
         self.advance_clock(now);
-        let Some(PendingRequest { service, id, step }) = self.platform_calls.requests.remove(&request) else {
+        let Some(PendingRequest { service, id, step, .. }) = self.platform_calls.requests.remove(&request) else {
             return;
         };
         log::info!("duty {service}: status of {id}: {reply:?}");
@@ -188,63 +185,4 @@
         self.on_duty_event(&service, step, Event::Status { id, reply });
         self.run_proposer();
     }
-
-    /// Handles the platform's response to a promotion call, or the failure to get one.
-    pub fn on_promotion_response(&mut self, request: u64, code: Option<u16>, now: u64) {
-        self.advance_clock(now);
-        let Some(PendingRequest { service, id, step }) = self.platform_calls.requests.remove(&request) else {
-            return;
-        };
-        log::info!("duty {service}: platform answered the promotion call for {id} with {code:?}");
-        self.on_duty_event(&service, step, Event::PromotionReturned(code));
-        self.run_proposer();
-    }
-
-    pub(crate) fn start_duty_op(&mut self, service: &str, waiting: Operation, edit: Option<wv_consensus::UpdateFn>) {
-        let token = self.allocate_id();
-        self.operations.insert(token, waiting);
-        self.proposer.start(token, &duty_key(service), edit, self.now);
-    }
-
-    /// Claims the duty with one register write: the next fence under this node's name. Fences are unique per write.
-    fn claim_duty(&mut self, service: &str) {
-        self.platform_calls.confirm_started.insert(service.to_owned(), self.now);
-        let name = self.address.clone().into_bytes();
-        let edit: wv_consensus::UpdateFn =
-            Box::new(move |current| Some(wv_consensus::register_value(current.version + 1, name.clone())));
-        let step = self.duty_step(service);
-        self.start_duty_op(service, Operation::ClaimDuty(service.to_owned(), step), Some(edit));
-    }
-
-    /// A previous holder may have a promotion call in flight, unless the previous claim was made by this incarnation.
-    pub(crate) fn on_duty_claimed(
-        &mut self,
-        service: String,
-        step: u64,
-        outcome: OperationOutcome,
-        previous: &RegisterValue,
-    ) {
-        let is_own = |cell: &RegisterValue| cell.bytes == self.address.as_bytes();
-        let fence = match outcome {
-            OperationOutcome::Written(cell) if is_own(&cell) => Some(cell.version),
-            _ => None,
-        };
-        let is_succession = previous.version > 0 && self.fences.get(&service) != Some(&previous.version);
-        if let Some(fence) = fence {
-            self.fences.insert(service.clone(), fence);
-        }
-        self.on_duty_event(&service, step, Event::FenceClaimed(fence.map(|fence| (fence, is_succession))));
-    }
-
-    /// Whether the duty register still names this node under its latest fence.
-    pub(crate) fn holds_duty_register(&self, service: &str, outcome: &OperationOutcome) -> bool {
-        let fence = self.fences.get(service).copied();
-        let is_own = |cell: &RegisterValue| cell.bytes == self.address.as_bytes();
-        matches!(outcome, OperationOutcome::Read(cell) if Some(cell.version) == fence && is_own(cell))
-    }
-
-    pub(crate) fn on_duty_confirmed(&mut self, service: String, step: u64, outcome: OperationOutcome) {
-        let is_ours = self.holds_duty_register(&service, &outcome);
-        self.on_duty_event(&service, step, Event::FenceConfirmed(is_ours));
-    }
 }
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod departed;
 mod diskless;
 mod duties;
+mod duty_register;
 mod exec;
 mod health_reports;
 mod heartbeats;
--- a/crates/wv-control/src/metrics.rs
+++ b/crates/wv-control/src/metrics.rs
@@ -60,6 +60,12 @@
         page.add_gauges(calls, &["service"], of(|counts| counts.calls))?;
         let stalls = ("windvalve_promotion_stalls", "Attempts at a promotion that led nowhere");
         page.add_gauges(stalls, &["service"], of(|counts| counts.stalls))?;
+        let unresolved = |duty: &wv_promotion::PromotionCoordinator| duty.unresolved_calls().len() as u64;
+        page.add_gauges(
+            ("windvalve_promotion_calls_unresolved", "Calls to the platform that may still take effect"),
+            &["service"],
+            self.duties.iter().map(|(service, duty)| (vec![service.clone()], unresolved(duty))),
+        )?;
         let leaving = self.table.iter().filter(|instance| instance.draining && !instance.gone);
         let role =
             |instance: &wv_internal_protocol::Instance| if instance.primary { "primary" } else { "replica" }.to_owned();
--- a/crates/wv-control/src/platform_calls.rs
+++ b/crates/wv-control/src/platform_calls.rs
@@ -65,6 +65,7 @@
         }
         let step = self.duty_step(service);
         let request = self.track_request(service, &id, step);
+        self.platform_calls.requests.get_mut(&request).into_iter().for_each(|pending| pending.fence = fence);
         let wait = self.platform_calls.limiter.reserve(self.now);
         let confirm_started = self.platform_calls.confirm_started.get(service).copied().unwrap_or(0);
         if wait == 0 && confirm_started + CONFIRMATION_VALIDITY_US > self.now {
@@ -110,17 +111,38 @@
         self.call_not_sent(call.request);
     }
 
-    /// The call was not sent: its confirmation has expired, or another holder has a higher fence.
+    /// The call was not sent: its confirmation has expired, another holder has a higher fence, or the platform accepted
+    /// no connection.
     fn call_not_sent(&mut self, request: u64) {
         let Some(pending) = self.platform_calls.requests.remove(&request) else { return };
-        log::warn!("duty {}: promotion call for {} not sent, its fence is not confirmed", pending.service, pending.id);
-        self.on_duty_event(&pending.service, pending.step, Event::FenceConfirmed(false));
+        log::warn!("duty {}: promotion call for {} was not sent", pending.service, pending.id);
+        let event = if pending.step == self.duty_step(&pending.service) {
+            Event::FenceConfirmed(false)
+        } else {
+            Event::CallNotSent { fence: pending.fence }
+        };
+        self.with_duty(&pending.service, |duty, view| duty.handle_event(event, view));
     }
 
-    /// The executor did not send the call because its confirmation had expired.
-    pub fn promotion_expired(&mut self, request: u64, now: u64) {
+    /// The executor did not send the call.
+    pub fn promotion_not_sent(&mut self, request: u64, now: u64) {
         self.advance_clock(now);
         self.call_not_sent(request);
         self.run_proposer();
     }
+
+    /// Handles the platform's response to a promotion call, or the failure to get one. A response to a call of an
+    /// earlier step is passed on too: it proves what became of the call.
+    pub fn on_promotion_response(&mut self, request: u64, status: Option<u16>, now: u64) {
+        self.advance_clock(now);
+        let Some(pending) = self.platform_calls.requests.remove(&request) else { return };
+        log::info!("duty {}: platform answered the promotion call for {} with {status:?}", pending.service, pending.id);
+        let event = if pending.step == self.duty_step(&pending.service) {
+            Event::PromotionReturned(status)
+        } else {
+            Event::LateAnswer { fence: pending.fence, status }
+        };
+        self.with_duty(&pending.service, |duty, view| duty.handle_event(event, view));
+        self.run_proposer();
+    }
 }
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -107,6 +107,8 @@
     pub service: String,
     pub id: String,
     pub step: u64,
+    /// The fence of a call to the platform, 0 for a request to a database.
+    pub fence: u64,
 }
 
 /// A register operation in progress.
@@ -120,6 +122,7 @@
     CheckShardMap(u64, String),
     /// Writes or reads a duty's register for the given step of the duty.
     ClaimDuty(String, u64),
+    ReadDuty(String, u64),
     ConfirmDuty(String, u64),
     /// Confirms the fence of a platform call that is due.
     ConfirmPlatformCall(Box<crate::platform_calls::PlatformCall>),
--- a/crates/wv-control/tests/catch_up.rs
+++ b/crates/wv-control/tests/catch_up.rs
@@ -105,7 +105,11 @@
     // Once the resync is answered, this node claims the duties assigned to it.
     node.answer(|message| matches!(message, Message::Resync { .. }) || is_ping(message));
     expect_that!(node.core.is_caught_up(), eq(true));
-    run(&mut node, S);
+    run(&mut node, 300 * MS);
+    let is_duty_request = |message: &Message| is_register_request(message, "duty/");
+    expect_that!(node.sent.iter().filter(|(_, message)| is_duty_request(message)).count(), ge(1));
+    // The databases are queried once the register has told which calls are recorded.
+    (0..6).for_each(|_| node.answer(is_duty_request));
     expect_that!(node.database_queries, ge(1));
 }
 
--- a/crates/wv-http/src/lib.rs
+++ b/crates/wv-http/src/lib.rs
@@ -127,17 +127,30 @@
     }
 }
 
-/// Sends one request on a new connection, without retries, and returns the status of the response.
+/// Timeouts of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Nothing is sent if the connection is not accepted within this.
+    pub connect: std::time::Duration,
+    /// The connection is closed if sent data is not acknowledged within this.
+    pub unacknowledged: std::time::Duration,
+    /// From the accepted connection to the head of the response.
+    pub response: std::time::Duration,
+}
+
+/// Sends one request on a new connection, without retries, and returns the status of the response. The request was
+/// not sent if the error is `HttpError::Connect`.
 pub async fn send_request(
     addr: std::net::SocketAddr,
     method: &str,
     path: &str,
     headers: &[(&str, String)],
     body: Vec<u8>,
-    timeout: std::time::Duration,
+    timeouts: Timeouts,
 ) -> Result<u16, HttpError> {
+    let stream = connect(addr, timeouts.connect).await.map_err(HttpError::Connect)?;
+    configure_stream(&stream, timeouts.unacknowledged);
     let exchange = async {
-        let stream = connect(addr, timeout).await.map_err(HttpError::Connect)?;
         let (mut sender, conn) = hyper::client::conn::http1::handshake(hyper_util::rt::TokioIo::new(stream)).await?;
         let driver = tokio::task::spawn_local(async move {
             let _ = conn.await;
@@ -154,5 +167,5 @@
         driver.abort();
         Ok(response?.status().as_u16())
     };
-    tokio::time::timeout(timeout, exchange).await.unwrap_or(Err(HttpError::Timeout))
+    tokio::time::timeout(timeouts.response, exchange).await.unwrap_or(Err(HttpError::Timeout))
 }
--- a/crates/wv-http/tests/at_most_once.rs
+++ b/crates/wv-http/tests/at_most_once.rs
@@ -5,6 +5,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const TIMEOUT: std::time::Duration = std::time::Duration::from_secs(4);
+const TIMEOUTS: wv_http::Timeouts = wv_http::Timeouts { connect: TIMEOUT, unacknowledged: TIMEOUT, response: TIMEOUT };
 const BODY: &[u8] = br#"{"destination":"s","id":"d1"}"#;
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 
@@ -79,7 +80,7 @@
 
 async fn post(addr: std::net::SocketAddr) -> Option<u16> {
     let headers = [("X-Duty-Holder", "c0".to_owned()), ("X-Fence-Number", "7".to_owned())];
-    wv_http::send_request(addr, "POST", "/promotion", &headers, BODY.to_vec(), TIMEOUT).await.ok()
+    wv_http::send_request(addr, "POST", "/promotion", &headers, BODY.to_vec(), TIMEOUTS).await.ok()
 }
 
 /// Sends one request to such a platform. Returns its status and what the platform received.
--- a/crates/wv-promotion/src/coordinator.rs
+++ b/crates/wv-promotion/src/coordinator.rs
@@ -1,11 +1,10 @@
 //! State of the promotion coordinator of one service, and its timers.
-use crate::events::replicas;
 use crate::step::{
-    Step, AGREEMENT_TIMEOUT_US, LEADER_POLL_INTERVAL_US, LEADER_TIMEOUT_US, REGISTER_TIMEOUT_US, RETRY_DELAY_MIN_US,
-    STATUS_TIMEOUT_US,
+    Purpose, Step, AGREEMENT_TIMEOUT_US, PROBE_DELAY_MAX_US, REGISTER_TIMEOUT_US, RETRY_DELAY_MAX_US,
+    RETRY_DELAY_MIN_US, STATUS_TIMEOUT_US,
 };
-use crate::StatusReply;
-use crate::{Effect, ServiceView};
+use crate::unresolved_calls::UnresolvedCalls;
+use crate::{BlockedReason, Effect, ServiceView, StatusReply};
 use std::collections::BTreeMap;
 
 /// Coordinates promotions of one service.
@@ -15,13 +14,20 @@
     pub(crate) fence: Option<u64>,
     pub(crate) statuses: BTreeMap<String, StatusReply>,
     pub(crate) queried: Vec<String>,
+    /// Replicas to resume in the end, and those that were suspended in this attempt.
     pub(crate) suspended: Vec<String>,
+    pub(crate) suspended_in_attempt: Vec<String>,
     /// The replica that was not suspended was queried again after the others were suspended.
     pub(crate) was_requeried: bool,
     /// The previous attempt was abandoned: query replicas before suspending them.
     pub(crate) must_query_first: bool,
-    /// The fence must be presented to the platform once the replicas were queried.
-    pub(crate) must_present_fence: bool,
+    pub(crate) purpose: Purpose,
+    /// Calls that may still take effect, of this process and of earlier duty holders.
+    pub(crate) unresolved: UnresolvedCalls,
+    /// The calls of earlier duty holders are known.
+    pub(crate) has_read_duty: bool,
+    /// When to look once more for calls and suspensions of a predecessor that did not know yet that it was replaced.
+    pub(crate) next_look_at: Option<u64>,
     pub(crate) term: u64,
     pub(crate) retry_delay_us: u64,
     /// A leaving primary that is being told to yield.
@@ -41,9 +47,13 @@
             statuses: BTreeMap::new(),
             queried: Vec::new(),
             suspended: Vec::new(),
+            suspended_in_attempt: Vec::new(),
             was_requeried: false,
             must_query_first: false,
-            must_present_fence: false,
+            purpose: Purpose::ReplaceLeader,
+            unresolved: UnresolvedCalls::default(),
+            has_read_duty: false,
+            next_look_at: None,
             term: 0,
             retry_delay_us: RETRY_DELAY_MIN_US,
             demotion: None,
@@ -95,50 +105,50 @@
             }
             return;
         }
-        // A new duty holder checks once for replicas that its predecessor left suspended.
-        if !std::mem::replace(&mut self.was_duty_holder, true) && self.is_idle() {
-            self.suspended = replicas(view);
-            return self.query_replicas(view);
-        }
+        self.was_duty_holder = true;
         let now = view.now;
+        self.unresolved.expire(view.leader, now);
         // Retry at once when the leader is closed to new work, which may unblock a planned switchover.
         let was_closed_to_new_work =
             std::mem::replace(&mut self.was_closed_to_new_work, view.is_leader_closed_to_new_work);
         let is_newly_closed_to_new_work = view.is_leader_closed_to_new_work && !was_closed_to_new_work;
         match self.step.clone() {
+            Step::Idle { until } if until <= now && !self.has_read_duty => self.read_duty(now),
+            Step::Idle { .. } if !self.has_read_duty => {}
             Step::Idle { until } if until <= now || is_newly_closed_to_new_work => self.start_if_needed(view),
+            Step::ReadingDuty { deadline } if deadline <= now => self.enter_idle(now),
+            Step::Settling { until } if until <= now => self.on_settled(view),
             Step::Probing { deadline } if deadline <= now => self.on_probe_failed(view),
-            Step::AwaitingAgreement { .. } if view.is_leader_down => self.claim_fence(now),
+            Step::AwaitingAgreement { .. } if view.is_leader_down => self.claim_fence(Purpose::ReplaceLeader, now),
             Step::AwaitingAgreement { deadline } if deadline <= now => self.enter_idle(now),
             Step::QueryingReplicas { deadline } if deadline <= now => self.on_replicas_queried(view),
             Step::SuspendingReplicas { deadline } if deadline <= now => self.on_replicas_suspended(view),
-            Step::AwaitingLeader { next, deadline, candidate } => {
-                if deadline <= now {
-                    self.abort_attempt(now);
-                } else if view.leader == Some(candidate.as_str()) {
-                    self.finish(&candidate, None, now);
-                } else if next <= now {
-                    self.effects.push(Effect::QueryStatus { id: candidate.clone() });
-                    self.step = Step::AwaitingLeader { candidate, next: now + LEADER_POLL_INTERVAL_US, deadline };
-                }
+            Step::AwaitingLeader { .. } => self.poll_candidate(view),
+            // The call was not confirmed in time, so it was not sent.
+            Step::ConfirmingFence { deadline, .. } | Step::ConfirmingPromotion { deadline, .. } if deadline <= now => {
+                self.drop_unsent_call();
+                self.abort_attempt(now)
             }
             Step::ClaimingFence { deadline }
-            | Step::ConfirmingFence { deadline, .. }
-            | Step::PresentingFence { deadline }
             | Step::QueryingPrimary { deadline, .. }
             | Step::Demoting { deadline, .. }
-            | Step::ConfirmingPromotion { deadline, .. }
                 if deadline <= now =>
             {
                 self.abort_attempt(now)
             }
-            // Without an answer the call may have succeeded: check whether the candidate became the leader.
-            Step::RequestingPromotion { deadline, candidate } if deadline <= now => self.await_leader(candidate, now),
+            // Without an answer the call may have succeeded: check whether the named database became the leader.
+            Step::PresentingFence { deadline, subject } if deadline <= now => self.on_no_answer(subject, view),
+            Step::RequestingPromotion { deadline, candidate } if deadline <= now => self.on_no_answer(candidate, view),
             _ => {}
         }
     }
 
     fn start_if_needed(&mut self, view: &ServiceView<'_>) {
+        if !self.unresolved.is_empty() {
+            return self.claim_fence(Purpose::ResolveCalls, view.now);
+        }
+        // The calls that replicas were suspended for have been resolved since.
+        self.resume_suspended(None);
         let Some(leader) = view.leader else { return };
         let database = view.databases.iter().find(|database| database.id == leader);
         let has_other = view.databases.iter().any(|database| database.id != leader && database.departed.is_none());
@@ -147,9 +157,10 @@
         }
         // A planned switchover starts at once; a leader reported as down is probed from here first.
         if view.is_switchover_requested || database.is_none_or(|database| database.is_draining) {
-            self.claim_fence(view.now);
+            self.claim_fence(Purpose::ReplaceLeader, view.now);
         } else if !view.is_leader_suspected {
             self.retry_delay_us = RETRY_DELAY_MIN_US;
+            self.look_again(view.now);
         } else {
             self.effects.push(Effect::QueryStatus { id: leader.to_owned() });
             self.enter(Step::Probing { deadline: view.now + STATUS_TIMEOUT_US });
@@ -159,38 +170,28 @@
     /// The probe failed: starts a promotion if other nodes agree that the leader is down.
     pub(crate) fn on_probe_failed(&mut self, view: &ServiceView<'_>) {
         if view.is_leader_down {
-            return self.claim_fence(view.now);
+            return self.claim_fence(Purpose::ReplaceLeader, view.now);
         }
         self.enter(Step::AwaitingAgreement { deadline: view.now + AGREEMENT_TIMEOUT_US });
     }
 
-    pub(crate) fn claim_fence(&mut self, now: u64) {
-        self.must_present_fence = false;
+    pub(crate) fn claim_fence(&mut self, purpose: Purpose, now: u64) {
+        self.purpose = purpose;
         self.effects.push(Effect::ClaimFence);
         self.enter(Step::ClaimingFence { deadline: now + REGISTER_TIMEOUT_US });
     }
 
-    pub(crate) fn query_replicas(&mut self, view: &ServiceView<'_>) {
-        self.statuses.clear();
-        self.was_requeried = false;
-        self.queried = replicas(view);
-        self.effects.extend(self.queried.iter().map(|id| Effect::QueryStatus { id: id.clone() }));
-        self.enter(Step::QueryingReplicas { deadline: view.now + STATUS_TIMEOUT_US });
-    }
-
-    pub(crate) fn await_leader(&mut self, candidate: String, now: u64) {
-        self.enter(Step::AwaitingLeader {
-            candidate,
-            next: now + LEADER_POLL_INTERVAL_US,
-            deadline: now + LEADER_TIMEOUT_US,
-        });
-    }
-
+    /// Announces the leader. While calls that name another database are unresolved, replicas stay suspended.
     pub(crate) fn finish(&mut self, id: &str, term: Option<u64>, now: u64) {
         self.effects.push(Effect::AnnounceLeader { id: id.to_owned(), term: term.unwrap_or(self.term + 1) });
         self.term = term.unwrap_or(self.term + 1);
         self.demotion = None;
-        self.resume_suspended(Some(id));
+        self.unresolved.expire(Some(id), now);
+        if self.unresolved.is_empty() {
+            self.resume_suspended(Some(id));
+        } else {
+            self.resume_named();
+        }
         self.enter_idle(now);
     }
 
@@ -201,4 +202,34 @@
             }
         }
     }
+
+    pub(crate) fn enter_idle(&mut self, now: u64) {
+        (self.retry_delay_us, self.must_query_first) = (RETRY_DELAY_MIN_US, false);
+        self.enter(Step::Idle { until: now + RETRY_DELAY_MIN_US });
+    }
+
+    pub(crate) fn enter_idle_with_backoff(&mut self, now: u64) {
+        self.retry_delay_us = (self.retry_delay_us * 2).min(PROBE_DELAY_MAX_US);
+        self.enter(Step::Idle { until: now + self.retry_delay_us });
+    }
+
+    pub(crate) fn report_blocked(&mut self, reason: BlockedReason, now: u64) {
+        self.effects.push(Effect::ReportBlocked(reason));
+        self.abort_attempt(now);
+    }
+
+    /// Abandons the attempt and schedules the next one. Replicas are resumed unless calls are unresolved.
+    pub(crate) fn abort_attempt(&mut self, now: u64) {
+        self.must_query_first = true;
+        if self.unresolved.is_empty() {
+            self.resume_suspended(None);
+        } else {
+            self.resume_named();
+        }
+        match self.unresolved.resolved_at() {
+            Some(until) => self.settle(until),
+            None => self.enter(Step::Idle { until: now + self.retry_delay_us }),
+        }
+        self.retry_delay_us = (self.retry_delay_us * 2).min(RETRY_DELAY_MAX_US);
+    }
 }
--- a/crates/wv-promotion/src/demotion.rs
+++ b/crates/wv-promotion/src/demotion.rs
@@ -57,9 +57,9 @@
         self.statuses.get(candidate).is_some_and(|reply| reply.is_ok_and(|status| status.received >= log_end))
     }
 
-    /// Confirms the fence before the platform is asked to promote the candidate.
+    /// Confirms the fence and records the call before the platform is asked to promote the candidate.
     pub(crate) fn confirm_promotion(&mut self, candidate: String, now: u64) {
-        self.effects.push(Effect::ConfirmFence);
+        self.record_call(&candidate);
         self.enter(Step::ConfirmingPromotion { candidate, deadline: now + REGISTER_TIMEOUT_US });
     }
 
--- a/crates/wv-promotion/src/lib.rs
+++ b/crates/wv-promotion/src/lib.rs
@@ -4,10 +4,15 @@
 mod coordinator;
 mod demotion;
 mod events;
+mod leader_wait;
+mod resolution;
+mod selection;
 mod step;
+mod unresolved_calls;
 
 pub use candidate::{choose_candidate, BlockedReason, Choice};
 pub use coordinator::PromotionCoordinator;
+pub use unresolved_calls::PromotionCall;
 
 use wv_wire_protocol::{DatabaseStatus, LogPosition};
 
@@ -61,10 +66,17 @@
 /// An action for the caller. `Continue`, `Yield`, `AnnounceLeader` and `ReportBlocked` are not answered by an event.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Effect {
+    /// Read which calls are recorded in the register.
+    ReadDuty,
     /// Claim the next fence in the register.
     ClaimFence,
     /// Confirm with a majority that this node still owns the fence.
     ConfirmFence,
+    /// The same, and record there that the platform will be asked to promote this database. A call that may be sent
+    /// is always recorded, so that a later duty holder learns of it.
+    RecordCall {
+        id: String,
+    },
     QueryStatus {
         id: String,
     },
@@ -108,17 +120,29 @@
 
 pub type StatusReply = Result<DatabaseStatus, StatusError>;
 
+/// A claimed fence.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct Claim {
+    pub fence: u64,
+    /// The calls that the register lists.
+    pub recorded: Vec<PromotionCall>,
+}
+
 /// The result of an effect.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Event {
-    /// The claimed fence, and whether another node may have held the duty before.
-    FenceClaimed(Option<(u64, bool)>),
+    /// The recorded calls, `None` if the register could not be read.
+    DutyRead(Option<Vec<PromotionCall>>),
+    /// The claimed fence, `None` if another node claimed it or no majority answered.
+    FenceClaimed(Option<Claim>),
+    /// The result of `ConfirmFence` or `RecordCall`. Also `false` if a confirmed call was not sent after all.
     FenceConfirmed(bool),
     /// The result of `QueryStatus`, `Suspend` or `Demote`.
-    Status {
-        id: String,
-        reply: StatusReply,
-    },
+    Status { id: String, reply: StatusReply },
     /// The HTTP status returned by the platform, `None` if it did not answer.
     PromotionReturned(Option<u16>),
+    /// The same for a call of an earlier step.
+    LateAnswer { fence: u64, status: Option<u16> },
+    /// A call of an earlier step was never sent.
+    CallNotSent { fence: u64 },
 }
--- a/crates/wv-promotion/src/step.rs
+++ b/crates/wv-promotion/src/step.rs
@@ -9,6 +9,8 @@
 /// Interval between status queries of a candidate that is being promoted.
 pub(crate) const LEADER_POLL_INTERVAL_US: u64 = 300_000;
 pub(crate) const LEADER_TIMEOUT_US: u64 = 2_500_000;
+/// Delay of a new duty holder's second look, longer than a predecessor takes to learn that it was replaced.
+pub(crate) const SECOND_LOOK_DELAY_US: u64 = 6_000_000;
 /// Bounds of the delay after an abandoned attempt.
 pub(crate) const RETRY_DELAY_MIN_US: u64 = 150_000;
 pub(crate) const RETRY_DELAY_MAX_US: u64 = 1_200_000;
@@ -20,6 +22,10 @@
     Idle {
         until: u64,
     },
+    /// A new duty holder reads which calls its predecessors recorded.
+    ReadingDuty {
+        deadline: u64,
+    },
     /// The duty holder probes a leader that other nodes report as down.
     Probing {
         deadline: u64,
@@ -33,13 +39,18 @@
     },
     /// The fence is being confirmed before it is presented to the platform.
     ConfirmingFence {
-        leader: String,
+        subject: String,
         deadline: u64,
     },
-    /// The new fence is presented to the platform, so that it rejects pending calls of a previous duty holder.
+    /// The new fence is presented to the platform by naming `subject`, so that it rejects calls under lower fences.
     PresentingFence {
+        subject: String,
         deadline: u64,
     },
+    /// Calls that the platform accepted before it saw the newest fence take effect by this time.
+    Settling {
+        until: u64,
+    },
     QueryingReplicas {
         deadline: u64,
     },
@@ -68,18 +79,29 @@
         candidate: String,
         next: u64,
         deadline: u64,
+        /// The platform has not answered: the call may take effect much later.
+        is_overdue: bool,
     },
 }
 
+/// Why a fence is claimed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Purpose {
+    ReplaceLeader,
+    /// To find out what became of unresolved calls, and to resume replicas that a predecessor left suspended.
+    ResolveCalls,
+}
+
 impl Step {
     /// Results that arrive from this time on are ignored.
     pub(crate) fn deadline(&self) -> Option<u64> {
         match self {
-            Step::Idle { .. } => None,
-            Step::Probing { deadline }
+            Step::Idle { .. } | Step::Settling { .. } => None,
+            Step::ReadingDuty { deadline }
+            | Step::Probing { deadline }
             | Step::AwaitingAgreement { deadline }
             | Step::ClaimingFence { deadline }
-            | Step::PresentingFence { deadline }
+            | Step::PresentingFence { deadline, .. }
             | Step::QueryingReplicas { deadline }
             | Step::SuspendingReplicas { deadline }
             | Step::ConfirmingFence { deadline, .. }
--- a/crates/wv-promotion/tests/demotion.rs
+++ b/crates/wv-promotion/tests/demotion.rs
@@ -1,6 +1,6 @@
 //! Replacing a leaving primary while a replica is unavailable: the effects of the coordinator for each event.
 use wv_promotion::{
-    BlockedReason, Database, Effect, Event, PromotionCoordinator, ServiceView, StatusError, StatusReply,
+    BlockedReason, Claim, Database, Effect, Event, PromotionCoordinator, ServiceView, StatusError, StatusReply,
 };
 use wv_wire_protocol::{DatabaseStatus, LogPosition};
 
@@ -22,12 +22,18 @@
     Effect::QueryStatus { id: id.to_owned() }
 }
 
+/// The fence is confirmed and the call of `c` recorded.
+fn record_call() -> Effect {
+    Effect::RecordCall { id: "c".to_owned() }
+}
+
 impl Scenario {
     /// Completes the initial query of a new duty holder.
     fn new(is_closed_to_new_work: bool) -> Scenario {
         let mut scenario =
             Scenario { coordinator: PromotionCoordinator::default(), now: S, is_closed_to_new_work, fence: 0 };
-        scenario.tick();
+        assert_eq!(scenario.tick(), [Effect::ReadDuty]);
+        assert_eq!(scenario.event(Event::DutyRead(Some(Vec::new()))), [query("c"), query("d")]);
         scenario.replica_statuses(8);
         scenario
     }
@@ -75,7 +81,8 @@
         self.now += 2 * S;
         assert_eq!(self.tick(), [Effect::ClaimFence]);
         self.fence += 1;
-        assert_eq!(self.event(Event::FenceClaimed(Some((self.fence, false)))), [query("c"), query("d")]);
+        let claim = Claim { fence: self.fence, ..Claim::default() };
+        assert_eq!(self.event(Event::FenceClaimed(Some(claim))), [query("c"), query("d")]);
         self.replica_statuses(number)
     }
 }
@@ -108,7 +115,7 @@
     assert_eq!(scenario.attempt(8), [query("p")]);
     assert_eq!(scenario.status_event("p", status(true, 3, 8)), [Effect::ConfirmFence]);
     assert_eq!(scenario.event(Event::FenceConfirmed(true)), [Effect::Demote { id: "p".to_owned(), term: 4 }]);
-    assert_eq!(scenario.status_event("p", status(false, 3, 8)), [Effect::ConfirmFence]);
+    assert_eq!(scenario.status_event("p", status(false, 3, 8)), [record_call()]);
     let post = Effect::RequestPromotion { id: "c".to_owned(), fence: scenario.fence };
     assert_eq!(scenario.event(Event::FenceConfirmed(true)), [post]);
 }
@@ -156,7 +163,7 @@
     assert_eq!(scenario.attempt(8), [query("p")]);
     assert_eq!(scenario.status_event("p", status(false, 3, 8)), [Effect::ConfirmFence]);
     assert!(has_external_call(&scenario.event(Event::FenceConfirmed(true))));
-    assert_eq!(scenario.status_event("p", status(false, 3, 8)), [Effect::ConfirmFence]);
+    assert_eq!(scenario.status_event("p", status(false, 3, 8)), [record_call()]);
 }
 
 #[test]
@@ -180,7 +187,7 @@
     // The platform rejects the call, and the primary sends nothing more.
     scenario.event(Event::FenceConfirmed(true));
     scenario.event(Event::PromotionReturned(Some(429)));
-    assert_eq!(scenario.attempt(8), [Effect::ConfirmFence]);
+    assert_eq!(scenario.attempt(8), [record_call()]);
     // A candidate that lacks part of the log is not promoted.
     let mut other = Scenario::new(true);
     other.attempt(8);
@@ -201,7 +208,7 @@
         scenario.status_event("p", status(true, 3, 8));
         scenario.event(Event::FenceConfirmed(true));
         let mut effects = scenario.status_event("p", status(false, 3, 8));
-        if effects == [Effect::ConfirmFence] {
+        if effects == [record_call()] {
             effects = scenario.event(Event::FenceConfirmed(true));
         }
         let fence = effects.iter().find_map(|effect| match effect {
@@ -223,7 +230,7 @@
         scenario.status_event("p", status(true, 3, 8));
         scenario.event(Event::FenceConfirmed(true));
         let effects = scenario.status_event("p", answer);
-        assert!(!effects.contains(&Effect::ConfirmFence), "{effects:?}");
+        assert!(!effects.contains(&Effect::ConfirmFence) && !effects.contains(&record_call()), "{effects:?}");
         assert!(!has_external_call(&effects));
     }
 }
--- a/crates/wv-promotion/tests/fence_model/mod.rs
+++ b/crates/wv-promotion/tests/fence_model/mod.rs
@@ -1,8 +1,11 @@
 //! Model of promotions under fences: the real coordinators of several nodes, an atomic register and a platform. Claims,
 //! confirmations, replies and calls may be delayed arbitrarily, which also models paused nodes. Handling of register
 //! replies stands for `duties.rs` of wv-control, the delay before a call for `database_calls.rs`.
+mod platform;
+mod register;
 mod steps;
-use wv_promotion::{Database, Effect, Event, PromotionCoordinator, ServiceView, StatusError};
+use register::RegisterRequest;
+use wv_promotion::{Database, Effect, Event, PromotionCall, PromotionCoordinator, ServiceView, StatusError};
 use wv_wire_protocol::{DatabaseStatus, LogPosition};
 
 /// Longer than any timeout or retry delay of a coordinator.
@@ -16,7 +19,7 @@
     Confirmation,
     /// A claim changes the owner but not the fence.
     FenceIncrement,
-    /// A new duty holder does not present its fence to the platform before it queries the replicas.
+    /// A duty holder does not learn which calls are recorded, so it does not present its fence to the platform.
     FencePresentation,
 }
 
@@ -64,6 +67,22 @@
     }
 }
 
+/// An event on its way to a node, with the step of the coordinator that requested it.
+#[derive(Clone, Debug)]
+struct PendingEvent {
+    step: u64,
+    event: Event,
+    /// What is delivered instead to a later step; nothing if there is none.
+    late: Option<Event>,
+}
+
+#[derive(Clone, Debug)]
+struct PendingCall {
+    step: u64,
+    id: String,
+    fence: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Node {
     coordinator: PromotionCoordinator,
@@ -74,10 +93,9 @@
     is_superseded: bool,
     /// The fence of its last claim.
     fence: u64,
-    /// Pending requests to the register: `true` for a claim, `false` for a confirmation.
-    register_requests: Vec<bool>,
-    events: Vec<Event>,
-    calls: Vec<(String, u64)>,
+    register_requests: Vec<(u64, RegisterRequest)>,
+    events: Vec<PendingEvent>,
+    calls: Vec<PendingCall>,
     /// When it last sent a request to the register.
     register_request_at: u64,
     leader: &'static str,
@@ -87,8 +105,9 @@
 pub struct World {
     setup: Setup,
     nodes: Vec<Node>,
-    /// The register: the fence and its owner.
+    /// The register: the fence, its owner, and the recorded calls.
     register: (u64, usize),
+    recorded: Vec<PromotionCall>,
     /// The highest fence that the platform has seen, and the owners of all fences it was called with.
     highest_seen: u64,
     owners: Vec<(u64, usize)>,
@@ -118,6 +137,7 @@
             setup,
             nodes: (0..setup.nodes).map(node).collect(),
             register: (0, usize::MAX),
+            recorded: Vec::new(),
             highest_seen: 0,
             owners: Vec::new(),
             fence_in_use: 0,
@@ -163,30 +183,40 @@
             busy_connections: 0,
             connections: 0,
         };
-        if matches!(effect, Effect::ClaimFence | Effect::ConfirmFence) {
+        if matches!(effect, Effect::ClaimFence | Effect::ConfirmFence | Effect::RecordCall { .. }) {
             self.nodes[at].register_request_at = self.nodes[at].now;
         }
+        let step = self.nodes[at].coordinator.step_number();
+        let is_confirmation = matches!(effect, Effect::ConfirmFence | Effect::RecordCall { .. });
+        if is_confirmation && self.setup.disabled == Disabled::Confirmation {
+            self.recorded = self.nodes[at].coordinator.unresolved_calls();
+            self.push_event(at, step, Event::FenceConfirmed(true));
+            return Ok(());
+        }
+        if is_confirmation && self.setup.calls_at_once {
+            let event = self.confirm(at, &self.record_request(at, &effect));
+            return self.with(at, |coordinator, view| coordinator.handle_event(event, view));
+        }
         match effect {
-            Effect::ClaimFence => self.nodes[at].register_requests.push(true),
-            Effect::ConfirmFence if self.setup.disabled == Disabled::Confirmation => {
-                self.nodes[at].events.push(Event::FenceConfirmed(true));
+            Effect::ReadDuty => {
+                let recorded = self.recorded_calls();
+                self.push_event(at, step, Event::DutyRead(Some(recorded)));
             }
-            Effect::ConfirmFence if self.setup.calls_at_once => {
-                let is_own = self.register == (self.nodes[at].fence, at);
-                return self
-                    .with(at, |coordinator, view| coordinator.handle_event(Event::FenceConfirmed(is_own), view));
+            Effect::ClaimFence => self.nodes[at].register_requests.push((step, RegisterRequest::Claim)),
+            Effect::ConfirmFence | Effect::RecordCall { .. } => {
+                let request = self.record_request(at, &effect);
+                self.nodes[at].register_requests.push((step, request));
             }
-            Effect::ConfirmFence => self.nodes[at].register_requests.push(false),
             // The old primary is down for good; the other database answers.
             Effect::QueryStatus { id } | Effect::Suspend { id, .. } => {
                 let reply = if id == "r" { Ok(status(self.leader == "r")) } else { Err(StatusError::Refused) };
-                self.nodes[at].events.push(Event::Status { id, reply });
+                self.push_event(at, step, Event::Status { id, reply });
             }
             Effect::RequestPromotion { id, fence } => {
                 if self.nodes[at].now - self.nodes[at].register_request_at >= TIMEOUT_US {
                     return Err("a call follows a confirmation that arrived after its deadline".to_owned());
                 }
-                self.nodes[at].calls.push((id, fence));
+                self.nodes[at].calls.push(PendingCall { step, id, fence });
                 if self.setup.calls_at_once {
                     return self.call(at, self.nodes[at].calls.len() - 1);
                 }
@@ -207,44 +237,4 @@
             self.fence_in_use = self.fence_in_use.max(self.nodes[at].fence);
         }
     }
-
-    fn decide(&mut self, at: usize, is_claim: bool) {
-        let node = &mut self.nodes[at];
-        let index = node.register_requests.iter().position(|request| *request == is_claim);
-        node.register_requests.remove(index.unwrap_or(0));
-        if !is_claim {
-            return node.events.push(Event::FenceConfirmed(self.register == (node.fence, at)));
-        }
-        let before = self.register.0;
-        let is_succession = before > 0 && node.fence != before && self.setup.disabled != Disabled::FencePresentation;
-        let fence = if self.setup.disabled == Disabled::FenceIncrement { before.max(1) } else { before + 1 };
-        (self.register, node.fence) = ((fence, at), fence);
-        node.events.push(Event::FenceClaimed(Some((fence, is_succession))));
-    }
-
-    fn call(&mut self, at: usize, index: usize) -> Result<(), String> {
-        let (id, fence) = self.nodes[at].calls.remove(index);
-        if self.owners.iter().any(|(known, owner)| *known == fence && *owner != at) {
-            return Err(format!("two nodes call with fence {fence}"));
-        }
-        self.owners.push((fence, at));
-        self.owners.sort();
-        self.owners.dedup();
-        if self.setup.checks_fences && fence < self.highest_seen {
-            self.nodes[at].events.push(Event::PromotionReturned(Some(409)));
-            return Ok(());
-        }
-        if fence < self.highest_seen {
-            return Err(format!("fence {fence} is sent after fence {}", self.highest_seen));
-        }
-        if fence < self.fence_in_use {
-            return Err(format!("fence {fence} is accepted after fence {} was in use", self.fence_in_use));
-        }
-        self.highest_seen = fence;
-        if id == "r" {
-            self.leader = "r";
-        }
-        self.nodes[at].events.push(Event::PromotionReturned(Some(200)));
-        Ok(())
-    }
 }
--- a/crates/wv-promotion/tests/fence_model/steps.rs
+++ b/crates/wv-promotion/tests/fence_model/steps.rs
@@ -1,15 +1,19 @@
 //! Steps of the model between nodes, register and platform.
+use super::register::RegisterRequest;
 use super::{Step, World, TIMEOUT_US};
 use std::hash::Hasher;
 use wv_promotion::Event;
 
 fn describe(event: &Event) -> String {
     match event {
-        Event::FenceClaimed(claimed) => format!("its claim of fence {}", claimed.map_or(0, |claimed| claimed.0)),
+        Event::DutyRead(_) => "the recorded calls".to_owned(),
+        Event::FenceClaimed(claim) => format!("its claim of fence {}", claim.as_ref().map_or(0, |claim| claim.fence)),
         Event::FenceConfirmed(true) => "the confirmation of its fence".to_owned(),
         Event::FenceConfirmed(false) => "the rejection of its fence".to_owned(),
         Event::Status { id, .. } => format!("the status of {id}"),
         Event::PromotionReturned(code) => format!("{}", code.unwrap_or(0)),
+        Event::LateAnswer { fence, status } => format!("{} late, for fence {fence}", status.unwrap_or(0)),
+        Event::CallNotSent { fence } => format!("that its call of fence {fence} was not sent"),
     }
 }
 
@@ -25,12 +29,20 @@
             steps.extend(
                 [true, false]
                     .into_iter()
-                    .filter(|kind| node.register_requests.contains(kind))
-                    .map(|kind| Step::Decide(at, kind)),
+                    .filter(|is_claim| {
+                        node.register_requests
+                            .iter()
+                            .any(|(_, request)| (*request == RegisterRequest::Claim) == *is_claim)
+                    })
+                    .map(|is_claim| Step::Decide(at, is_claim)),
             );
-            steps
-                .extend(node.events.iter().enumerate().map(|(index, event)| Step::Deliver(at, index, describe(event))));
-            steps.extend(node.calls.iter().enumerate().map(|(index, call)| Step::Call(at, index, call.1)));
+            steps.extend(
+                node.events
+                    .iter()
+                    .enumerate()
+                    .map(|(index, pending)| Step::Deliver(at, index, describe(&pending.event))),
+            );
+            steps.extend(node.calls.iter().enumerate().map(|(index, call)| Step::Call(at, index, call.fence)));
         }
         steps
     }
@@ -58,8 +70,11 @@
                 Ok(())
             }
             Step::Deliver(at, index, _) => {
-                let event = self.nodes[*at].events.remove(*index);
-                self.with(*at, |coordinator, view| coordinator.handle_event(event, view))
+                // An event counts only in the step that requested it, as in `duties.rs` of wv-control.
+                let pending = self.nodes[*at].events.remove(*index);
+                let is_current = pending.step == self.nodes[*at].coordinator.step_number();
+                let event = if is_current { Some(pending.event) } else { pending.late };
+                event.map_or(Ok(()), |event| self.with(*at, |coordinator, view| coordinator.handle_event(event, view)))
             }
             Step::Call(at, index, _) => self.call(*at, *index),
             Step::Timeout(at) => {
@@ -74,7 +89,7 @@
 
     fn digest(&self, hasher: &mut dyn Hasher) {
         let rest = (
-            self.register,
+            (self.register, &self.recorded),
             self.highest_seen,
             &self.owners,
             self.fence_in_use,
--- a/crates/wv-promotion/tests/model_fence.rs
+++ b/crates/wv-promotion/tests/model_fence.rs
@@ -25,22 +25,36 @@
     expect_that!(result.violation.map(|found| found.fault), none(), "{name}");
 }
 
-/// The steps from a node becoming duty holder to the decision of its claim by the register.
-fn claim_steps(node: &str) -> Vec<String> {
-    let steps =
-        ["{} ticks", "{} receives the status of r", "{} ticks", "{} receives the status of p", "{}'s claim is decided"];
-    steps.iter().map(|step| step.replace("{}", node)).collect()
+/// The steps from a node becoming duty holder to the decision of its claim by the register, if no call is recorded.
+const CLAIM_STEPS: [&str; 6] = [
+    "{} ticks",
+    "{} receives the recorded calls",
+    "{} receives the status of r",
+    "{} ticks",
+    "{} receives the status of p",
+    "{}'s claim is decided",
+];
+
+/// The same if a call is recorded: the node claims the fence at once.
+const TAKEOVER_STEPS: [&str; 4] =
+    ["{} ticks", "{} receives the recorded calls", "{} receives the status of r", "{}'s claim is decided"];
+
+/// Expands `claim n0` and `takeover n0`.
+fn expand(step: &str) -> Vec<String> {
+    let for_node = |steps: &[&str], node: &str| steps.iter().map(|step| step.replace("{}", node)).collect();
+    let claim = step.strip_prefix("claim ").map(|node| for_node(&CLAIM_STEPS, node));
+    let takeover = step.strip_prefix("takeover ").map(|node| for_node(&TAKEOVER_STEPS, node));
+    claim.or(takeover).unwrap_or_else(|| vec![step.to_owned()])
 }
 
-/// Asserts the expected violation and the shortest steps to it. `claim n0` stands for `claim_steps("n0")`.
+/// Asserts the expected violation and the shortest steps to it.
 fn assert_violation(setup: Setup, fault: &str, expected_steps: &[&str]) {
     let result = search(World::new(setup), SearchLimits { depth: 99, states: 100_000 });
     println!("{}", result.summary(&format!("disabled {:?}", setup.disabled)));
     let Some(found) = result.violation else { panic!("no violation with {:?} disabled", setup.disabled) };
     let steps: Vec<String> = found.steps.iter().map(|step| format!("{step:?}")).collect();
     expect_that!(found.fault, eq(fault));
-    let expand = |reply: &&str| reply.strip_prefix("claim ").map_or(vec![(*reply).to_owned()], claim_steps);
-    expect_that!(steps, eq(&expected_steps.iter().flat_map(expand).collect::<Vec<String>>()));
+    expect_that!(steps, eq(&expected_steps.iter().flat_map(|step| expand(step)).collect::<Vec<String>>()));
 }
 
 #[gtest]
@@ -73,7 +87,7 @@
             "n0's confirmation is read",
             "n0 receives the confirmation of its fence",
             "the duty moves to n1",
-            "claim n1",
+            "takeover n1",
             "n1 receives its claim of fence 2",
             "n1 receives the status of r",
             "n1's confirmation is read",
@@ -104,7 +118,7 @@
             "n0 receives its claim of fence 1",
             "n0 receives the status of r",
             "the duty moves to n1",
-            "claim n1",
+            "takeover n1",
             "n1 receives its claim of fence 2",
             "n1 receives the status of r",
             "n1 receives the confirmation of its fence",
@@ -125,7 +139,7 @@
             "n0's confirmation is read",
             "n0 receives the confirmation of its fence",
             "the duty moves to n1",
-            "claim n1",
+            "takeover n1",
             "n1 receives its claim of fence 1",
             "n0 calls with fence 1",
             "n1 receives the status of r",
--- a/crates/wv-simulation/src/admin.rs
+++ b/crates/wv-simulation/src/admin.rs
@@ -1,7 +1,6 @@
-//! Status lines, node additions, configurations, control API calls and the platform's promotion endpoint.
+//! Status lines, node additions, configurations and control API calls.
 use crate::nodes::ControlNode;
 use crate::simulation::{Event, Simulation};
-use crate::MS;
 
 impl Simulation {
     /// One line for each database's role and for each access node's routing state of a database.
@@ -94,32 +93,6 @@
         self.access.iter_mut().filter_map(|node| node.core.as_mut()).for_each(|core| core.set_slow_start(plan));
     }
 
-    pub(crate) fn call_promotion(&mut self, control: usize, request: u64, service: String, (id, fence): (String, u64)) {
-        let database = self.database_index(&id);
-        let seen = self.fences.get(&service).copied().unwrap_or(0);
-        let code = match database.map(|at| &self.databases[at]) {
-            _ if self.is_platform_down => None,
-            _ if fence < seen => Some(409),
-            Some(instance) if instance.is_primary => Some(200),
-            Some(instance) if instance.is_up && !instance.is_unreachable => Some(200),
-            _ => Some(409),
-        };
-        if code.is_some() {
-            self.fences.insert(service.clone(), fence.max(seen));
-        }
-        self.log_event(format!("promotion of {id} under {fence}: {code:?}"));
-        let incarnation = self.controls[control].incarnation;
-        self.promotion_calls.push((service.clone(), id, fence, code));
-        self.promotion_callers.push((self.now, control, incarnation));
-        if let Some(database) = database.filter(|_| code == Some(200)) {
-            self.schedule(self.promotion_delay_us, Event::Promote { database });
-        }
-        self.schedule(
-            if code.is_some() { 3 * MS } else { 1200 * MS },
-            Event::PromotionResponse { control, incarnation, request, code },
-        );
-    }
-
     /// Sends an HTTP request of an operator or a database to a control node; returns the token of its response.
     pub fn call(&mut self, control: usize, method: &str, path: &str, body: &[u8]) -> u64 {
         let (method, path, body) = (method.to_owned(), path.to_owned(), body.to_vec());
--- a/crates/wv-simulation/src/events.rs
+++ b/crates/wv-simulation/src/events.rs
@@ -69,9 +69,7 @@
         request: u64,
         code: Option<u16>,
     },
-    Promote {
-        database: usize,
-    },
+    Platform(crate::platform::PlatformEvent),
     StatementDone {
         database: usize,
         connection_id: u64,
@@ -210,7 +208,7 @@
             Event::PromotionResponse { control, request, code, .. } => {
                 self.with_control(control, |core, now| core.on_promotion_response(request, code, now));
             }
-            Event::Promote { database } => self.promote(database),
+            Event::Platform(event) => self.handle_platform_event(event),
             Event::StatementDone { database, connection_id } => {
                 self.databases[database].busy.remove(&connection_id);
             }
--- a/crates/wv-simulation/src/lib.rs
+++ b/crates/wv-simulation/src/lib.rs
@@ -20,6 +20,7 @@
 mod oracle;
 mod partitions;
 mod peer_links;
+mod platform;
 mod replication;
 mod simulation;
 mod split_checks;
--- a/crates/wv-simulation/src/simulation.rs
+++ b/crates/wv-simulation/src/simulation.rs
@@ -41,6 +41,13 @@
     pub fences: BTreeMap<String, u64>,
     pub promotion_calls: Vec<(String, String, u64, Option<u16>)>,
     pub is_platform_down: bool,
+    /// How long the platform takes until it works on a call.
+    pub platform_delay_us: u64,
+    /// The platform works on calls, but its answers are lost.
+    pub is_platform_losing_answers: bool,
+    /// When the platform has worked on all calls that have arrived.
+    pub platform_busy_until_us: u64,
+    /// Time from the platform's answer until the named database leads.
     pub promotion_delay_us: u64,
     /// Pairs of processes between which messages are lost.
     pub dropped_links: BTreeSet<(String, String)>,
@@ -117,6 +124,9 @@
             fences: BTreeMap::new(),
             promotion_calls: Vec::new(),
             is_platform_down: false,
+            platform_delay_us: 0,
+            is_platform_losing_answers: false,
+            platform_busy_until_us: 0,
             promotion_delay_us: 300 * MS,
             dropped_links: BTreeSet::new(),
             dropped_one_way: BTreeSet::new(),
