--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -1,6 +1,6 @@
 //! Duties held by this node: inputs to the promotion state machines and execution of their effects.
 use crate::core::{Core, Effect};
-use crate::types::{Operation, PendingRequest};
+use crate::types::{Operation, PendingRequest, RequestPurpose};
 use wv_internal_protocol::{FeedUpdate, Health, HealthReport, Leader, Message};
 use wv_promotion::{
     Database, Effect as PromotionEffect, Event, PromotionCoordinator, ServiceView, StatusError, StatusReply,
@@ -102,6 +102,13 @@
         affected.collect::<Vec<String>>().iter().for_each(|service| self.run_duty(service));
     }
 
+    /// Passes a heartbeat to the duty of the database's service.
+    pub(crate) fn on_database_reported(&mut self, instance: &wv_internal_protocol::Instance) {
+        if !instance.gone && self.duties.get(&instance.service).is_some_and(|duty| duty.has_unresolved_calls()) {
+            self.with_duty(&instance.service, |duty, view| duty.on_database_reported(&instance.id, view));
+        }
+    }
+
     pub(crate) fn duty_step(&self, service: &str) -> u64 {
         self.duties.get(service).map_or(0, PromotionCoordinator::step_number)
     }
@@ -115,7 +122,8 @@
 
     pub(crate) fn track_request(&mut self, service: &str, id: &str, step: u64) -> u64 {
         let request = self.allocate_id();
-        let pending = PendingRequest { service: service.to_owned(), id: id.to_owned(), step, fence: 0 };
+        let pending =
+            PendingRequest { service: service.to_owned(), id: id.to_owned(), step, purpose: RequestPurpose::Status };
         self.platform_calls.requests.insert(request, pending);
         request
     }
@@ -126,14 +134,14 @@
         match effect {
             PromotionEffect::ReadDuty => self.read_duty(service),
             PromotionEffect::ClaimFence => self.claim_duty(service),
-            PromotionEffect::RecordCall { .. } => self.record_call(service),
+            PromotionEffect::RecordCall { .. } | PromotionEffect::RecordResolution => self.record_calls(service),
             PromotionEffect::ConfirmFence => {
                 self.platform_calls.confirm_started.insert(service.to_owned(), self.now);
                 self.start_duty_op(service, Operation::ConfirmDuty(service.to_owned(), step), None);
             }
             PromotionEffect::QueryStatus { id } => self.send_db_request(service, id, "ENQUIRY".to_owned(), step),
             PromotionEffect::Suspend { id, term } => self.send_db_request(service, id, format!("SUSPEND {term}"), step),
-            PromotionEffect::Continue { id } => self.send_db_request(service, id, "CONTINUE".to_owned(), 0),
+            PromotionEffect::Continue { id } => self.resume_replica(service, id),
             PromotionEffect::Yield { id, term } => self.send_db_request(service, id, format!("YIELD {term}"), 0),
             PromotionEffect::Demote { id, term } => self.send_db_request(service, id, format!("YIELD {term}"), step),
             PromotionEffect::RequestPromotion { id, fence } => self.request_promotion(service, id, fence),
@@ -174,15 +182,30 @@
         }
     }
 
+    /// Sends `CONTINUE`; its answer counts in whatever step it arrives.
+    fn resume_replica(&mut self, service: &str, id: String) {
+        let Some(addr) = self.table.get(&id).map(|instance| instance.address.clone()) else { return };
+        let request = self.track_request(service, &id, 0);
+        let pending = self.platform_calls.requests.get_mut(&request);
+        pending.into_iter().for_each(|pending| pending.purpose = RequestPurpose::Resume);
+        let (service, statement) = (service.to_owned(), "CONTINUE".to_owned());
+        self.effects.push(Effect::QueryDatabase { request, service, id, addr, statement });
+    }
+
     /// Handles a database's status reply, or the failure to get one.
     pub fn on_db_status(&mut self, request: u64, reply: StatusReply, now: u64) {
         self.advance_clock(now);
-        let Some(PendingRequest { service, id, step, .. }) = self.platform_calls.requests.remove(&request) else {
+        let Some(PendingRequest { service, id, step, purpose }) = self.platform_calls.requests.remove(&request) else {
             return;
         };
         log::info!("duty {service}: status of {id}: {reply:?}");
         self.record_departure_reply(&id, reply);
-        self.on_duty_event(&service, step, Event::Status { id, reply });
+        match purpose {
+            RequestPurpose::Resume => {
+                self.with_duty(&service, |duty, view| duty.handle_event(Event::Resumed { id, reply }, view))
+            }
+            _ => self.on_duty_event(&service, step, Event::Status { id, reply }),
+        }
         self.run_proposer();
     }
 }
--- a/crates/wv-control/src/duty_register.rs
+++ b/crates/wv-control/src/duty_register.rs
@@ -8,7 +8,7 @@
 use nanoserde::{DeBin, SerBin};
 use wv_consensus::{OperationOutcome, UpdateFn};
 use wv_internal_protocol::RegisterValue;
-use wv_promotion::{Claim, Event, PromotionCall};
+use wv_promotion::{DutyState, Event, PromotionCall};
 
 /// First byte of a value that lists calls. Values of earlier builds are the bare address of the holder.
 const FORMAT_TAG: u8 = 1;
@@ -49,6 +49,10 @@
         wv_consensus::register_value(fence, bytes)
     }
 
+    fn into_state(self, fence: u64) -> DutyState {
+        DutyState { fence, recorded: self.into_calls() }
+    }
+
     fn into_calls(self) -> Vec<PromotionCall> {
         self.calls.into_iter().map(|call| PromotionCall { id: call.id, fence: call.fence }).collect()
     }
@@ -72,11 +76,11 @@
     }
 
     pub(crate) fn on_duty_read(&mut self, service: String, step: u64, outcome: OperationOutcome) {
-        let recorded = match outcome {
-            OperationOutcome::Read(value) => Some(DutyRecord::read(&value).into_calls()),
+        let state = match outcome {
+            OperationOutcome::Read(value) => Some(DutyRecord::read(&value).into_state(value.version)),
             _ => None,
         };
-        self.on_duty_event(&service, step, Event::DutyRead(recorded));
+        self.on_duty_event(&service, step, Event::DutyRead(state));
     }
 
     /// Claims the duty with one register write: the next fence under this node's name. Fences are unique per write.
@@ -102,15 +106,16 @@
             _ => None,
         };
         let own = written.filter(|(_, record)| record.holder == self.address);
-        let claim = own.map(|(fence, record)| Claim { fence, recorded: record.into_calls() });
+        let claim = own.map(|(fence, record)| record.into_state(fence));
         if let Some(claim) = &claim {
             self.fences.insert(service.clone(), claim.fence);
         }
         self.on_duty_event(&service, step, Event::FenceClaimed(claim));
     }
 
-    /// Records a call that is about to be sent, if this node still holds the duty under its latest fence.
-    pub(crate) fn record_call(&mut self, service: &str) {
+    /// Records the calls that are unresolved or about to be sent, if this node still holds the duty under its latest
+    /// fence.
+    pub(crate) fn record_calls(&mut self, service: &str) {
         self.platform_calls.confirm_started.insert(service.to_owned(), self.now);
         let (holder, fence) = (self.address.clone(), self.fences.get(service).copied());
         let unresolved = self.duties.get(service).map(|duty| duty.unresolved_calls()).unwrap_or_default();
--- a/crates/wv-control/src/heartbeats.rs
+++ b/crates/wv-control/src/heartbeats.rs
@@ -69,6 +69,7 @@
         let changed = self.table.merge(instance.clone());
         self.record_leave_time(&instance, ReportSource::Database);
         self.publish_instances(&changed, true);
+        self.on_database_reported(&instance);
         // An unchanged heartbeat also names the leader if none is known.
         self.update_leader(&instance, false);
         if !is_leave && !changed.is_empty() {
@@ -153,6 +154,7 @@
         let changed = self.table.merge(instance.clone());
         self.record_leave_time(&instance, ReportSource::Peer);
         self.publish_instances(&changed, true);
+        self.on_database_reported(&instance);
     }
 
     pub(crate) fn list_instances(&mut self, token: u64) {
--- a/crates/wv-control/src/platform_calls.rs
+++ b/crates/wv-control/src/platform_calls.rs
@@ -1,7 +1,7 @@
 //! Calls to the platform: rate limited, and sent only while the fence is confirmed by a majority. If the platform does
 //! not check fences, this alone keeps a call of an old duty holder from arriving after one of the new holder.
 use crate::core::{Core, Effect};
-use crate::types::Operation;
+use crate::types::{Operation, RequestPurpose};
 use std::collections::BTreeMap;
 use wv_consensus::OperationOutcome;
 use wv_internal_protocol::{FeedUpdate, Message};
@@ -65,7 +65,9 @@
         }
         let step = self.duty_step(service);
         let request = self.track_request(service, &id, step);
-        self.platform_calls.requests.get_mut(&request).into_iter().for_each(|pending| pending.fence = fence);
+        self.platform_calls.requests.get_mut(&request).into_iter().for_each(|pending| {
+            pending.purpose = RequestPurpose::Promotion { fence };
+        });
         let wait = self.platform_calls.limiter.reserve(self.now);
         let confirm_started = self.platform_calls.confirm_started.get(service).copied().unwrap_or(0);
         if wait == 0 && confirm_started + CONFIRMATION_VALIDITY_US > self.now {
@@ -119,7 +121,7 @@
         let event = if pending.step == self.duty_step(&pending.service) {
             Event::FenceConfirmed(false)
         } else {
-            Event::CallNotSent { fence: pending.fence }
+            Event::CallNotSent { fence: pending.fence() }
         };
         self.with_duty(&pending.service, |duty, view| duty.handle_event(event, view));
     }
@@ -140,7 +142,7 @@
         let event = if pending.step == self.duty_step(&pending.service) {
             Event::PromotionReturned(status)
         } else {
-            Event::LateAnswer { fence: pending.fence, status }
+            Event::LateAnswer { fence: pending.fence(), status }
         };
         self.with_duty(&pending.service, |duty, view| duty.handle_event(event, view));
         self.run_proposer();
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -107,8 +107,28 @@
     pub service: String,
     pub id: String,
     pub step: u64,
-    /// The fence of a call to the platform, 0 for a request to a database.
-    pub fence: u64,
+    pub purpose: RequestPurpose,
+}
+
+impl PendingRequest {
+    /// The fence of a call to the platform.
+    pub fn fence(&self) -> u64 {
+        match self.purpose {
+            RequestPurpose::Promotion { fence } => fence,
+            RequestPurpose::Status | RequestPurpose::Resume => 0,
+        }
+    }
+}
+
+/// What a request of a duty is for.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum RequestPurpose {
+    /// A status row, whatever the statement does besides.
+    Status,
+    /// `CONTINUE`.
+    Resume,
+    /// A call to the platform under this fence.
+    Promotion { fence: u64 },
 }
 
 /// A register operation in progress.
--- a/crates/wv-promotion/src/coordinator.rs
+++ b/crates/wv-promotion/src/coordinator.rs
@@ -1,4 +1,5 @@
 //! State of the promotion coordinator of one service, and its timers.
+use crate::resume::ReplicaStatements;
 use crate::step::{
     Purpose, Step, AGREEMENT_TIMEOUT_US, PROBE_DELAY_MAX_US, REGISTER_TIMEOUT_US, RETRY_DELAY_MAX_US,
     RETRY_DELAY_MIN_US, STATUS_TIMEOUT_US,
@@ -24,6 +25,9 @@
     pub(crate) purpose: Purpose,
     /// Calls that may still take effect, of this process and of earlier duty holders.
     pub(crate) unresolved: UnresolvedCalls,
+    /// The register lists calls under the fence of this node.
+    pub(crate) has_recorded_calls: bool,
+    pub(crate) statements: ReplicaStatements,
     /// The calls of earlier duty holders are known.
     pub(crate) has_read_duty: bool,
     /// When to look once more for calls and suspensions of a predecessor that did not know yet that it was replaced.
@@ -52,6 +56,8 @@
             must_query_first: false,
             purpose: Purpose::ReplaceLeader,
             unresolved: UnresolvedCalls::default(),
+            has_recorded_calls: false,
+            statements: ReplicaStatements::default(),
             has_read_duty: false,
             next_look_at: None,
             term: 0,
@@ -108,6 +114,7 @@
         self.was_duty_holder = true;
         let now = view.now;
         self.unresolved.expire(view.leader, now);
+        self.keep_unnamed_suspended(view);
         // Retry at once when the leader is closed to new work, which may unblock a planned switchover.
         let was_closed_to_new_work =
             std::mem::replace(&mut self.was_closed_to_new_work, view.is_leader_closed_to_new_work);
@@ -130,14 +137,15 @@
                 self.abort_attempt(now)
             }
             Step::ClaimingFence { deadline }
+            | Step::PresentingFence { deadline }
             | Step::QueryingPrimary { deadline, .. }
             | Step::Demoting { deadline, .. }
                 if deadline <= now =>
             {
                 self.abort_attempt(now)
             }
+            Step::ConfirmingResume { until, deadline } if deadline <= now => self.enter(Step::Idle { until }),
             // Without an answer the call may have succeeded: check whether the named database became the leader.
-            Step::PresentingFence { deadline, subject } if deadline <= now => self.on_no_answer(subject, view),
             Step::RequestingPromotion { deadline, candidate } if deadline <= now => self.on_no_answer(candidate, view),
             _ => {}
         }
@@ -147,8 +155,9 @@
         if !self.unresolved.is_empty() {
             return self.claim_fence(Purpose::ResolveCalls, view.now);
         }
-        // The calls that replicas were suspended for have been resolved since.
-        self.resume_suspended(None);
+        if self.resume_remaining(view) {
+            return;
+        }
         let Some(leader) = view.leader else { return };
         let database = view.databases.iter().find(|database| database.id == leader);
         let has_other = view.databases.iter().any(|database| database.id != leader && database.departed.is_none());
@@ -187,20 +196,20 @@
         self.term = term.unwrap_or(self.term + 1);
         self.demotion = None;
         self.unresolved.expire(Some(id), now);
-        if self.unresolved.is_empty() {
-            self.resume_suspended(Some(id));
-        } else {
-            self.resume_named();
-        }
-        self.enter_idle(now);
+        // The promotion has ended the suspension of the new leader.
+        self.suspended.retain(|suspended| suspended != id);
+        self.conclude_attempt(now);
     }
 
-    pub(crate) fn resume_suspended(&mut self, except: Option<&str>) {
-        for id in std::mem::take(&mut self.suspended) {
-            if Some(id.as_str()) != except {
-                self.effects.push(Effect::Continue { id });
-            }
+    /// Ends an attempt that needs no other one soon.
+    pub(crate) fn conclude_attempt(&mut self, now: u64) {
+        (self.retry_delay_us, self.must_query_first) = (RETRY_DELAY_MIN_US, false);
+        let until = now + RETRY_DELAY_MIN_US;
+        if self.unresolved.is_empty() {
+            return self.end_attempt(until, now);
         }
+        self.resume_named(now);
+        self.enter(Step::Idle { until });
     }
 
     pub(crate) fn enter_idle(&mut self, now: u64) {
@@ -221,15 +230,15 @@
     /// Abandons the attempt and schedules the next one. Replicas are resumed unless calls are unresolved.
     pub(crate) fn abort_attempt(&mut self, now: u64) {
         self.must_query_first = true;
+        let until = now + self.retry_delay_us;
+        self.retry_delay_us = (self.retry_delay_us * 2).min(RETRY_DELAY_MAX_US);
         if self.unresolved.is_empty() {
-            self.resume_suspended(None);
-        } else {
-            self.resume_named();
+            return self.end_attempt(until, now);
         }
+        self.resume_named(now);
         match self.unresolved.resolved_at() {
-            Some(until) => self.settle(until),
-            None => self.enter(Step::Idle { until: now + self.retry_delay_us }),
+            Some(resolved_at) => self.settle(resolved_at),
+            None => self.enter(Step::Idle { until }),
         }
-        self.retry_delay_us = (self.retry_delay_us * 2).min(RETRY_DELAY_MAX_US);
     }
 }
--- a/crates/wv-promotion/src/events.rs
+++ b/crates/wv-promotion/src/events.rs
@@ -16,6 +16,7 @@
                 return self.unresolved.on_outcome(fence, CallOutcome::from_status(status), view.leader, now);
             }
             Event::CallNotSent { fence } => return self.unresolved.remove(fence),
+            Event::Resumed { id, reply } => return self.statements.on_resume_answered(&id, reply, now),
             _ => {}
         }
         // Nothing is continued after the duty was lost. A process that was paused may handle results before its timers:
@@ -29,7 +30,10 @@
                 Ok(_) => self.enter_idle_with_backoff(now),
                 Err(_) => self.on_probe_failed(view),
             },
-            (Step::ReadingDuty { .. }, Event::DutyRead(recorded)) => self.on_duty_read(recorded, view),
+            (Step::ReadingDuty { .. }, Event::DutyRead(state)) => self.on_duty_read(state, view),
+            (Step::ConfirmingResume { until, .. }, Event::FenceConfirmed(is_confirmed)) => {
+                self.on_resume_confirmed(is_confirmed, until, now)
+            }
             (Step::ClaimingFence { .. }, Event::FenceClaimed(Some(claim))) => {
                 self.fence = Some(claim.fence);
                 self.unresolved.restore(claim.recorded);
@@ -37,9 +41,9 @@
                 self.query_or_suspend(view);
             }
             (Step::ClaimingFence { .. }, Event::FenceClaimed(None)) => self.abort_attempt(now),
-            (Step::PresentingFence { subject, .. }, Event::PromotionReturned(status)) => {
+            (Step::PresentingFence { .. }, Event::PromotionReturned(status)) => {
                 let outcome = self.note_answer(status, view);
-                self.on_fence_presented(subject, outcome, view);
+                self.on_fence_presented(outcome, view);
             }
             (Step::QueryingReplicas { .. }, Event::Status { id, reply }) if self.queried.contains(&id) => {
                 self.statuses.insert(id, reply);
@@ -48,6 +52,9 @@
                 }
             }
             (Step::SuspendingReplicas { .. }, Event::Status { id, reply }) if self.queried.contains(&id) => {
+                if reply.is_ok() {
+                    self.statements.on_suspend_answered(&id);
+                }
                 self.statuses.insert(id, reply);
                 if self.queried.iter().all(|id| self.statuses.contains_key(id)) {
                     self.on_replicas_suspended(view);
@@ -62,10 +69,10 @@
             (Step::Demoting { candidate, .. }, Event::Status { id, reply }) if Some(id.as_str()) == view.leader => {
                 self.on_primary_demoted(candidate, reply, view)
             }
-            (Step::ConfirmingFence { subject, .. }, Event::FenceConfirmed(true)) => {
+            (Step::ConfirmingFence { leader, .. }, Event::FenceConfirmed(true)) => {
                 if let Some(fence) = self.fence {
-                    self.effects.push(Effect::RequestPromotion { id: subject.clone(), fence });
-                    self.enter(Step::PresentingFence { subject, deadline: now + PROMOTION_CALL_TIMEOUT_US });
+                    self.effects.push(Effect::RequestPromotion { id: leader, fence });
+                    self.enter(Step::PresentingFence { deadline: now + PROMOTION_CALL_TIMEOUT_US });
                 }
             }
             (Step::ConfirmingPromotion { candidate, .. }, Event::FenceConfirmed(true)) => {
--- a/crates/wv-promotion/src/leader_wait.rs
+++ b/crates/wv-promotion/src/leader_wait.rs
@@ -26,9 +26,6 @@
             return;
         }
         self.effects.push(Effect::QueryStatus { id: candidate.clone() });
-        if is_overdue {
-            self.suspend_unnamed_again(view);
-        }
         self.step = Step::AwaitingLeader { candidate, next: now + LEADER_POLL_INTERVAL_US, deadline, is_overdue };
     }
 }
--- a/crates/wv-promotion/src/lib.rs
+++ b/crates/wv-promotion/src/lib.rs
@@ -6,6 +6,7 @@
 mod events;
 mod leader_wait;
 mod resolution;
+mod resume;
 mod selection;
 mod step;
 mod unresolved_calls;
@@ -63,7 +64,7 @@
     pub fenced_position: Option<(u64, LogPosition)>,
 }
 
-/// An action for the caller. `Continue`, `Yield`, `AnnounceLeader` and `ReportBlocked` are not answered by an event.
+/// An action for the caller. `Yield`, `AnnounceLeader` and `ReportBlocked` are not answered by an event.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Effect {
     /// Read which calls are recorded in the register.
@@ -77,6 +78,8 @@
     RecordCall {
         id: String,
     },
+    /// The same, and record which calls are still unresolved.
+    RecordResolution,
     QueryStatus {
         id: String,
     },
@@ -120,9 +123,9 @@
 
 pub type StatusReply = Result<DatabaseStatus, StatusError>;
 
-/// A claimed fence.
+/// The state of the duty's register.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
-pub struct Claim {
+pub struct DutyState {
     pub fence: u64,
     /// The calls that the register lists.
     pub recorded: Vec<PromotionCall>,
@@ -131,11 +134,11 @@
 /// The result of an effect.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Event {
-    /// The recorded calls, `None` if the register could not be read.
-    DutyRead(Option<Vec<PromotionCall>>),
+    /// The result of `ReadDuty`, `None` if the register could not be read.
+    DutyRead(Option<DutyState>),
     /// The claimed fence, `None` if another node claimed it or no majority answered.
-    FenceClaimed(Option<Claim>),
-    /// The result of `ConfirmFence` or `RecordCall`. Also `false` if a confirmed call was not sent after all.
+    FenceClaimed(Option<DutyState>),
+    /// The result of `ConfirmFence`, `RecordCall` or `RecordResolution`. Also `false` if a confirmed call was not sent after all.
     FenceConfirmed(bool),
     /// The result of `QueryStatus`, `Suspend` or `Demote`.
     Status { id: String, reply: StatusReply },
@@ -143,6 +146,8 @@
     PromotionReturned(Option<u16>),
     /// The same for a call of an earlier step.
     LateAnswer { fence: u64, status: Option<u16> },
+    /// The result of `Continue`, in whatever step.
+    Resumed { id: String, reply: StatusReply },
     /// A call of an earlier step was never sent.
     CallNotSent { fence: u64 },
 }
--- a/crates/wv-promotion/src/resolution.rs
+++ b/crates/wv-promotion/src/resolution.rs
@@ -2,12 +2,12 @@
 //!
 //! An attempt that ends while its call is unresolved leaves the other replicas suspended and lets the named database
 //! receive, so that whatever the present primary acknowledges is in the log of the database that may yet be promoted.
-//! The next attempt names the same database again. If that one does not answer, the present primary is named, which
-//! changes nothing but shows the platform a higher fence.
+//! The next attempt names the same database again, if that is still the right choice. Otherwise the present primary is
+//! named, which changes nothing but shows the platform a higher fence.
 use crate::selection::replicas;
 use crate::step::{Purpose, Step, REGISTER_TIMEOUT_US, SECOND_LOOK_DELAY_US};
 use crate::unresolved_calls::CallOutcome;
-use crate::{Effect, PromotionCall, PromotionCoordinator, ServiceView};
+use crate::{BlockedReason, Choice, DutyState, Effect, PromotionCall, PromotionCoordinator, ServiceView};
 
 impl PromotionCoordinator {
     /// The calls that may still take effect, to be recorded in the register.
@@ -28,12 +28,20 @@
         self.enter(Step::ReadingDuty { deadline: now + REGISTER_TIMEOUT_US });
     }
 
-    /// Handles the calls that earlier duty holders recorded; `None` if the register could not be read.
-    pub(crate) fn on_duty_read(&mut self, recorded: Option<Vec<PromotionCall>>, view: &ServiceView<'_>) {
-        let Some(recorded) = recorded else { return self.enter_idle(view.now) };
+    pub fn has_unresolved_calls(&self) -> bool {
+        !self.unresolved.is_empty()
+    }
+
+    /// Handles what earlier duty holders recorded; `None` if the register could not be read.
+    pub(crate) fn on_duty_read(&mut self, state: Option<DutyState>, view: &ServiceView<'_>) {
+        let Some(state) = state else { return self.enter_idle(view.now) };
         let is_first = !std::mem::replace(&mut self.has_read_duty, true);
         self.next_look_at = is_first.then_some(view.now + SECOND_LOOK_DELAY_US);
-        self.unresolved.restore(recorded);
+        // Nobody has claimed the duty since this node did, so nothing was done behind its back.
+        if self.fence == Some(state.fence) {
+            return self.enter_idle(view.now);
+        }
+        self.unresolved.restore(state.recorded);
         self.unresolved.expire(view.leader, view.now);
         // Predecessors may have left replicas suspended. Until a fence is claimed, nothing is decided here.
         self.fence = None;
@@ -67,28 +75,38 @@
         self.purpose == Purpose::ResolveCalls && self.unresolved.is_empty() && !self.is_replacement_wanted(view)
     }
 
-    /// The database to name when the fence is presented: the one that all unresolved calls name, if it answers, so
-    /// that the outcome is the same whichever call takes effect; otherwise the present leader.
-    fn subject_to_present(&self, view: &ServiceView<'_>) -> Option<String> {
-        let is_only_subject = |id: &&String| self.unresolved.names(id) && !self.unresolved.names_other_than(id);
-        let has_answered = |id: &&String| self.statuses.get(*id).is_some_and(Result::is_ok);
-        let named = self.statuses.keys().filter(is_only_subject).find(has_answered);
-        named.cloned().or_else(|| view.leader.map(str::to_owned))
+    /// The candidate, if it may be promoted. While calls are unresolved, only the database that they name may be: then
+    /// the outcome is the same whichever call takes effect. If another one has received more, or it does not answer,
+    /// the calls have to be resolved first.
+    pub(crate) fn accept_choice(&mut self, choice: Choice, view: &ServiceView<'_>) -> Option<String> {
+        match choice {
+            Choice::Candidate(candidate) if !self.unresolved.names_other_than(&candidate) => return Some(candidate),
+            // The database may be promoted in any case; the unavailable replica was suspended for that call.
+            Choice::Blocked(BlockedReason::ReplicaUnavailable { candidate, .. })
+                if self.unresolved.names(&candidate) && !self.unresolved.names_other_than(&candidate) =>
+            {
+                return Some(candidate)
+            }
+            Choice::Blocked(reason) if self.unresolved.is_empty() => self.handle_blocked(reason, view),
+            _ => self.present_fence(view),
+        }
+        None
     }
 
-    /// Shows the platform the fence by naming a database, so that it accepts no call under a lower fence afterwards.
-    /// The call is confirmed like any other, as another node may have a higher fence.
-    pub(crate) fn present_fence(&mut self, view: &ServiceView<'_>) {
-        let Some(subject) = self.subject_to_present(view) else { return self.abort_attempt(view.now) };
-        self.suspend_unnamed_again(view);
-        self.record_call(&subject);
-        self.enter(Step::ConfirmingFence { subject, deadline: view.now + REGISTER_TIMEOUT_US });
+    /// Shows the platform the fence by naming the present leader, which changes nothing, so that it accepts no call
+    /// under a lower fence afterwards. The call is confirmed like any other, as another node may have a higher fence.
+    fn present_fence(&mut self, view: &ServiceView<'_>) {
+        let Some(leader) = view.leader else { return self.abort_attempt(view.now) };
+        self.suspend_unnamed(view);
+        self.record_call(leader);
+        self.enter(Step::ConfirmingFence { leader: leader.to_owned(), deadline: view.now + REGISTER_TIMEOUT_US });
     }
 
     /// Records the call in the register before it is sent.
     pub(crate) fn record_call(&mut self, id: &str) {
         let Some(fence) = self.fence else { return };
         self.unresolved.add(id, fence);
+        self.has_recorded_calls = true;
         self.effects.push(Effect::RecordCall { id: id.to_owned() });
     }
 
@@ -96,27 +114,18 @@
         self.fence.into_iter().for_each(|fence| self.unresolved.remove(fence));
     }
 
-    pub(crate) fn on_fence_presented(&mut self, subject: String, outcome: CallOutcome, view: &ServiceView<'_>) {
-        match outcome {
-            CallOutcome::Accepted if Some(subject.as_str()) != view.leader => {
-                self.await_leader(subject, false, view.now)
-            }
-            CallOutcome::Accepted | CallOutcome::Rejected => match self.unresolved.resolved_at() {
-                Some(until) => self.settle(until),
-                None => self.abort_attempt(view.now),
-            },
-            CallOutcome::Refused => self.abort_attempt(view.now),
-            CallOutcome::Unknown => self.on_no_answer(subject, view),
+    pub(crate) fn on_fence_presented(&mut self, outcome: CallOutcome, view: &ServiceView<'_>) {
+        let has_seen_fence = matches!(outcome, CallOutcome::Accepted | CallOutcome::Rejected);
+        match self.unresolved.resolved_at().filter(|_| has_seen_fence) {
+            Some(until) => self.settle(until),
+            None => self.abort_attempt(view.now),
         }
     }
 
-    /// Nobody knows whether the call will take effect: looks for a new leader for a while.
-    pub(crate) fn on_no_answer(&mut self, subject: String, view: &ServiceView<'_>) {
-        if Some(subject.as_str()) == view.leader {
-            return self.abort_attempt(view.now);
-        }
-        self.resume_named();
-        self.await_leader(subject, true, view.now);
+    /// Nobody knows whether the call will take effect: looks for the new leader for a while.
+    pub(crate) fn on_no_answer(&mut self, candidate: String, view: &ServiceView<'_>) {
+        self.resume_named(view.now);
+        self.await_leader(candidate, true, view.now);
     }
 
     /// Waits until calls that the platform has accepted have taken effect.
@@ -133,23 +142,41 @@
     }
 
     /// Lets the databases that unresolved calls name receive again.
-    pub(crate) fn resume_named(&mut self) {
-        let (named, rest) = std::mem::take(&mut self.suspended).into_iter().partition(|id| self.unresolved.names(id));
+    pub(crate) fn resume_named(&mut self, now: u64) {
+        let (named, rest): (Vec<String>, Vec<String>) =
+            std::mem::take(&mut self.suspended).into_iter().partition(|id| self.unresolved.names(id));
         self.suspended = rest;
-        let named: Vec<String> = named;
-        self.effects.extend(named.into_iter().map(|id| Effect::Continue { id }));
+        named.into_iter().for_each(|id| self.resume(id, now));
+    }
+
+    /// Suspends the replicas that no unresolved call names once more while nothing else is done: a restart ends a
+    /// suspension, and new databases join.
+    pub(crate) fn keep_unnamed_suspended(&mut self, view: &ServiceView<'_>) {
+        let is_waiting = matches!(
+            self.step,
+            Step::Idle { .. } | Step::Settling { .. } | Step::AwaitingLeader { is_overdue: true, .. }
+        );
+        if is_waiting {
+            self.suspend_unnamed(view);
+        }
     }
 
-    /// Suspends the replicas that no unresolved call names once more: a restart ends a suspension.
-    pub(crate) fn suspend_unnamed_again(&mut self, view: &ServiceView<'_>) {
-        if self.unresolved.has_unknown_subject() || view.sync_replicas == 0 {
-            return;
-        }
-        let term = self.term + 1;
-        let unnamed: Vec<String> = replicas(view).into_iter().filter(|id| !self.unresolved.names(id)).collect();
-        for id in unnamed {
-            self.effects.push(Effect::Suspend { id: id.clone(), term });
-            self.note_suspended(id);
+    fn suspend_unnamed(&mut self, view: &ServiceView<'_>) {
+        let unnamed: Vec<String> = replicas(view).into_iter().filter(|id| self.must_be_suspended(id, view)).collect();
+        unnamed.into_iter().for_each(|id| self.suspend(id, view.now));
+    }
+
+    /// Whether the replica must not receive because calls that do not name it are unresolved. Before this node has
+    /// claimed a fence, that is up to its predecessor.
+    fn must_be_suspended(&self, id: &str, view: &ServiceView<'_>) -> bool {
+        let has_calls = !self.unresolved.is_empty() && !self.unresolved.has_unknown_subject();
+        has_calls && self.fence.is_some() && view.sync_replicas > 0 && !self.unresolved.names(id)
+    }
+
+    /// Suspends a database at once when it reports itself while it must not receive: it may have just started.
+    pub fn on_database_reported(&mut self, id: &str, view: &ServiceView<'_>) {
+        if view.is_duty_holder && view.leader != Some(id) && self.must_be_suspended(id, view) {
+            self.suspend(id.to_owned(), view.now);
         }
     }
 }
--- a/crates/wv-promotion/src/selection.rs
+++ b/crates/wv-promotion/src/selection.rs
@@ -1,6 +1,6 @@
 //! Queries and suspends the replicas, and chooses the candidate.
 use crate::step::{Purpose, Step, STATUS_TIMEOUT_US};
-use crate::{choose_candidate, Choice, Effect, PromotionCoordinator, ServiceView};
+use crate::{choose_candidate, Effect, PromotionCoordinator, ServiceView, StatusError};
 
 impl PromotionCoordinator {
     pub(crate) fn query_replicas(&mut self, view: &ServiceView<'_>) {
@@ -64,11 +64,7 @@
             return self.on_first_query(view);
         }
         if self.is_done(view) {
-            self.resume_suspended(None);
-            return self.enter_idle(view.now);
-        }
-        if !self.unresolved.is_empty() {
-            return self.present_fence(view);
+            return self.conclude_attempt(view.now);
         }
         let choice = choose_candidate(
             view.databases,
@@ -78,16 +74,19 @@
             view.fenced_position,
             view.is_leader_down,
         );
-        let candidate = match choice {
-            Choice::Candidate(candidate) => candidate,
-            Choice::Blocked(reason) => return self.handle_blocked(reason, view),
-        };
+        let Some(candidate) = self.accept_choice(choice, view) else { return };
         // The candidate keeps receiving, so that it has all commits that the old primary may still get acknowledged.
         let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != candidate).collect();
         let queried = others.iter().filter(|id| self.statuses.get(*id).is_some_and(Result::is_ok)).cloned().collect();
         self.suspend_replicas(queried, view);
     }
 
+    pub(crate) fn suspend(&mut self, id: String, now: u64) {
+        self.effects.push(Effect::Suspend { id: id.clone(), term: self.term + 1 });
+        self.statements.on_suspend_sent(&id, now);
+        self.note_suspended(id);
+    }
+
     /// Notes a suspension, which has to be lifted in the end.
     pub(crate) fn note_suspended(&mut self, id: String) {
         if !self.suspended.contains(&id) {
@@ -101,10 +100,16 @@
             return self.on_replicas_suspended(view);
         }
         for id in self.queried.clone() {
+            if self.statements.may_resume_late(&id, view.now) {
+                self.statuses.insert(id, Err(StatusError::Unreachable));
+                continue;
+            }
             self.statuses.remove(&id);
-            self.effects.push(Effect::Suspend { id: id.clone(), term: self.term + 1 });
             self.suspended_in_attempt.push(id.clone());
-            self.note_suspended(id);
+            self.suspend(id, view.now);
+        }
+        if self.queried.iter().all(|id| self.statuses.contains_key(id)) {
+            return self.on_replicas_suspended(view);
         }
         self.enter(Step::SuspendingReplicas { deadline: view.now + STATUS_TIMEOUT_US });
     }
@@ -119,10 +124,7 @@
             view.fenced_position,
             view.is_leader_down,
         );
-        let candidate = match choice {
-            Choice::Candidate(candidate) => candidate,
-            Choice::Blocked(reason) => return self.handle_blocked(reason, view),
-        };
+        let Some(candidate) = self.accept_choice(choice, view) else { return };
         // All replicas but the candidate must be suspended, as others may have received more since their status.
         let is_receiving = |id: &&String| **id != candidate && !self.suspended_in_attempt.contains(id);
         let unsuspended: Vec<String> = self.statuses.keys().filter(is_receiving).cloned().collect();
--- a/crates/wv-promotion/src/step.rs
+++ b/crates/wv-promotion/src/step.rs
@@ -39,18 +39,22 @@
     },
     /// The fence is being confirmed before it is presented to the platform.
     ConfirmingFence {
-        subject: String,
+        leader: String,
         deadline: u64,
     },
-    /// The new fence is presented to the platform by naming `subject`, so that it rejects calls under lower fences.
+    /// The new fence is presented to the platform, so that it rejects calls under lower fences.
     PresentingFence {
-        subject: String,
         deadline: u64,
     },
     /// Calls that the platform accepted before it saw the newest fence take effect by this time.
     Settling {
         until: u64,
     },
+    /// The fence is being confirmed before replicas are resumed.
+    ConfirmingResume {
+        until: u64,
+        deadline: u64,
+    },
     QueryingReplicas {
         deadline: u64,
     },
@@ -101,10 +105,11 @@
             | Step::Probing { deadline }
             | Step::AwaitingAgreement { deadline }
             | Step::ClaimingFence { deadline }
-            | Step::PresentingFence { deadline, .. }
+            | Step::PresentingFence { deadline }
             | Step::QueryingReplicas { deadline }
             | Step::SuspendingReplicas { deadline }
             | Step::ConfirmingFence { deadline, .. }
+            | Step::ConfirmingResume { deadline, .. }
             | Step::QueryingPrimary { deadline, .. }
             | Step::Demoting { deadline, .. }
             | Step::ConfirmingPromotion { deadline, .. }
--- a/crates/wv-simulation/src/database_log.rs
+++ b/crates/wv-simulation/src/database_log.rs
@@ -7,7 +7,11 @@
     pub fn control_request(&mut self, text: &str) -> Option<wv_wire_protocol::DatabaseStatus> {
         let (verb, rest) = text.split_once(' ').unwrap_or((text, ""));
         match verb {
-            "SUSPEND" => self.suspended = rest.parse().unwrap_or(0),
+            // Only a term above the newest suspends a replica.
+            "SUSPEND" => {
+                let term = rest.parse().ok().filter(|term: &u64| *term > self.term && !self.is_primary);
+                self.suspended = term.unwrap_or(self.suspended);
+            }
             "CONTINUE" => self.suspended = 0,
             "YIELD" if rest.parse().is_ok_and(|term: u64| term > self.term) => self.is_primary = false,
             _ => {}
--- a/crates/wv-simulation/src/events.rs
+++ b/crates/wv-simulation/src/events.rs
@@ -70,6 +70,7 @@
         code: Option<u16>,
     },
     Platform(crate::platform::PlatformEvent),
+    LateStatement(crate::control_queries::LateStatement),
     StatementDone {
         database: usize,
         connection_id: u64,
@@ -209,6 +210,7 @@
                 self.with_control(control, |core, now| core.on_promotion_response(request, code, now));
             }
             Event::Platform(event) => self.handle_platform_event(event),
+            Event::LateStatement(late) => self.run_late_statement(&late),
             Event::StatementDone { database, connection_id } => {
                 self.databases[database].busy.remove(&connection_id);
             }
--- a/crates/wv-simulation/src/lib.rs
+++ b/crates/wv-simulation/src/lib.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod connection;
 mod control_nodes;
+mod control_queries;
 mod database;
 mod database_faults;
 mod database_log;
--- a/crates/wv-simulation/src/nemesis/databases.rs
+++ b/crates/wv-simulation/src/nemesis/databases.rs
@@ -15,6 +15,7 @@
             EventKind::Crash => self.sim.crash(index),
             EventKind::Unreachable => self.sim.make_unreachable(index),
             EventKind::ReplicationLag => self.sim.databases[index].apply_lag_us = event.amount * MS,
+            EventKind::ReplicationStopped => self.sim.databases[index].is_log_blocked = true,
             EventKind::ResetConnections => self.sim.reset_connections(index),
             // A database that is down cannot announce its removal.
             EventKind::Drain if is_up => {
--- a/crates/wv-simulation/src/nemesis/faults.rs
+++ b/crates/wv-simulation/src/nemesis/faults.rs
@@ -5,7 +5,6 @@
 
 /// Time from SIGTERM to SIGKILL.
 const TERMINATION_GRACE_US: u64 = 2 * S;
-
 impl Runner {
     /// Looks up a node such as `a0` or `c1`; none if the schedule names a node that does not exist.
     pub(super) fn find_node(&self, name: &str) -> Option<NodeId> {
@@ -64,7 +63,8 @@
         }
         match event.kind {
             EventKind::PlatformOutage => self.sim.is_platform_down = true,
-            EventKind::SlowPromotion => self.sim.promotion_delay_us = 2 * S,
+            EventKind::SlowPromotion => self.begin_slow_platform(event.amount),
+            EventKind::LostPlatformAnswers => self.sim.is_platform_losing_answers = true,
             EventKind::LostResponses => self.operators.is_losing_responses = true,
             EventKind::DelayedDuplicates => self.operators.is_duplicating = true,
             _ => {}
@@ -166,6 +166,7 @@
     pub(super) fn perform(&mut self, action: Deferred) {
         match action {
             Deferred::EndEvent(event) => self.end_event(&event),
+            Deferred::LateCallsDone => {}
             Deferred::KillProcess(name, is_permanent) => self.kill(&name, is_permanent),
             Deferred::SendDelete(database) => {
                 self.sim.departed.insert(database);
@@ -183,7 +184,8 @@
         links.iter().for_each(|(from, to)| self.sim.remove_partition(from, to));
         match event.kind {
             EventKind::PlatformOutage => self.sim.is_platform_down = false,
-            EventKind::SlowPromotion => self.sim.promotion_delay_us = 300 * MS,
+            EventKind::SlowPromotion => self.end_slow_platform(),
+            EventKind::LostPlatformAnswers => self.sim.is_platform_losing_answers = false,
             EventKind::LostResponses => self.operators.is_losing_responses = false,
             EventKind::DelayedDuplicates => self.operators.is_duplicating = false,
             EventKind::Drain | EventKind::Deregister => event.targets.iter().for_each(|_| self.add_database()),
@@ -211,6 +213,7 @@
                 (None, Some(index)) => match event.kind {
                     EventKind::Crash | EventKind::Unreachable => self.sim.revive(index),
                     EventKind::ReplicationLag => self.sim.databases[index].apply_lag_us = 20 * MS,
+                    EventKind::ReplicationStopped => self.sim.databases[index].is_log_blocked = false,
                     _ => {}
                 },
                 (None, None) => {}
--- a/crates/wv-simulation/src/nemesis/generate.rs
+++ b/crates/wv-simulation/src/nemesis/generate.rs
@@ -61,7 +61,7 @@
     /// Control nodes and the time from which each is available; likewise for databases.
     pub(super) controls: Vec<(String, u64)>,
     next_control: usize,
-    databases: Vec<(String, u64)>,
+    pub(super) databases: Vec<(String, u64)>,
     next_database: usize,
 }
 
@@ -107,6 +107,7 @@
     if generator.rng.chance(30) {
         generator.add_closing_fault();
     }
+    generator.add_late_promotion(seed);
     generator.schedule.events.sort_by_key(|event| event.at_ms);
     generator.schedule
 }
--- a/crates/wv-simulation/src/nemesis/mod.rs
+++ b/crates/wv-simulation/src/nemesis/mod.rs
@@ -6,8 +6,10 @@
 mod format;
 mod generate;
 mod generate_operations;
+mod generate_promotions;
 mod history;
 mod operator;
+mod platform;
 mod recovery;
 mod run;
 mod shrink;
@@ -76,7 +78,12 @@
     Deregister,
     ResetConnections,
     PlatformOutage,
+    /// The platform works on each call `amount` milliseconds after it came.
     SlowPromotion,
+    /// The platform works on calls, but its answers are lost.
+    LostPlatformAnswers,
+    /// A replica receives nothing.
+    ReplicationStopped,
     /// Sends one configuration update.
     Update,
     /// Sends two different updates with one version, `amount` microseconds apart.
@@ -130,8 +137,8 @@
 
     /// Whether the event affects databases or the platform, but no node.
     pub fn is_database_event(self) -> bool {
-        use EventKind::Unreachable;
         use EventKind::{Crash, Deregister, Drain, PlatformOutage, ReplicationLag, ResetConnections, SlowPromotion};
+        use EventKind::{LostPlatformAnswers, ReplicationStopped, Unreachable};
         matches!(
             self,
             Crash
@@ -142,6 +149,8 @@
                 | ResetConnections
                 | PlatformOutage
                 | SlowPromotion
+                | LostPlatformAnswers
+                | ReplicationStopped
         )
     }
 }
--- a/crates/wv-simulation/src/nemesis/recovery.rs
+++ b/crates/wv-simulation/src/nemesis/recovery.rs
@@ -169,8 +169,14 @@
         }
     }
 
-    /// Checks that clients are served on both routes.
+    /// Checks that no replica is left suspended, and that clients are served on both routes.
     fn check_service(&mut self) {
+        let databases = self.sim.databases.iter().filter(|database| database.is_up && !database.is_removed);
+        let suspended: Vec<String> =
+            databases.filter(|database| database.suspended > 0).map(|database| database.id.clone()).collect();
+        if !suspended.is_empty() {
+            self.record_failure("left-suspended", format!("replicas still suspended: {}", suspended.join(", ")));
+        }
         let before = [self.sim.route_counts("p"), self.sim.route_counts("b")];
         self.advance(2 * S);
         let after = [self.sim.route_counts("p"), self.sim.route_counts("b")];
--- a/crates/wv-simulation/src/nemesis/run.rs
+++ b/crates/wv-simulation/src/nemesis/run.rs
@@ -16,6 +16,8 @@
     EndEvent(Event),
     /// The node's name, and whether it is removed permanently.
     KillProcess(String, bool),
+    /// The platform has worked on all calls that came while it was slow.
+    LateCallsDone,
     SendDelete(usize),
     StopDatabase(usize),
 }
