A leader yields where a replica could acknowledge alone while a call is unresolved

Cause: a restart ends a suspension. Where the database that an unresolved call names receives nothing, writes wait at the primary, and the other replica acknowledges all of them as soon as it is back. And a new holder forgot replicas that did not answer its look.

A leader that answers as a replica is named to the platform until it leads. A new holder looks again until all have answered.

--- a/crates/wv-promotion/src/coordinator.rs
+++ b/crates/wv-promotion/src/coordinator.rs
@@ -1,11 +1,12 @@
 //! State of the promotion coordinator of one service, and its timers.
+use crate::receive_watch::ReceiveWatch;
 use crate::resume::ReplicaStatements;
 use crate::step::{
     Purpose, Step, AGREEMENT_TIMEOUT_US, PROBE_DELAY_MAX_US, REGISTER_TIMEOUT_US, RETRY_DELAY_MAX_US,
     RETRY_DELAY_MIN_US, STATUS_TIMEOUT_US,
 };
 use crate::unresolved_calls::UnresolvedCalls;
-use crate::{BlockedReason, Effect, ServiceView, StatusReply};
+use crate::{Effect, ServiceView, StatusReply};
 use std::collections::BTreeMap;
 
 /// Coordinates promotions of one service.
@@ -25,11 +26,16 @@
     pub(crate) purpose: Purpose,
     /// Calls that may still take effect, of this process and of earlier duty holders.
     pub(crate) unresolved: UnresolvedCalls,
+    /// From when on unresolved calls are overdue.
+    pub(crate) overdue_at: u64,
     /// The register lists calls under the fence of this node.
     pub(crate) has_recorded_calls: bool,
     pub(crate) statements: ReplicaStatements,
+    pub(crate) watch: ReceiveWatch,
     /// The calls of earlier duty holders are known.
     pub(crate) has_read_duty: bool,
+    /// Replicas that did not answer in the last look may be suspended.
+    pub(crate) has_unseen_replicas: bool,
     /// When to look once more for calls and suspensions of a predecessor that did not know yet that it was replaced.
     pub(crate) next_look_at: Option<u64>,
     pub(crate) term: u64,
@@ -56,9 +62,12 @@
             must_query_first: false,
             purpose: Purpose::ReplaceLeader,
             unresolved: UnresolvedCalls::default(),
+            overdue_at: 0,
             has_recorded_calls: false,
             statements: ReplicaStatements::default(),
+            watch: ReceiveWatch::default(),
             has_read_duty: false,
+            has_unseen_replicas: false,
             next_look_at: None,
             term: 0,
             retry_delay_us: RETRY_DELAY_MIN_US,
@@ -222,11 +231,6 @@
         self.enter(Step::Idle { until: now + self.retry_delay_us });
     }
 
-    pub(crate) fn report_blocked(&mut self, reason: BlockedReason, now: u64) {
-        self.effects.push(Effect::ReportBlocked(reason));
-        self.abort_attempt(now);
-    }
-
     /// Abandons the attempt and schedules the next one. Replicas are resumed unless calls are unresolved.
     pub(crate) fn abort_attempt(&mut self, now: u64) {
         self.must_query_first = true;
--- a/crates/wv-promotion/src/demotion.rs
+++ b/crates/wv-promotion/src/demotion.rs
@@ -53,13 +53,18 @@
         self.enter(Step::QueryingPrimary { candidate, deadline: view.now + STATUS_TIMEOUT_US });
     }
 
+    pub(crate) fn report_blocked(&mut self, reason: BlockedReason, now: u64) {
+        self.effects.push(Effect::ReportBlocked(reason));
+        self.abort_attempt(now);
+    }
+
     fn has_received(&self, candidate: &str, log_end: LogPosition) -> bool {
         self.statuses.get(candidate).is_some_and(|reply| reply.is_ok_and(|status| status.received >= log_end))
     }
 
     /// Confirms the fence and records the call before the platform is asked to promote the candidate.
     pub(crate) fn confirm_promotion(&mut self, candidate: String, now: u64) {
-        self.record_call(&candidate);
+        self.record_call(&candidate, now);
         self.enter(Step::ConfirmingPromotion { candidate, deadline: now + REGISTER_TIMEOUT_US });
     }
 
--- a/crates/wv-promotion/src/events.rs
+++ b/crates/wv-promotion/src/events.rs
@@ -19,6 +19,9 @@
             Event::Resumed { id, reply } => return self.statements.on_resume_answered(&id, reply, now),
             _ => {}
         }
+        if let Event::Status { id, reply } = &event {
+            self.watch.on_status(id, *reply);
+        }
         // Nothing is continued after the duty was lost. A process that was paused may handle results before its timers:
         // those that arrive after the deadline are ignored.
         if !view.is_duty_holder || self.is_step_expired(now) {
@@ -95,7 +98,7 @@
             }
             (Step::RequestingPromotion { candidate, .. }, Event::PromotionReturned(status)) => {
                 match self.note_answer(status, view) {
-                    CallOutcome::Accepted => self.await_leader(candidate, false, now),
+                    CallOutcome::Accepted => self.await_leader(candidate, now),
                     CallOutcome::Unknown => self.on_no_answer(candidate, view),
                     CallOutcome::Rejected | CallOutcome::Refused => self.abort_attempt(now),
                 }
--- a/crates/wv-promotion/src/leader_wait.rs
+++ b/crates/wv-promotion/src/leader_wait.rs
@@ -3,18 +3,17 @@
 use crate::{Effect, PromotionCoordinator, ServiceView};
 
 impl PromotionCoordinator {
-    pub(crate) fn await_leader(&mut self, candidate: String, is_overdue: bool, now: u64) {
+    pub(crate) fn await_leader(&mut self, candidate: String, now: u64) {
         self.enter(Step::AwaitingLeader {
             candidate,
             next: now + LEADER_POLL_INTERVAL_US,
             deadline: now + LEADER_TIMEOUT_US,
-            is_overdue,
         });
     }
 
     /// Polls the candidate, and ends the attempt if it leads, if its call was refused, or after a while.
     pub(crate) fn poll_candidate(&mut self, view: &ServiceView<'_>) {
-        let Step::AwaitingLeader { candidate, next, deadline, is_overdue } = self.step.clone() else { return };
+        let Step::AwaitingLeader { candidate, next, deadline } = self.step.clone() else { return };
         let now = view.now;
         if view.leader == Some(candidate.as_str()) {
             return self.finish(&candidate, None, now);
@@ -26,6 +25,6 @@
             return;
         }
         self.effects.push(Effect::QueryStatus { id: candidate.clone() });
-        self.step = Step::AwaitingLeader { candidate, next: now + LEADER_POLL_INTERVAL_US, deadline, is_overdue };
+        self.step = Step::AwaitingLeader { candidate, next: now + LEADER_POLL_INTERVAL_US, deadline };
     }
 }
--- a/crates/wv-promotion/src/lib.rs
+++ b/crates/wv-promotion/src/lib.rs
@@ -5,6 +5,7 @@
 mod demotion;
 mod events;
 mod leader_wait;
+mod receive_watch;
 mod resolution;
 mod resume;
 mod selection;
--- a/crates/wv-promotion/src/resolution.rs
+++ b/crates/wv-promotion/src/resolution.rs
@@ -5,9 +5,9 @@
 //! The next attempt names the same database again, if that is still the right choice. Otherwise the present primary is
 //! named, which changes nothing but shows the platform a higher fence.
 use crate::selection::replicas;
-use crate::step::{Purpose, Step, REGISTER_TIMEOUT_US, SECOND_LOOK_DELAY_US};
+use crate::step::{Purpose, Step, OVERDUE_US, REGISTER_TIMEOUT_US, SECOND_LOOK_DELAY_US};
 use crate::unresolved_calls::CallOutcome;
-use crate::{BlockedReason, Choice, DutyState, Effect, PromotionCall, PromotionCoordinator, ServiceView};
+use crate::{BlockedReason, Choice, DutyState, Effect, PromotionCall, PromotionCoordinator, ServiceView, StatusError};
 
 impl PromotionCoordinator {
     /// The calls that may still take effect, to be recorded in the register.
@@ -38,7 +38,7 @@
         let is_first = !std::mem::replace(&mut self.has_read_duty, true);
         self.next_look_at = is_first.then_some(view.now + SECOND_LOOK_DELAY_US);
         // Nobody has claimed the duty since this node did, so nothing was done behind its back.
-        if self.fence == Some(state.fence) {
+        if self.fence == Some(state.fence) && !self.has_unseen_replicas {
             return self.enter_idle(view.now);
         }
         self.unresolved.restore(state.recorded);
@@ -52,6 +52,12 @@
     /// Continues after the first query of a new duty holder. Replicas are resumed only under a fence of this node:
     /// until it claims one, a predecessor may still call the platform.
     pub(crate) fn on_first_query(&mut self, view: &ServiceView<'_>) {
+        // One that refuses connections will restart, which ends a suspension.
+        let is_seen = |id: &String| matches!(self.statuses.get(id), Some(Ok(_) | Err(StatusError::Refused)));
+        self.has_unseen_replicas = !self.queried.iter().all(is_seen);
+        if self.has_unseen_replicas {
+            self.next_look_at = Some(view.now + SECOND_LOOK_DELAY_US);
+        }
         if self.suspended.is_empty() {
             // Databases would be suspended for a call; this only says that an earlier build held the duty.
             self.unresolved.forget_unknown_subject();
@@ -93,18 +99,22 @@
         None
     }
 
-    /// Shows the platform the fence by naming the present leader, which changes nothing, so that it accepts no call
-    /// under a lower fence afterwards. The call is confirmed like any other, as another node may have a higher fence.
-    fn present_fence(&mut self, view: &ServiceView<'_>) {
+    /// Shows the platform the fence by naming the present leader, so that it accepts no call under a lower fence
+    /// afterwards. That changes nothing, except that a leader that has yielded leads again. The call is confirmed like
+    /// any other, as another node may have a higher fence.
+    pub(crate) fn present_fence(&mut self, view: &ServiceView<'_>) {
         let Some(leader) = view.leader else { return self.abort_attempt(view.now) };
         self.suspend_unnamed(view);
-        self.record_call(leader);
+        self.record_call(leader, view.now);
         self.enter(Step::ConfirmingFence { leader: leader.to_owned(), deadline: view.now + REGISTER_TIMEOUT_US });
     }
 
     /// Records the call in the register before it is sent.
-    pub(crate) fn record_call(&mut self, id: &str) {
+    pub(crate) fn record_call(&mut self, id: &str, now: u64) {
         let Some(fence) = self.fence else { return };
+        if self.unresolved.is_empty() {
+            self.overdue_at = now + OVERDUE_US;
+        }
         self.unresolved.add(id, fence);
         self.has_recorded_calls = true;
         self.effects.push(Effect::RecordCall { id: id.to_owned() });
@@ -125,7 +135,7 @@
     /// Nobody knows whether the call will take effect: looks for the new leader for a while.
     pub(crate) fn on_no_answer(&mut self, candidate: String, view: &ServiceView<'_>) {
         self.resume_named(view.now);
-        self.await_leader(candidate, true, view.now);
+        self.await_leader(candidate, view.now);
     }
 
     /// Waits until calls that the platform has accepted have taken effect.
@@ -149,21 +159,27 @@
         named.into_iter().for_each(|id| self.resume(id, now));
     }
 
-    /// Suspends the replicas that no unresolved call names once more while nothing else is done: a restart ends a
-    /// suspension, and new databases join.
+    /// Suspends the replicas that no unresolved call names once more: a restart ends a suspension, and new databases
+    /// join. A call that is answered as usual does not need it.
     pub(crate) fn keep_unnamed_suspended(&mut self, view: &ServiceView<'_>) {
-        let is_waiting = matches!(
-            self.step,
-            Step::Idle { .. } | Step::Settling { .. } | Step::AwaitingLeader { is_overdue: true, .. }
-        );
-        if is_waiting {
-            self.suspend_unnamed(view);
+        let is_asking = matches!(self.step, Step::QueryingReplicas { .. } | Step::SuspendingReplicas { .. });
+        if is_asking || view.now < self.overdue_at || !self.must_be_suspended("", view) {
+            return;
+        }
+        // While calls are settling, the platform has answered, and a leader that yields now would not be named again.
+        if !matches!(self.step, Step::Settling { .. }) {
+            self.watch_receivers(&self.unnamed(view), view);
         }
+        self.suspend_unnamed(view);
+    }
+
+    /// The replicas that must not receive.
+    fn unnamed(&self, view: &ServiceView<'_>) -> Vec<String> {
+        replicas(view).into_iter().filter(|id| self.must_be_suspended(id, view)).collect()
     }
 
     fn suspend_unnamed(&mut self, view: &ServiceView<'_>) {
-        let unnamed: Vec<String> = replicas(view).into_iter().filter(|id| self.must_be_suspended(id, view)).collect();
-        unnamed.into_iter().for_each(|id| self.suspend(id, view.now));
+        self.unnamed(view).into_iter().for_each(|id| self.suspend(id, view.now));
     }
 
     /// Whether the replica must not receive because calls that do not name it are unresolved. Before this node has
--- a/crates/wv-promotion/src/resume.rs
+++ b/crates/wv-promotion/src/resume.rs
@@ -13,7 +13,9 @@
 
 /// How long a statement may run after its connection was closed: a database drops dark connections after 3 s.
 const LATE_STATEMENT_US: u64 = 4_000_000;
-const RESUME_RETRY_US: u64 = 1_000_000;
+/// Bounds of the delay after which `CONTINUE` is sent again.
+const RESUME_RETRY_MIN_US: u64 = 1_000_000;
+const RESUME_RETRY_MAX_US: u64 = 8_000_000;
 
 /// A `CONTINUE` that was sent.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -42,7 +44,10 @@
     }
 
     fn on_resume_sent(&mut self, id: &str, now: u64) {
-        let resumption = Resumption { sent_at: now, retry_at: now + RESUME_RETRY_US, is_answered: false };
+        let earlier = self.resumptions.get(id).filter(|resumption| !resumption.is_answered);
+        let delay_us = earlier
+            .map_or(RESUME_RETRY_MIN_US, |earlier| (2 * (earlier.retry_at - earlier.sent_at)).min(RESUME_RETRY_MAX_US));
+        let resumption = Resumption { sent_at: now, retry_at: now + delay_us, is_answered: false };
         self.resumptions.insert(id.to_owned(), resumption);
     }
 
--- a/crates/wv-promotion/src/selection.rs
+++ b/crates/wv-promotion/src/selection.rs
@@ -8,6 +8,9 @@
         self.suspended_in_attempt.clear();
         self.was_requeried = false;
         self.queried = replicas(view);
+        // A leader that is not down may have yielded while calls were unresolved.
+        let is_resolving = self.purpose == Purpose::ResolveCalls && self.fence.is_some() && !view.is_leader_down;
+        self.queried.extend(view.leader.filter(|_| is_resolving).map(str::to_owned));
         self.effects.extend(self.queried.iter().map(|id| Effect::QueryStatus { id: id.clone() }));
         self.enter(Step::QueryingReplicas { deadline: view.now + STATUS_TIMEOUT_US });
     }
@@ -29,6 +32,7 @@
 
     /// Handles the queried statuses once all have arrived or timed out.
     pub(crate) fn on_replicas_queried(&mut self, view: &ServiceView<'_>) {
+        let leader_status = view.leader.and_then(|leader| self.statuses.remove(leader));
         let newest =
             self.statuses.values().flatten().map(|status| status.term.max(status.suspended_term)).max().unwrap_or(0);
         self.term = self.term.max(newest);
@@ -63,6 +67,10 @@
         if self.fence.is_none() {
             return self.on_first_query(view);
         }
+        let has_leader_yielded = leader_status.is_some_and(|reply| reply.is_ok_and(|status| !status.is_primary));
+        if has_leader_yielded && self.unresolved.is_empty() {
+            return self.present_fence(view);
+        }
         if self.is_done(view) {
             return self.conclude_attempt(view.now);
         }
--- a/crates/wv-promotion/src/step.rs
+++ b/crates/wv-promotion/src/step.rs
@@ -9,6 +9,8 @@
 /// Interval between status queries of a candidate that is being promoted.
 pub(crate) const LEADER_POLL_INTERVAL_US: u64 = 300_000;
 pub(crate) const LEADER_TIMEOUT_US: u64 = 2_500_000;
+/// A call that is unresolved for longer is overdue.
+pub(crate) const OVERDUE_US: u64 = 1_000_000;
 /// Delay of a new duty holder's second look, longer than a predecessor takes to learn that it was replaced.
 pub(crate) const SECOND_LOOK_DELAY_US: u64 = 6_000_000;
 /// Bounds of the delay after an abandoned attempt.
@@ -83,8 +85,6 @@
         candidate: String,
         next: u64,
         deadline: u64,
-        /// The platform has not answered: the call may take effect much later.
-        is_overdue: bool,
     },
 }
 
--- a/crates/wv-promotion/src/unresolved_calls.rs
+++ b/crates/wv-promotion/src/unresolved_calls.rs
@@ -78,6 +78,11 @@
         self.calls.iter().any(|unresolved| unresolved.call.id != id)
     }
 
+    /// A database that a call names besides this one.
+    pub fn name_other_than(&self, id: &str) -> Option<String> {
+        self.calls.iter().map(|unresolved| &unresolved.call.id).find(|named| *named != id).cloned()
+    }
+
     /// Whether it is unknown which database a call names.
     pub fn has_unknown_subject(&self) -> bool {
         self.names("")
--- a/crates/wv-simulation/tests/late_promotions.rs
+++ b/crates/wv-simulation/tests/late_promotions.rs
@@ -176,3 +176,38 @@
     expect_that!(sim.databases.iter().all(|database| database.suspended == 0), eq(true));
     expect_that!(finish_and_check(&mut sim), is_empty());
 }
+
+/// Guards against a replica that restarts and acknowledges what the named database, which receives nothing, lacks.
+#[gtest]
+fn given_a_replica_that_restarts_while_the_named_database_receives_nothing_then_no_commit_is_lost() {
+    for down_us in [600 * MS, 1_500 * MS, 3 * S] {
+        let mut late = LatePromotion::new(10 * S);
+        late.sim.run(2 * S);
+        let (named, other) = (late.named, late.other);
+        late.sim.crash(other);
+        late.sim.databases[named].is_log_blocked = true;
+        late.sim.run(down_us);
+        late.sim.revive(other);
+        late.run_until_promoted(10 * S);
+        expect_that!(late.sim.databases[named].is_primary, eq(true), "promoted late");
+        late.expect_recovery(&format!("replica down for {down_us} us"));
+    }
+}
+
+/// Guards against a leader that yielded for an unresolved call and is never replaced.
+#[gtest]
+fn given_a_leader_that_yielded_when_the_named_database_is_gone_then_the_service_has_a_leader_again() {
+    let mut late = LatePromotion::new(6 * S);
+    late.sim.run(2 * S);
+    let (named, other) = (late.named, late.other);
+    late.sim.crash(other);
+    late.sim.crash(named);
+    late.sim.run(S);
+    late.sim.revive(other);
+    late.sim.run(20 * S);
+    let served = late.sim.load_counts().0;
+    late.sim.run(2 * S);
+    expect_that!(late.sim.load_counts().0, gt(served + 50), "served without the named database");
+    late.sim.revive(named);
+    late.expect_recovery("leader yielded");
+}
