A leader that steps down is named again until it leads

Cause, found by rereading the change: a leader that was told to yield while a call was unresolved was named to the platform once more only. If that call was refused or lost, its name alone was left among the unresolved calls and counted as resolved, since the control nodes still take it for the leader: nobody led for ever. Likewise after a YIELD that runs late at a primary which is wanted again: its heartbeats say replica, and nothing followed from that.

Change: while the leader has yielded, calls that name it are not taken for resolved, replicas stay suspended and the record stays, so that a successor goes on. A leader whose heartbeats have said replica for four seconds is asked, and named again if every replica answers and none has received more.

replies.rs: its stand-in of the primary answered ENQUIRY as a replica; it answers as the primary now.

--- a/crates/wv-control/src/duties.rs
+++ b/crates/wv-control/src/duties.rs
@@ -62,6 +62,9 @@
                 .as_deref()
                 .is_some_and(|leader| self.reports(leader).any(|(report, _)| report.health != Health::Up)),
             is_leader_closed_to_new_work: leader.as_deref().is_some_and(|leader| self.is_past_drain(leader)),
+            has_leader_stepped_down: leader
+                .as_deref()
+                .is_some_and(|leader| self.has_leader_stepped_down(service, leader)),
             is_leader_down: leader.as_deref().is_some_and(|leader| self.is_down(leader)),
             term: self.known_term(service),
             fenced_position: leader.as_deref().and_then(|leader| self.fenced_position(leader)),
--- a/crates/wv-control/src/heartbeats.rs
+++ b/crates/wv-control/src/heartbeats.rs
@@ -145,6 +145,12 @@
         }
     }
 
+    /// Whether the leader reports that it is a replica although it should have reported itself as primary by now.
+    pub(crate) fn has_leader_stepped_down(&self, service: &str, leader: &str) -> bool {
+        let report_deadline = self.leader_changed_at.get(service).map_or(0, |at| at + LEADER_REPORT_TIMEOUT_US);
+        self.leadership.replicas.contains(leader) && report_deadline <= self.now
+    }
+
     /// The leader of a service as published by this node.
     pub fn leader(&self, service: &str) -> Option<&Leader> {
         self.feed.leader(service)
--- a/crates/wv-control/tests/replies.rs
+++ b/crates/wv-control/tests/replies.rs
@@ -89,6 +89,13 @@
         self.apply_actions();
     }
 
+    fn reply_primary_row(&mut self, request: u64, received: u64) {
+        let received = LogPosition { term: 3, number: received };
+        let row = DatabaseStatus { is_primary: true, term: 3, received, ..DatabaseStatus::default() };
+        self.core.on_db_status(request, Ok(row), self.now);
+        self.apply_actions();
+    }
+
     fn take_requests(&mut self) -> Vec<(u64, String, String)> {
         std::mem::take(&mut self.requests)
     }
@@ -170,6 +177,7 @@
         for (request, id, text) in node.take_requests() {
             match text.split(' ').next() {
                 Some("SUSPEND") => node.reply_row(request, 9, 4),
+                Some("ENQUIRY") if id == "d1" => node.reply_primary_row(request, 9),
                 Some("ENQUIRY") => node.reply_row(request, 9, 0),
                 Some("POST") => second.push((request, id.clone(), text.clone())),
                 _ => {}
--- a/crates/wv-promotion/src/coordinator.rs
+++ b/crates/wv-promotion/src/coordinator.rs
@@ -32,6 +32,8 @@
     pub(crate) has_recorded_calls: bool,
     pub(crate) statements: ReplicaStatements,
     pub(crate) watch: ReceiveWatch,
+    /// The leader has yielded while calls were unresolved, and no other one is known.
+    pub(crate) has_leader_yielded: bool,
     /// The calls of earlier duty holders are known.
     pub(crate) has_read_duty: bool,
     /// Replicas that did not answer in the last look may be suspended.
@@ -66,6 +68,7 @@
             has_recorded_calls: false,
             statements: ReplicaStatements::default(),
             watch: ReceiveWatch::default(),
+            has_leader_yielded: false,
             has_read_duty: false,
             has_unseen_replicas: false,
             next_look_at: None,
@@ -104,14 +107,6 @@
         matches!(self.step, Step::Idle { .. })
     }
 
-    /// The database being promoted, once the platform was called.
-    pub fn candidate(&self) -> Option<&str> {
-        match &self.step {
-            Step::RequestingPromotion { candidate, .. } | Step::AwaitingLeader { candidate, .. } => Some(candidate),
-            _ => None,
-        }
-    }
-
     pub fn tick(&mut self, view: &ServiceView<'_>) {
         if !view.is_duty_holder {
             // Another node holds the duty and finishes or reverts what was started here.
@@ -122,7 +117,7 @@
         }
         self.was_duty_holder = true;
         let now = view.now;
-        self.unresolved.expire(view.leader, now);
+        self.expire_calls(view);
         self.keep_unnamed_suspended(view);
         // Retry at once when the leader is closed to new work, which may unblock a planned switchover.
         let was_closed_to_new_work =
@@ -161,7 +156,7 @@
     }
 
     fn start_if_needed(&mut self, view: &ServiceView<'_>) {
-        if !self.unresolved.is_empty() {
+        if !self.unresolved.is_empty() || self.has_leader_yielded {
             return self.claim_fence(Purpose::ResolveCalls, view.now);
         }
         if self.resume_remaining(view) {
@@ -176,6 +171,8 @@
         // A planned switchover starts at once; a leader reported as down is probed from here first.
         if view.is_switchover_requested || database.is_none_or(|database| database.is_draining) {
             self.claim_fence(Purpose::ReplaceLeader, view.now);
+        } else if view.has_leader_stepped_down {
+            self.claim_fence(Purpose::ResolveCalls, view.now);
         } else if !view.is_leader_suspected {
             self.retry_delay_us = RETRY_DELAY_MIN_US;
             self.look_again(view.now);
@@ -204,6 +201,7 @@
         self.effects.push(Effect::AnnounceLeader { id: id.to_owned(), term: term.unwrap_or(self.term + 1) });
         self.term = term.unwrap_or(self.term + 1);
         self.demotion = None;
+        self.has_leader_yielded = false;
         self.unresolved.expire(Some(id), now);
         // The promotion has ended the suspension of the new leader.
         self.suspended.retain(|suspended| suspended != id);
@@ -214,7 +212,7 @@
     pub(crate) fn conclude_attempt(&mut self, now: u64) {
         (self.retry_delay_us, self.must_query_first) = (RETRY_DELAY_MIN_US, false);
         let until = now + RETRY_DELAY_MIN_US;
-        if self.unresolved.is_empty() {
+        if !self.has_open_matters() {
             return self.end_attempt(until, now);
         }
         self.resume_named(now);
@@ -236,7 +234,7 @@
         self.must_query_first = true;
         let until = now + self.retry_delay_us;
         self.retry_delay_us = (self.retry_delay_us * 2).min(RETRY_DELAY_MAX_US);
-        if self.unresolved.is_empty() {
+        if !self.has_open_matters() {
             return self.end_attempt(until, now);
         }
         self.resume_named(now);
--- a/crates/wv-promotion/src/events.rs
+++ b/crates/wv-promotion/src/events.rs
@@ -40,7 +40,7 @@
             (Step::ClaimingFence { .. }, Event::FenceClaimed(Some(claim))) => {
                 self.fence = Some(claim.fence);
                 self.unresolved.restore(claim.recorded);
-                self.unresolved.expire(view.leader, now);
+                self.expire_calls(view);
                 self.query_or_suspend(view);
             }
             (Step::ClaimingFence { .. }, Event::FenceClaimed(None)) => self.abort_attempt(now),
--- a/crates/wv-promotion/src/leader_wait.rs
+++ b/crates/wv-promotion/src/leader_wait.rs
@@ -3,6 +3,14 @@
 use crate::{Effect, PromotionCoordinator, ServiceView};
 
 impl PromotionCoordinator {
+    /// The database being promoted, once the platform was called.
+    pub fn candidate(&self) -> Option<&str> {
+        match &self.step {
+            Step::RequestingPromotion { candidate, .. } | Step::AwaitingLeader { candidate, .. } => Some(candidate),
+            _ => None,
+        }
+    }
+
     pub(crate) fn await_leader(&mut self, candidate: String, now: u64) {
         self.enter(Step::AwaitingLeader {
             candidate,
--- a/crates/wv-promotion/src/lib.rs
+++ b/crates/wv-promotion/src/lib.rs
@@ -57,6 +57,8 @@
     pub is_leader_suspected: bool,
     /// The leader is leaving or gone, and no connected access node gives it new work any more.
     pub is_leader_closed_to_new_work: bool,
+    /// The leader has reported for a while that it is a replica.
+    pub has_leader_stepped_down: bool,
     /// Enough nodes agree that the leader is down.
     pub is_leader_down: bool,
     /// The newest known term, 0 for none.
--- a/crates/wv-promotion/src/receive_watch.rs
+++ b/crates/wv-promotion/src/receive_watch.rs
@@ -7,6 +7,7 @@
 //! provides a leader again.
 //!
 //! Input: the statuses of the databases, polled in rounds. Output: `QueryStatus` and `Yield`.
+use crate::selection::replicas;
 use crate::step::LEADER_POLL_INTERVAL_US;
 use crate::{Effect, PromotionCoordinator, ServiceView, StatusReply};
 use std::collections::BTreeMap;
@@ -55,10 +56,35 @@
         let Some(leader) = view.leader.filter(|_| self.watch.next_round_at <= view.now) else { return };
         let Some(named) = self.unresolved.name_other_than(leader) else { return };
         if self.watch.next_round(leader, &named, unnamed, view.now) {
+            self.has_leader_yielded = true;
             self.effects.push(Effect::Yield { id: leader.to_owned(), term: self.term + 1 });
         }
         for id in [leader.to_owned(), named] {
             self.effects.push(Effect::QueryStatus { id });
         }
     }
+
+    /// Lets a leader that has yielded lead again, if nobody else may; returns whether the attempt goes on with that.
+    ///
+    /// A leader that yielded while calls were unresolved has every acknowledged commit, since the other replicas have been
+    /// suspended. One that yielded for another reason may be named only if no replica has received more.
+    pub(crate) fn restore_leader(&mut self, leader: &DatabaseStatus, view: &ServiceView<'_>) -> bool {
+        if leader.is_primary {
+            self.has_leader_yielded = false;
+            return false;
+        }
+        self.has_leader_yielded |= !self.unresolved.is_empty();
+        if !self.unresolved.is_empty() {
+            return false;
+        }
+        let is_behind = |id: &String| {
+            self.statuses.get(id).is_some_and(|reply| reply.is_ok_and(|status| status.received <= leader.received))
+        };
+        if self.has_leader_yielded || replicas(view).iter().all(is_behind) {
+            self.present_fence(view);
+        } else {
+            self.abort_attempt(view.now);
+        }
+        true
+    }
 }
--- a/crates/wv-promotion/src/resolution.rs
+++ b/crates/wv-promotion/src/resolution.rs
@@ -42,7 +42,7 @@
             return self.enter_idle(view.now);
         }
         self.unresolved.restore(state.recorded);
-        self.unresolved.expire(view.leader, view.now);
+        self.expire_calls(view);
         // Predecessors may have left replicas suspended. Until a fence is claimed, nothing is decided here.
         self.fence = None;
         self.suspended = replicas(view);
@@ -78,7 +78,18 @@
 
     /// Whether the attempt has found out all that it was started for.
     pub(crate) fn is_done(&self, view: &ServiceView<'_>) -> bool {
-        self.purpose == Purpose::ResolveCalls && self.unresolved.is_empty() && !self.is_replacement_wanted(view)
+        self.purpose == Purpose::ResolveCalls && !self.has_open_matters() && !self.is_replacement_wanted(view)
+    }
+
+    /// Whether replicas have to stay suspended after the attempt.
+    pub(crate) fn has_open_matters(&self) -> bool {
+        !self.unresolved.is_empty() || self.has_leader_yielded
+    }
+
+    /// Drops the calls that are resolved. Calls that name a leader which has yielded are not: it may lead again.
+    pub(crate) fn expire_calls(&mut self, view: &ServiceView<'_>) {
+        let leader = view.leader.filter(|_| !self.has_leader_yielded);
+        self.unresolved.expire(leader, view.now);
     }
 
     /// The candidate, if it may be promoted. While calls are unresolved, only the database that they name may be: then
--- a/crates/wv-promotion/src/selection.rs
+++ b/crates/wv-promotion/src/selection.rs
@@ -67,9 +67,10 @@
         if self.fence.is_none() {
             return self.on_first_query(view);
         }
-        let has_leader_yielded = leader_status.is_some_and(|reply| reply.is_ok_and(|status| !status.is_primary));
-        if has_leader_yielded && self.unresolved.is_empty() {
-            return self.present_fence(view);
+        if let Some(Ok(status)) = leader_status {
+            if self.restore_leader(&status, view) {
+                return;
+            }
         }
         if self.is_done(view) {
             return self.conclude_attempt(view.now);
--- a/crates/wv-promotion/tests/fence_model/mod.rs
+++ b/crates/wv-promotion/tests/fence_model/mod.rs
@@ -172,6 +172,7 @@
             is_switchover_requested: false,
             is_leader_suspected: node.leader == "p",
             is_leader_closed_to_new_work: false,
+            has_leader_stepped_down: false,
             is_leader_down: node.leader == "p",
             term: 1,
             fenced_position: None,
--- a/crates/wv-promotion/tests/superseded_holder.rs
+++ b/crates/wv-promotion/tests/superseded_holder.rs
@@ -46,6 +46,7 @@
             is_switchover_requested: false,
             is_leader_suspected: false,
             is_leader_closed_to_new_work: false,
+            has_leader_stepped_down: false,
             is_leader_down: false,
             term: 3,
             fenced_position: Some((S, LogPosition { term: 3, number: 8 })),
--- a/crates/wv-simulation/tests/late_promotions.rs
+++ b/crates/wv-simulation/tests/late_promotions.rs
@@ -197,17 +197,24 @@
 /// Guards against a leader that yielded for an unresolved call and is never replaced.
 #[gtest]
 fn given_a_leader_that_yielded_when_the_named_database_is_gone_then_the_service_has_a_leader_again() {
-    let mut late = LatePromotion::new(6 * S);
-    late.sim.run(2 * S);
-    let (named, other) = (late.named, late.other);
-    late.sim.crash(other);
-    late.sim.crash(named);
-    late.sim.run(S);
-    late.sim.revive(other);
-    late.sim.run(20 * S);
-    let served = late.sim.load_counts().0;
-    late.sim.run(2 * S);
-    expect_that!(late.sim.load_counts().0, gt(served + 50), "served without the named database");
-    late.sim.revive(named);
-    late.expect_recovery("leader yielded");
+    for outage_us in [0, 12 * S] {
+        let mut late = LatePromotion::new(6 * S);
+        late.sim.run(2 * S);
+        let (named, other) = (late.named, late.other);
+        late.sim.crash(other);
+        late.sim.crash(named);
+        late.sim.run(S);
+        late.sim.revive(other);
+        late.sim.run(4 * S);
+        // The platform may be down just when the leader is to be named again.
+        late.sim.is_platform_down = outage_us > 0;
+        late.sim.run(outage_us);
+        late.sim.is_platform_down = false;
+        late.sim.run(16 * S);
+        let served = late.sim.load_counts().0;
+        late.sim.run(2 * S);
+        expect_that!(late.sim.load_counts().0, gt(served + 50), "served without the named database, {outage_us}");
+        late.sim.revive(named);
+        late.expect_recovery(&format!("leader yielded, outage of {outage_us} us"));
+    }
 }
--- a/crates/wv-simulation/tests/late_statements.rs
+++ b/crates/wv-simulation/tests/late_statements.rs
@@ -80,3 +80,15 @@
     sim.run(12 * S);
     expect_nothing_suspended(&mut sim);
 }
+
+/// Guards against a service without a leader after a `YIELD` that runs when nobody wants it any more.
+#[gtest]
+fn given_a_primary_that_yields_although_nobody_wants_it_then_the_service_has_a_leader_again() {
+    let mut sim = serving_under_load(4, 3);
+    sim.databases[0].is_primary = false;
+    sim.run(12 * S);
+    let served = sim.load_counts().0;
+    sim.run(2 * S);
+    expect_that!(sim.load_counts().0, gt(served + 50));
+    expect_nothing_suspended(&mut sim);
+}
