Promotion: one place builds the choice and the test service

Cause: the choice of the candidate with all its inputs stood twice in selection.rs, and two tests built the same service view.

Change: PromotionCoordinator::choose, and tests/common of wv-promotion, serve both. No behaviour and no check changes.

--- a/crates/wv-promotion/src/selection.rs
+++ b/crates/wv-promotion/src/selection.rs
@@ -1,6 +1,6 @@
 //! Queries and suspends the replicas, and chooses the candidate.
 use crate::step::{Purpose, Step, STATUS_TIMEOUT_US};
-use crate::{choose_candidate, Effect, PromotionCoordinator, ServiceView, StatusError};
+use crate::{choose_candidate, Choice, Effect, PromotionCoordinator, ServiceView, StatusError};
 
 impl PromotionCoordinator {
     pub(crate) fn query_replicas(&mut self, view: &ServiceView<'_>) {
@@ -75,19 +75,22 @@
         if self.is_done(view) {
             return self.conclude_attempt(view.now);
         }
-        let choice = choose_candidate(
+        let Some(candidate) = self.accept_choice(self.choose(view), view) else { return };
+        // The candidate keeps receiving, so that it has all commits that the old primary may still get acknowledged.
+        let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != candidate).collect();
+        let queried = others.iter().filter(|id| self.statuses.get(*id).is_some_and(Result::is_ok)).cloned().collect();
+        self.suspend_replicas(queried, view);
+    }
+
+    fn choose(&self, view: &ServiceView<'_>) -> Choice {
+        choose_candidate(
             view.databases,
             view.leader,
             &self.statuses,
             view.sync_replicas,
             view.fenced_position,
             view.is_leader_down,
-        );
-        let Some(candidate) = self.accept_choice(choice, view) else { return };
-        // The candidate keeps receiving, so that it has all commits that the old primary may still get acknowledged.
-        let others: Vec<String> = replicas(view).into_iter().filter(|id| *id != candidate).collect();
-        let queried = others.iter().filter(|id| self.statuses.get(*id).is_some_and(Result::is_ok)).cloned().collect();
-        self.suspend_replicas(queried, view);
+        )
     }
 
     pub(crate) fn suspend(&mut self, id: String, now: u64) {
@@ -125,15 +128,7 @@
 
     /// Chooses the candidate again once replicas are suspended or timed out.
     pub(crate) fn on_replicas_suspended(&mut self, view: &ServiceView<'_>) {
-        let choice = choose_candidate(
-            view.databases,
-            view.leader,
-            &self.statuses,
-            view.sync_replicas,
-            view.fenced_position,
-            view.is_leader_down,
-        );
-        let Some(candidate) = self.accept_choice(choice, view) else { return };
+        let Some(candidate) = self.accept_choice(self.choose(view), view) else { return };
         // All replicas but the candidate must be suspended, as others may have received more since their status.
         let is_receiving = |id: &&String| **id != candidate && !self.suspended_in_attempt.contains(id);
         let unsuspended: Vec<String> = self.statuses.keys().filter(is_receiving).cloned().collect();
--- a/crates/wv-promotion/tests/demotion.rs
+++ b/crates/wv-promotion/tests/demotion.rs
@@ -1,11 +1,12 @@
 //! Replacing a leaving primary while a replica is unavailable: the effects of the coordinator for each event.
+mod common;
+
+use common::{with_leaving_primary, S};
 use wv_promotion::{
-    BlockedReason, Database, DutyState, Effect, Event, PromotionCoordinator, ServiceView, StatusError, StatusReply,
+    BlockedReason, DutyState, Effect, Event, PromotionCoordinator, ServiceView, StatusError, StatusReply,
 };
 use wv_wire_protocol::{DatabaseStatus, LogPosition};
 
-const S: u64 = 1_000_000;
-
 /// The primary `p` is leaving, `c` is the candidate and `d` is unavailable; this node is the duty holder.
 struct Scenario {
     coordinator: PromotionCoordinator,
@@ -39,24 +40,7 @@
     }
 
     fn with(&mut self, apply: impl FnOnce(&mut PromotionCoordinator, &ServiceView<'_>)) -> Vec<Effect> {
-        let database =
-            |id: &str, is_draining| Database { id: id.to_owned(), is_draining, refused_for_us: None, departed: None };
-        let view = ServiceView {
-            now: self.now,
-            is_duty_holder: true,
-            leader: Some("p"),
-            sync_replicas: 1,
-            databases: &[database("p", true), database("c", false), database("d", false)],
-            is_switchover_requested: false,
-            is_leader_suspected: false,
-            is_leader_closed_to_new_work: self.is_closed_to_new_work,
-            has_leader_stepped_down: false,
-            is_leader_down: false,
-            term: 3,
-            fenced_position: Some((S, LogPosition { term: 3, number: 8 })),
-        };
-        apply(&mut self.coordinator, &view);
-        self.coordinator.take_effects()
+        with_leaving_primary(&mut self.coordinator, self.now, self.is_closed_to_new_work, apply)
     }
 
     fn tick(&mut self) -> Vec<Effect> {
