Forwarded requests name the configuration version that they were routed by

Cause: a forwarded request named its database only, and the owner routed it again by its own configuration. Owners that are behind took their clients' nodes back; owners that are ahead showed a version that the asking node did not know yet.

Change: a request names the version that it or its BEGIN was routed by; the owner starts new work only in exactly that version and else rejects it unrun, so that it is done where it arrived. Open transactions go on. Links between access nodes begin with a Hello: an earlier build closes the link, so nothing is forwarded to a node that ignores versions, and requests of an earlier build are rejected unrun. Who waits for a link to an owner is served here at the end of its wait, where it was refused before.

Changed tests: forwarding.rs, line_feeds.rs and request_forwarding.rs name a version in their requests; checks as they were.

--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -68,7 +68,8 @@
             if client.request.is_open
                 || client.pending_database.is_some()
                 || client.is_closing
-                || client.out.len() > UNREAD_OUTPUT_MAX_BYTES
+                // The lines of a forwarded request are processed at once, in the version that was checked.
+                || (client.out.len() > UNREAD_OUTPUT_MAX_BYTES && client.forward_origin.is_none())
             {
                 break;
             }
--- a/crates/wv-access/src/dispatch.rs
+++ b/crates/wv-access/src/dispatch.rs
@@ -1,13 +1,10 @@
 //! Dispatches requests according to the routing decision.
 use crate::core::Core;
-use crate::timer::Timer;
 use crate::types::Verb;
 use wv_health::DatabaseKey;
 use wv_route::{decide_route, PoolAvailability, RouteDecision, RouteRequest};
 use wv_wire_protocol::{ErrorCode, LogPosition};
 
-/// A request is refused after waiting for this fraction of its target latency (1/N).
-const WAIT_TARGET_DIVISOR: u64 = 4;
 /// Maximum queue length of a pool; further requests are refused at once.
 pub(crate) const MAX_QUEUED_REQUESTS: usize = 64;
 
@@ -134,35 +131,6 @@
         self.schedule_wait_limit(id);
     }
 
-    /// Schedules the end of the time that the request may wait.
-    pub(crate) fn schedule_wait_limit(&mut self, id: u64) {
-        if let Some(request) = self.clients.get(&id).map(|client| &client.request) {
-            let at = self.wait_deadline(id);
-            self.timers.schedule(at, Timer::WaitLimit { client: id, sequence: request.sequence });
-        }
-    }
-
-    fn wait_deadline(&self, id: u64) -> u64 {
-        let Some(request) = self.clients.get(&id).map(|client| &client.request) else { return 0 };
-        let Some(route) = request.route.as_ref() else { return request.opened_at };
-        let max_wait_us = route.target_us / WAIT_TARGET_DIVISOR;
-        (request.waiting_since + max_wait_us - max_wait_us / 8).min(request.client_deadline)
-    }
-
-    /// Refuses the request if its time to wait is over.
-    pub(crate) fn expire_wait(&mut self, id: u64, sequence: u64) {
-        let is_waiting = self.clients.get(&id).is_some_and(|client| {
-            let request = &client.request;
-            request.is_open
-                && request.sequence == sequence
-                && request.db.is_none()
-                && request.forwarded_session.is_none()
-        });
-        if is_waiting && self.now >= self.wait_deadline(id) {
-            self.refuse_request(id);
-        }
-    }
-
     /// Dispatches a request again that was not executed, or a read whose response was lost.
     pub(crate) fn retry(&mut self, id: u64, code: Option<ErrorCode>) {
         let now = self.now;
--- a/crates/wv-access/src/feed.rs
+++ b/crates/wv-access/src/feed.rs
@@ -97,6 +97,11 @@
         self.configuration_body.0
     }
 
+    /// Version of the configuration in force, `None` before the first.
+    pub(crate) fn configuration_version(&self) -> Option<u64> {
+        self.configuration.as_ref().map(|configuration| configuration.version)
+    }
+
     /// Incarnation and position of the feed, for the next subscription.
     pub fn feed_position(&self) -> (u64, u64) {
         (self.follower.incarnation, self.follower.position)
--- a/crates/wv-access/src/forward_response.rs
+++ b/crates/wv-access/src/forward_response.rs
@@ -1,6 +1,7 @@
 //! Responses to forwarded requests: results, refusals, and lost peer links.
 use crate::core::Core;
-use crate::types::Verb;
+use crate::types::{Effect, Verb};
+use wv_internal_protocol::ForwardMessage;
 
 /// After a link to an owner fails, requests are executed locally for this long.
 const PEER_RETRY_DELAY_US: u64 = 500_000;
@@ -17,18 +18,36 @@
         }
     }
 
-    /// The link to an owner is connected.
+    /// The link to an owner is connected; requests wait for its `Hello`.
     pub fn peer_link_up(&mut self, link: u64, now: u64) {
         self.now = self.now.max(now);
+        self.effects.push(Effect::SendToPeer { link, message: ForwardMessage::Hello });
+    }
+
+    /// The other node understands configuration versions: a node that accepted the link answers, one that opened it
+    /// forwards the requests that waited.
+    pub(crate) fn on_peer_hello(&mut self, link: u64) {
         let Some(owner_link) = self.forwarding.owner_links.values_mut().find(|owner_link| owner_link.link == link)
         else {
-            return;
+            return self.effects.push(Effect::SendToPeer { link, message: ForwardMessage::Hello });
         };
         owner_link.is_up = true;
         let waiting = std::mem::take(&mut owner_link.waiting);
         self.dispatch_waiting(waiting);
     }
 
+    /// Ends the client's wait for a link to an owner; until the link is retried, requests are executed locally. Returns
+    /// whether the client waited.
+    pub(crate) fn stop_waiting_for_owner(&mut self, id: u64) -> bool {
+        let owner_links = self.forwarding.owner_links.values_mut();
+        let Some(owner_link) = owner_links.into_iter().find(|owner_link| owner_link.waiting.contains(&id)) else {
+            return false;
+        };
+        owner_link.waiting.retain(|waiting| *waiting != id);
+        owner_link.failed_until = self.now + PEER_RETRY_DELAY_US;
+        true
+    }
+
     fn dispatch_waiting(&mut self, waiting: Vec<u64>) {
         for id in waiting {
             let is_waiting = |client: &crate::types::Client| {
@@ -113,8 +132,8 @@
     /// Closes a forwarded session after a protocol violation.
     fn fail_forwarded_session(&mut self, session: u64) {
         if let Some(out) = self.forwarding.outbound.get(&session) {
-            let message = wv_internal_protocol::ForwardMessage::Close { session: self.forwarded_session_id(session) };
-            self.effects.push(crate::Effect::SendToPeer { link: out.link, message });
+            let message = ForwardMessage::Close { session: self.forwarded_session_id(session) };
+            self.effects.push(Effect::SendToPeer { link: out.link, message });
         }
         self.forwarded_session_lost(session);
     }
--- a/crates/wv-access/src/forwarded_sessions.rs
+++ b/crates/wv-access/src/forwarded_sessions.rs
@@ -18,9 +18,13 @@
         self.now = self.now.max(now);
         match message {
             ForwardMessage::Open { session, host, user } => self.open_forwarded_session(link, session, host, user),
-            ForwardMessage::Request { session, request, lines } => {
-                self.handle_forwarded_request(link, (session, request), &lines)
+            ForwardMessage::UnversionedRequest { session, request, lines } => {
+                self.handle_forwarded_request(link, (session, request), None, &lines)
             }
+            ForwardMessage::Request { session, request, configuration_version, lines } => {
+                self.handle_forwarded_request(link, (session, request), Some(configuration_version), &lines)
+            }
+            ForwardMessage::Hello => self.on_peer_hello(link),
             ForwardMessage::Response { session, request, bytes } => {
                 self.find_outbound_session(link, session)
                     .into_iter()
@@ -77,7 +81,13 @@
         self.client_closed(id, self.now);
     }
 
-    fn handle_forwarded_request(&mut self, link: u64, (session, request): (ForwardedSessionId, u64), lines: &[u8]) {
+    fn handle_forwarded_request(
+        &mut self,
+        link: u64,
+        (session, request): (ForwardedSessionId, u64),
+        configuration_version: Option<u64>,
+        lines: &[u8],
+    ) {
         let Some(id) = self.forwarding.inbound.get(&(link, session)).copied() else {
             // Rejected before, or unknown: no part of this request has been or will be executed.
             return self
@@ -93,8 +103,10 @@
         origin.request = request;
         let is_idle = |client: &crate::types::Client| client.txn.is_none() && !client.request.is_open;
         let is_new = self.clients.get(&id).is_some_and(is_idle);
-        // An open transaction continues here; new work is rejected if another node owns the shard now.
-        if is_new && (!self.owns_shard(id) || self.is_shutting_down()) {
+        // An open transaction continues here. New work is rejected if another node owns the shard now, or if it was
+        // routed by another configuration version: the route could differ from the one that its client's node goes by.
+        let is_same_version = configuration_version == self.configuration_version();
+        if is_new && (!is_same_version || !self.owns_shard(id) || self.is_shutting_down()) {
             return self.reject_forwarded_session(link, (session, request), id);
         }
         self.client_data(id, lines, self.now);
--- a/crates/wv-access/src/forwarding.rs
+++ b/crates/wv-access/src/forwarding.rs
@@ -18,8 +18,9 @@
     pub client: u64,
     pub link: u64,
     connection_state: wv_session_state::ConnectionState,
-    /// Number of the newest request.
+    /// Number of the newest request, and the configuration version that it was routed by.
     pub last_request: u64,
+    configuration_version: u64,
     /// Requests that are not fully answered yet, oldest first.
     pub pending: std::collections::VecDeque<PendingRequest>,
     pub buf: Vec<u8>,
@@ -27,10 +28,32 @@
     pub error: Option<(wv_wire_protocol::ErrorCode, Vec<u8>)>,
 }
 
+impl OutboundSession {
+    /// Numbers a request and returns the effect that sends it.
+    fn next_request(
+        &mut self,
+        session: ForwardedSessionId,
+        lines: Vec<u8>,
+        internal_responses: u32,
+        has_client_response: bool,
+    ) -> Effect {
+        self.last_request += 1;
+        self.pending.push_back(PendingRequest { request: self.last_request, internal_responses, has_client_response });
+        let message = ForwardMessage::Request {
+            session,
+            request: self.last_request,
+            configuration_version: self.configuration_version,
+            lines,
+        };
+        Effect::SendToPeer { link: self.link, message }
+    }
+}
+
 /// The link to one owner.
 #[derive(Default)]
 pub(crate) struct OwnerLink {
     pub link: u64,
+    /// The owner has answered `Hello`.
     pub is_up: bool,
     /// Clients whose requests wait for the link to be established.
     pub waiting: Vec<u64>,
@@ -140,6 +163,7 @@
             link,
             connection_state,
             last_request: 0,
+            configuration_version: 0,
             pending,
             buf: Vec::new(),
             error: None,
@@ -189,14 +213,9 @@
         }
         write_query(&mut lines, &request.query_id, &[&request.text]);
         self.forwarding.request_count += 1;
-        outbound.last_request += 1;
-        outbound.pending.push_back(PendingRequest {
-            request: outbound.last_request,
-            internal_responses,
-            has_client_response: true,
-        });
-        let message = ForwardMessage::Request { session: session_id, request: outbound.last_request, lines };
-        self.effects.push(Effect::SendToPeer { link: outbound.link, message });
+        outbound.configuration_version = request.configuration_version;
+        let effect = outbound.next_request(session_id, lines, internal_responses, true);
+        self.effects.push(effect);
     }
 
     /// Closes the client's session at the owner, which rolls back its open transaction.
@@ -218,14 +237,8 @@
         if let Some(outbound) = self.forwarding.outbound.get_mut(&session) {
             let mut lines = Vec::new();
             write_query(&mut lines, b"-", &[b"ABORT"]);
-            outbound.last_request += 1;
-            outbound.pending.push_back(PendingRequest {
-                request: outbound.last_request,
-                internal_responses: 1,
-                has_client_response: false,
-            });
-            let message = ForwardMessage::Request { session: session_id, request: outbound.last_request, lines };
-            self.effects.push(Effect::SendToPeer { link: outbound.link, message });
+            let effect = outbound.next_request(session_id, lines, 1, false);
+            self.effects.push(effect);
         }
     }
 }
--- a/crates/wv-access/src/lib.rs
+++ b/crates/wv-access/src/lib.rs
@@ -31,6 +31,7 @@
 mod timer;
 mod txn;
 mod types;
+mod wait_limit;
 
 pub use crate::core::Core;
 pub use health_reports::ReportScope;
--- a/crates/wv-access/src/request.rs
+++ b/crates/wv-access/src/request.rs
@@ -32,7 +32,7 @@
         statement_id: Option<u32>,
         route: &Rc<Route>,
     ) {
-        let now = self.now;
+        let (now, configuration_version) = (self.now, self.configuration_version().unwrap_or(0));
         // Keys matter only for shards with a planned split.
         let target_key =
             if self.has_planned_shards() { target_key_of(text, statement_id.is_some()) } else { Default::default() };
@@ -56,6 +56,9 @@
             (0, None, None, None, false);
         (request.forwarded_session, request.is_local_only) = (None, false);
         request.route = Some(route.clone());
+        // A changed route applies from the next transaction on.
+        request.configuration_version =
+            client.txn.as_ref().map_or(configuration_version, |txn| txn.configuration_version);
         request.target_key = target_key;
         request.waiting_since = now;
         request.first_byte_at = client.first_byte_at;
--- a/crates/wv-access/src/txn.rs
+++ b/crates/wv-access/src/txn.rs
@@ -8,7 +8,7 @@
 
 impl Core {
     pub(crate) fn begin_txn(&mut self, id: u64, query: &[u8], route: Rc<Route>, is_read_only: bool) {
-        let now = self.now;
+        let (now, configuration_version) = (self.now, self.configuration_version().unwrap_or(0));
         let Some(client) = self.clients.get_mut(&id) else { return };
         if client.txn.is_some() {
             return self.reply_error(id, ErrorCode::Malformed, "a transaction is open");
@@ -16,6 +16,7 @@
         let at = client.first_byte_at;
         client.txn = Some(Txn {
             route,
+            configuration_version,
             begin_id: query.to_vec(),
             is_read_only,
             is_primary_only: true,
--- a/crates/wv-access/src/types.rs
+++ b/crates/wv-access/src/types.rs
@@ -66,7 +66,9 @@
     pub last_code: Option<ErrorCode>,
     /// Since when it waits to be dispatched.
     pub waiting_since: u64,
+    /// The route, and the configuration version that it was taken from.
     pub route: Option<Rc<Route>>,
+    pub configuration_version: u64,
     pub target_key: crate::slots::RequestKey,
     pub first_byte_at: u64,
     pub response: Vec<u8>,
@@ -101,7 +103,9 @@
 
 /// A client's open transaction.
 pub struct Txn {
+    /// The route of its `BEGIN`, and the configuration version that it was taken from.
     pub route: Rc<Route>,
+    pub configuration_version: u64,
     pub begin_id: Vec<u8>,
     pub is_read_only: bool,
     /// Begun with a plain `BEGIN`, which only a primary accepts.
--- a/crates/wv-access/tests/common/mod.rs
+++ b/crates/wv-access/tests/common/mod.rs
@@ -26,6 +26,8 @@
     pub closed: Vec<u64>,
     pub peer_messages: Vec<(u64, ForwardMessage)>,
     pub peer_links: Vec<u64>,
+    /// Whether the nodes that this node connects to answer its `Hello`.
+    pub peers_answer_hello: bool,
 }
 
 /// The only database of the service `s`, its primary.
@@ -96,6 +98,7 @@
             closed: Vec::new(),
             peer_messages: Vec::new(),
             peer_links: Vec::new(),
+            peers_answer_hello: true,
         };
         node.advance(300 * MS);
         node
@@ -161,6 +164,11 @@
                 self.peer_links.push(link);
                 self.core.peer_link_up(link, self.now);
             }
+            Effect::SendToPeer { link, message: ForwardMessage::Hello } if self.peer_links.contains(&link) => {
+                if self.peers_answer_hello {
+                    self.core.handle_forward_message(link, ForwardMessage::Hello, self.now);
+                }
+            }
             Effect::SendToPeer { link, message } => self.peer_messages.push((link, message)),
         }
     }
@@ -215,6 +223,19 @@
         last.expect("a request was forwarded")
     }
 
+    /// Applies a newer configuration with these sections after `limits`.
+    pub fn configure(&mut self, version: u64, sections: &str) {
+        let body = CONFIGURATION.replace("PARTNERS", sections).replace("\"issue\":1", &format!("\"issue\":{version}"));
+        self.publish(FeedUpdate::Configuration { version, body: body.into_bytes() });
+    }
+
+    /// Applies the next update of the feed.
+    pub fn publish(&mut self, update: FeedUpdate) {
+        let position = self.core.feed_position().1 + 1;
+        self.core.apply_feed_message(Message::Update { position, update }, self.now).expect("update is accepted");
+        self.apply_effects();
+    }
+
     /// Number of sent statements that contain `part`.
     pub fn statement_count(&self, part: &str) -> usize {
         self.sent_statements.iter().filter(|(_, line)| line.contains(part)).count()
--- /dev/null
+++ b/crates/wv-access/tests/configuration_versions.rs
@@ -0,0 +1,118 @@
+//! Work is done under the configuration version that it was routed by, or it is not done.
+mod common;
+
+use common::{TestNode, MS, NODE_INCARNATION};
+use googletest::prelude::*;
+use wv_internal_protocol::{ForwardMessage, ForwardedSessionId};
+
+const PARTNERS: &str = r#","partners":[{"label":"all","portion":1,"nodes":["me","other"]}]"#;
+const SESSION: ForwardedSessionId = ForwardedSessionId { incarnation: NODE_INCARNATION + 1, number: 5 };
+
+/// The node under test as the owner in configuration version 2, with a session of another node.
+fn owner() -> (TestNode, u64) {
+    let mut node = TestNode::new();
+    node.configure(2, "");
+    let link = node.core.accept_peer_link(node.now);
+    node.receive_from_peer(
+        link,
+        ForwardMessage::Open { session: SESSION, host: "shop".to_owned(), user: "me".to_owned() },
+    );
+    (node, link)
+}
+
+fn request(number: u64, configuration_version: u64, lines: &str) -> ForwardMessage {
+    let lines = lines.as_bytes().to_vec();
+    ForwardMessage::Request { session: SESSION, request: number, configuration_version, lines }
+}
+
+/// Guards against an owner that is behind, or ahead, running forwarded work by another route than its client's node.
+#[gtest]
+fn given_work_routed_by_an_older_or_newer_configuration_then_the_owner_rejects_it_unrun() {
+    let kinds = [
+        "QUERY w1 WRITE k d\r\n",
+        "QUERY r1 READ k\r\n",
+        "QUERY t1 BEGIN\r\nQUERY t2 WRITE k d\r\n",
+        "QUERY - DEFINE w1 WRITE q\r\nQUERY w1 EXECUTE w1 k d\r\n",
+    ];
+    for lines in kinds {
+        for version in [1, 3] {
+            let (mut node, link) = owner();
+            node.receive_from_peer(link, request(1, version, lines));
+            let rejected = (link, ForwardMessage::Rejected { session: SESSION, request: 1 });
+            expect_that!(node.peer_messages, elements_are![eq(&rejected)], "{lines:?} of version {version}");
+            expect_that!((node.statement_count("k"), node.statement_count("BEGIN")), eq((0, 0)));
+        }
+        let (mut node, link) = owner();
+        node.receive_from_peer(link, request(1, 2, lines));
+        expect_that!(node.sent_statements.is_empty(), eq(false), "{lines:?}");
+        // An earlier build does not say which version it goes by.
+        let (mut node, link) = owner();
+        let lines = lines.as_bytes().to_vec();
+        node.receive_from_peer(link, ForwardMessage::UnversionedRequest { session: SESSION, request: 1, lines });
+        expect_that!(node.statement_count("k"), eq(0));
+    }
+}
+
+/// Guards against a session that was opened under an earlier configuration, or its open transaction, being cut off.
+#[gtest]
+fn given_a_transaction_open_at_the_owner_when_the_configuration_changes_then_it_ends_there_and_new_work_is_rejected() {
+    let (mut node, link) = owner();
+    node.receive_from_peer(link, request(1, 2, "QUERY t1 BEGIN\r\nQUERY t2 WRITE k d\r\n"));
+    let db = node.busy_connection().expect("it was sent");
+    node.db_sends(db, "COMPLETE -\r\nIDLE T 3.9\r\n", 1);
+    node.db_sends(db, "COMPLETE stamp-1\r\nIDLE T 3.9\r\n", 1);
+    node.configure(3, "");
+    node.receive_from_peer(link, request(2, 2, "QUERY t3 COMMIT\r\n"));
+    expect_that!(node.statement_count("COMMIT"), eq(1));
+    node.db_sends(db, "COMPLETE stamp-2\r\nIDLE I 3.10\r\n", 1);
+    node.receive_from_peer(link, request(3, 2, "QUERY w1 WRITE k d\r\n"));
+    expect_that!(node.statement_count("QUERY w1"), eq(0));
+    node.receive_from_peer(
+        link,
+        ForwardMessage::Open { session: SESSION, host: "shop".to_owned(), user: "me".to_owned() },
+    );
+    node.receive_from_peer(link, request(1, 3, "QUERY w2 WRITE k d\r\n"));
+    expect_that!(node.statement_count("QUERY w2"), eq(1));
+}
+
+/// Guards against a transaction being forwarded under a newer version than the one that its `BEGIN` was routed by.
+#[gtest]
+fn given_a_configuration_change_between_begin_and_the_first_statement_then_the_request_names_the_version_of_begin() {
+    let versions = |node: &TestNode| -> Vec<u64> {
+        let version = |(_, message): &(u64, ForwardMessage)| match message {
+            ForwardMessage::Request { configuration_version, .. } => Some(*configuration_version),
+            _ => None,
+        };
+        node.peer_messages.iter().filter_map(version).collect()
+    };
+    let mut node = TestNode::with_remote_owner();
+    let client = node.connect_client("shop");
+    node.send_line(client, "QUERY t1 BEGIN");
+    node.configure(2, PARTNERS);
+    node.send_line(client, "QUERY t2 WRITE k d");
+    let other = node.connect_client("shop");
+    node.send_line(other, "QUERY w1 WRITE k d");
+    expect_that!(versions(&node), eq(&vec![1, 2]));
+}
+
+/// Guards against requests being forwarded to a node that ignores their version, and against being refused meanwhile.
+#[gtest]
+fn given_an_owner_that_does_not_answer_hello_then_requests_are_executed_here_in_time() {
+    let mut node = TestNode::with_remote_owner();
+    node.peers_answer_hello = false;
+    let client = node.connect_client("shop");
+    node.send_line(client, "QUERY w1 WRITE k d");
+    expect_that!(node.statement_count("QUERY w1"), eq(0));
+    node.advance(50 * MS);
+    expect_that!(node.statement_count("QUERY w1"), eq(1));
+    // An earlier build closes the link at once.
+    let mut node = TestNode::with_remote_owner();
+    node.peers_answer_hello = false;
+    let client = node.connect_client("shop");
+    node.send_line(client, "QUERY w1 WRITE k d");
+    let link = *node.peer_links.last().expect("the owner was dialled");
+    node.core.peer_link_down(link, node.now);
+    node.apply_effects();
+    expect_that!(node.statement_count("QUERY w1"), eq(1));
+    expect_that!(node.peer_messages.iter().any(|(_, sent)| matches!(sent, ForwardMessage::Request { .. })), eq(false));
+}
--- a/crates/wv-access/tests/forwarding.rs
+++ b/crates/wv-access/tests/forwarding.rs
@@ -127,7 +127,12 @@
 }
 
 fn write(session: ForwardedSessionId, request: u64, tag: &str) -> ForwardMessage {
-    ForwardMessage::Request { session, request, lines: format!("QUERY {tag} WRITE k d\r\n").into_bytes() }
+    ForwardMessage::Request {
+        session,
+        request,
+        configuration_version: 1,
+        lines: format!("QUERY {tag} WRITE k d\r\n").into_bytes(),
+    }
 }
 
 #[gtest]
--- a/crates/wv-access/tests/line_feeds.rs
+++ b/crates/wv-access/tests/line_feeds.rs
@@ -88,7 +88,7 @@
     let session = ForwardedSessionId { incarnation: NODE_INCARNATION + 1, number: 5 };
     owner.receive_from_peer(link, ForwardMessage::Open { session, host: "shop".to_owned(), user: "me".to_owned() });
     let lines = lines.unwrap_or_default();
-    owner.receive_from_peer(link, ForwardMessage::Request { session, request: 1, lines });
+    owner.receive_from_peer(link, ForwardMessage::Request { session, request: 1, configuration_version: 1, lines });
     let sent: Vec<&str> = owner.sent_statements.iter().map(|(_, line)| line.as_str()).collect();
     expect_that!(sent, eq(&vec![format!("QUERY w1 {TWO_LINES}").as_str()]));
 }
--- a/crates/wv-internal-protocol/src/forwarding.rs
+++ b/crates/wv-internal-protocol/src/forwarding.rs
@@ -17,8 +17,8 @@
         host: String,
         user: String,
     },
-    /// Protocol lines as the client would send them: values and definitions first, then the request itself.
-    Request {
+    /// A request of an earlier build, which does not name the configuration that it was routed by. Always rejected.
+    UnversionedRequest {
         session: ForwardedSessionId,
         request: u64,
         lines: Vec<u8>,
@@ -29,8 +29,8 @@
         request: u64,
         bytes: Vec<u8>,
     },
-    /// The receiver does not own the shard or accepts no new work. No part of the request has run or will run;
-    /// `request` is 0 if the rejection applies to any request.
+    /// The receiver does not own the shard, is in another configuration version or accepts no new work. No part of the
+    /// request has run or will run; `request` is 0 if the rejection applies to any request.
     Rejected {
         session: ForwardedSessionId,
         request: u64,
@@ -38,4 +38,16 @@
     Close {
         session: ForwardedSessionId,
     },
+    /// Sent first on a link and returned by the accepting node; requests follow only then. An earlier build cannot decode
+    /// it and closes the link, so that no request reaches a node that ignores configuration versions.
+    Hello,
+    /// Protocol lines as the client would send them: values and definitions first, then the request itself.
+    Request {
+        session: ForwardedSessionId,
+        request: u64,
+        /// The configuration version that the request, or its transaction, was routed by. The receiver starts new work
+        /// only in exactly this version.
+        configuration_version: u64,
+        lines: Vec<u8>,
+    },
 }
--- a/crates/wv-simulation/tests/request_forwarding.rs
+++ b/crates/wv-simulation/tests/request_forwarding.rs
@@ -49,6 +49,7 @@
         wv_internal_protocol::ForwardMessage::Request {
             session,
             request: 1,
+            configuration_version: 1,
             lines: b"QUERY w1 WRITE k d\r\n".to_vec(),
         },
         0,
