A split plan is acknowledged once no node without it can write

Cause: names were asked for only once a node held the shard's slot map, and nodes that were behind, or served under a plan without a map for its first ten seconds, wrote without names. Nothing said which plan a slot map or a kept name belonged to.

Change: a new plan's coordinator publishes the map under the present term, has the shard promoted, and completes the map under the new term; a configuration with plans is acknowledged once their maps are complete (503 until then), unless it is the first of all. Making or withdrawing a plan empties the map's register under a new ballot, so nothing of an earlier plan holds; a claim reads the configuration. A node sends nothing of a planned shard without a map, binds a map without a term to the first term that it sees, finds the keys of waiting requests when a plan comes, and drops what it tracked when a plan goes. Configurations are published before the leaders and maps that were decided under them.

--- a/crates/wv-access/src/lib.rs
+++ b/crates/wv-access/src/lib.rs
@@ -23,6 +23,7 @@
 mod response;
 mod run;
 mod send;
+mod slot_maps;
 mod slots;
 mod slow_start;
 mod socket;
--- a/crates/wv-access/src/request.rs
+++ b/crates/wv-access/src/request.rs
@@ -33,9 +33,7 @@
         route: &Rc<Route>,
     ) {
         let (now, configuration_version) = (self.now, self.configuration_version().unwrap_or(0));
-        // Keys matter only for shards with a planned split.
-        let target_key =
-            if self.has_planned_shards() { target_key_of(text, statement_id.is_some()) } else { Default::default() };
+        let has_planned_shards = self.has_planned_shards();
         let Some(client) = self.clients.get_mut(&id) else { return };
         let request = &mut client.request;
         request.sequence += 1;
@@ -59,7 +57,11 @@
         // A changed route applies from the next transaction on.
         request.configuration_version =
             client.txn.as_ref().map_or(configuration_version, |txn| txn.configuration_version);
-        request.target_key = target_key;
+        // Keys matter only for shards with a planned split.
+        request.target_key = match has_planned_shards {
+            true => target_key_of(&request.text, statement_id.is_some()),
+            false => Default::default(),
+        };
         request.waiting_since = now;
         request.first_byte_at = client.first_byte_at;
         request.refused_by.clear();
@@ -88,14 +90,11 @@
     }
 }
 
-/// The key in a statement, its slot, and the size of the data written.
-fn target_key_of(text: &[&[u8]], is_prepared: bool) -> crate::slots::RequestKey {
-    let rest = match text {
-        [_, rest] if is_prepared => rest,
-        [whole] => wv_wire_protocol::split_word(whole).1,
-        _ => return Default::default(),
-    };
-    let (key, data) = wv_wire_protocol::split_word(rest);
+/// The key in a statement as sent to databases, its slot, and the size of the data written.
+pub(crate) fn target_key_of(text: &[u8], is_prepared: bool) -> crate::slots::RequestKey {
+    let (_, rest) = wv_wire_protocol::split_word(text);
+    let arguments = if is_prepared { wv_wire_protocol::split_word(rest).1 } else { rest };
+    let (key, data) = wv_wire_protocol::split_word(arguments);
     let slot = (!key.is_empty()).then(|| wv_internal_protocol::slot_for_key(key));
     crate::slots::RequestKey { key: key.to_vec(), slot, write_bytes: data.len() as u32 }
 }
--- a/crates/wv-access/src/slots.rs
+++ b/crates/wv-access/src/slots.rs
@@ -5,8 +5,6 @@
 use wv_health::DatabaseKey;
 use wv_internal_protocol::{SlotMap, SplitPhase};
 
-/// For this long after a plan appears its shard is served without a slot map.
-const SLOT_MAP_GRACE_US: u64 = 10_000_000;
 /// Maximum length of a chain of splits that is followed.
 const MAX_SPLIT_HOPS: usize = 8;
 
@@ -14,6 +12,9 @@
 #[derive(Default)]
 pub(crate) struct PlannedShard {
     pub map: SlotMap,
+    /// The first term that a connection reported under a map without a term. Connections of other terms wait for a map
+    /// that names theirs.
+    first_reported_term: u64,
     /// The split attempt whose coordinator knows that this node writes.
     pub acked_attempt: u64,
     pub dirty_keys: crate::split_reports::DirtyKeyTracker,
@@ -23,8 +24,10 @@
 #[derive(Default)]
 pub(crate) struct SlotState {
     pub shards: Map<String, PlannedShard>,
-    /// Planned shards whose slot map has not arrived, and since when they are known.
-    pub shards_without_map: Map<String, u64>,
+    /// Planned shards whose slot map has not arrived. Their slots may have moved, so none of their requests is sent.
+    pub shards_without_map: std::collections::BTreeSet<String>,
+    /// Slot maps of shards that the configuration has no plan for.
+    pub unplanned_maps: Map<String, SlotMap>,
     /// Distinguishes this process from earlier ones of the same node.
     pub incarnation: u64,
     pub is_report_due: bool,
@@ -49,16 +52,6 @@
         !self.slots.shards.is_empty() || !self.slots.shards_without_map.is_empty()
     }
 
-    /// Takes over the shard plans of a new configuration.
-    pub(crate) fn set_shard_plans(&mut self, configuration: &wv_configuration::Configuration) {
-        let now = self.now;
-        let slots = &mut self.slots;
-        slots.shards_without_map.retain(|shard, _| configuration.shard_plans.iter().any(|plan| plan.shard == *shard));
-        for plan in configuration.shard_plans.iter().filter(|plan| !slots.shards.contains_key(&plan.shard)) {
-            slots.shards_without_map.entry(plan.shard.clone()).or_insert(now);
-        }
-    }
-
     /// The service that holds this slot of `service`: the shard itself, or the one that splits have moved it to.
     pub(crate) fn service_for_slot(&self, service: &str, slot: Option<u16>) -> Rc<str> {
         let mut target = service;
@@ -95,18 +88,17 @@
         })
     }
 
-    /// Whether the request has to wait: a write to a moving slot while it is sealed, or while it is copied and the
-    /// coordinator does not yet know that this node writes; the first write to a key that the coordinator has not yet
-    /// persisted; any request on a primary route while the slot map is overdue.
+    /// Whether the request has to wait: any request while the slot map is missing; a write to a moving slot while it is
+    /// sealed, or while it is copied and the coordinator does not yet know that this node writes; the first write to a
+    /// key that the coordinator has not yet persisted.
     pub(crate) fn must_wait_for_split(&mut self, id: u64) -> bool {
         if !self.has_planned_shards() {
             return false;
         }
         let Some(service) = self.service_for_request(id) else { return false };
         let Some(client) = self.clients.get(&id) else { return false };
-        let is_within_grace = |since: &u64| *since + SLOT_MAP_GRACE_US > self.now;
-        if self.slots.shards_without_map.get(&*service).is_some_and(|since| !is_within_grace(since)) {
-            return client.request.route_class() == 0;
+        if self.slots.shards_without_map.contains(&*service) {
+            return true;
         }
         let (target_key, is_write) = (&client.request.target_key, client.request.verb() == Verb::Write);
         let Some(shard) = self.slots.shards.get_mut(&*service).filter(|_| is_write) else { return false };
@@ -138,13 +130,11 @@
         }
     }
 
-    /// The term that connections for primary requests to `key` must have; 0 if any.
-    fn required_term(&self, key: DatabaseKey) -> u64 {
-        let Some(checker) = self.health.service(key.service).filter(|_| !self.slots.shards.is_empty()) else {
-            return 0;
-        };
+    /// The planned shard that the database leads.
+    fn planned_shard_of_leader(&self, key: DatabaseKey) -> Option<&PlannedShard> {
+        let checker = self.health.service(key.service).filter(|_| !self.slots.shards.is_empty())?;
         let is_leader = checker.leader() == Some(key.index);
-        self.slots.shards.get(&checker.service).filter(|_| is_leader).map_or(0, |shard| shard.map.term)
+        self.slots.shards.get(&checker.service).filter(|_| is_leader)
     }
 
     /// Whether a new connection to `key` has to query the database's term.
@@ -152,17 +142,18 @@
         let Some(checker) = self.health.service(key.service).filter(|_| self.has_planned_shards()) else {
             return false;
         };
-        self.slots.shards.contains_key(&checker.service) || self.slots.shards_without_map.contains_key(&checker.service)
+        self.slots.shards.contains_key(&checker.service) || self.slots.shards_without_map.contains(&checker.service)
     }
 
     /// Compares a connection's term with the one that the slot map requires: equal, older or newer.
     pub(crate) fn compare_term(&self, db: u64) -> std::cmp::Ordering {
         let Some(connection) = self.connections.get(&db) else { return std::cmp::Ordering::Less };
-        let required = self.required_term(connection.key);
-        if required == 0 {
-            return std::cmp::Ordering::Equal;
+        let Some(shard) = self.planned_shard_of_leader(connection.key) else { return std::cmp::Ordering::Equal };
+        match shard.map.term.max(shard.first_reported_term) {
+            // No term is known yet; a connection that has not reported one may be of any.
+            0 => connection.term.cmp(&1).min(std::cmp::Ordering::Equal),
+            required => connection.term.cmp(&required),
         }
-        connection.term.cmp(&required)
     }
 
     /// Rechecks unused connections after the leader or slot map of a service changed: outdated ones are closed, and
@@ -185,7 +176,14 @@
         // A replica's term is not one that it leads in; term 0 matches no slot map.
         let primary = wv_wire_protocol::parse_status(row).filter(|status| status.is_primary);
         let term = primary.map_or(0, |status| status.term);
-        self.connections.get_mut(&db).into_iter().for_each(|connection| connection.term = term);
+        let Some(connection) = self.connections.get_mut(&db) else { return };
+        connection.term = term;
+        let key = connection.key;
+        if self.planned_shard_of_leader(key).is_none_or(|shard| shard.map.term.max(shard.first_reported_term) > 0) {
+            return;
+        }
+        let service = self.health.service(key.service).map(|checker| checker.service.as_str()).unwrap_or_default();
+        self.slots.shards.get_mut(service).into_iter().for_each(|shard| shard.first_reported_term = term);
     }
 
     pub(crate) fn query_term(&mut self, db: u64) {
@@ -195,31 +193,4 @@
         connection.pending.push_back(crate::types::Pending { kind: Reply::Probe, sent_at: now, is_fenced: false });
         self.effects.push(crate::Effect::WriteDb(db));
     }
-
-    /// Applies a newer slot map; it takes effect at once.
-    pub(crate) fn apply_slot_map(&mut self, map: SlotMap) {
-        let name = map.shard.clone();
-        if self.slots.shards.get(&name).is_some_and(|shard| shard.map.version >= map.version) {
-            return;
-        }
-        self.slots.shards_without_map.remove(&name);
-        let shard = self.slots.shards.entry(name.clone()).or_default();
-        let old = std::mem::replace(&mut shard.map, map);
-        let map = &shard.map;
-        // Tells the coordinator that this node writes, or that it no longer does.
-        let has_changed = old.attempt != map.attempt || old.phase != map.phase;
-        if map.phase != SplitPhase::Resting && has_changed {
-            shard.dirty_keys.request_report(map.phase == SplitPhase::Sealed);
-            self.slots.is_report_due = true;
-        }
-        // Positions seen on a target before it received the rows do not cover them.
-        let gained: Vec<String> =
-            map.moved.iter().filter(|range| !old.moved.contains(range)).map(|range| range.target.clone()).collect();
-        for target in gained {
-            let now = self.now;
-            let service = self.health.intern_service(&target);
-            self.health.service_mut(service).into_iter().for_each(|checker| checker.fenced_positions.reset(now));
-        }
-        self.recheck_connections(&name);
-    }
 }
--- a/crates/wv-access/tests/configuration_versions.rs
+++ b/crates/wv-access/tests/configuration_versions.rs
@@ -1,11 +1,13 @@
-//! Work is done under the configuration version that it was routed by, or it is not done.
+//! Work is done under the configuration version that it was routed by, or it is not done; what a node knows only from
+//! before a stall, or does not know yet, is not acted on.
 mod common;
 
 use common::{TestNode, MS, NODE_INCARNATION};
 use googletest::prelude::*;
-use wv_internal_protocol::{ForwardMessage, ForwardedSessionId};
+use wv_internal_protocol::{FeedUpdate, ForwardMessage, ForwardedSessionId, Message, SlotMap};
 
 const PARTNERS: &str = r#","partners":[{"label":"all","portion":1,"nodes":["me","other"]}]"#;
+const PLAN: &str = r#","shardPlans":[{"shard":"s","upper":"t","rowsMax":1000,"quiet":"* * 1-4 * * *"}]"#;
 const SESSION: ForwardedSessionId = ForwardedSessionId { incarnation: NODE_INCARNATION + 1, number: 5 };
 
 /// The node under test as the owner in configuration version 2, with a session of another node.
@@ -116,3 +118,67 @@
     expect_that!(node.statement_count("QUERY w1"), eq(1));
     expect_that!(node.peer_messages.iter().any(|(_, sent)| matches!(sent, ForwardMessage::Request { .. })), eq(false));
 }
+
+fn report_serials(node: &mut TestNode) -> Vec<u64> {
+    let serial = |message: Message| match message {
+        Message::ShardReport(report) => Some(report.serial),
+        _ => None,
+    };
+    node.core.take_split_reports(false).into_iter().filter_map(serial).collect()
+}
+
+fn map(version: u64, term: u64) -> FeedUpdate {
+    FeedUpdate::Slots(SlotMap { shard: "s".to_owned(), version, term, ..SlotMap::default() })
+}
+
+/// Guards against writes that a split does not know of: a plan was in force for a moment before its slot map came, and
+/// what was first written then was left behind.
+#[gtest]
+fn given_a_plan_without_a_slot_map_then_nothing_is_sent_and_with_one_first_writes_wait_until_their_names_are_kept() {
+    let mut node = TestNode::new();
+    let (writer, reader) = (node.connect_client("shop"), node.connect_client("shop"));
+    node.configure(2, PLAN);
+    node.send_line(writer, "QUERY w1 WRITE k d");
+    node.send_line(reader, "QUERY r1 READ k");
+    node.advance(20 * MS);
+    expect_that!(node.statement_count("k"), eq(0));
+    node.publish(map(1, 0));
+    node.advance(10 * MS);
+    expect_that!((node.statement_count("BEGIN"), node.statement_count("WRITE")), eq((1, 0)), "reads go on");
+    let serials = report_serials(&mut node);
+    expect_that!(serials.len(), eq(1));
+    node.core.shard_report_acked("s", (NODE_INCARNATION, serials[0]), node.now);
+    node.apply_effects();
+    node.advance(5 * MS);
+    expect_that!(node.statement_count("QUERY w1"), eq(1));
+}
+
+/// Guards against a withdrawn plan leaving first writes refused for ever, and against names kept for an earlier plan
+/// being taken for kept when the plan is made again.
+#[gtest]
+fn given_a_plan_withdrawn_and_made_again_then_writes_go_on_meanwhile_and_names_are_kept_anew() {
+    let mut node = TestNode::new();
+    let client = node.connect_client("shop");
+    node.configure(2, PLAN);
+    node.publish(map(1, 0));
+    node.send_line(client, "QUERY w1 WRITE k d");
+    let serials = report_serials(&mut node);
+    node.core.shard_report_acked("s", (NODE_INCARNATION, serials[0]), node.now);
+    node.apply_effects();
+    node.advance(10 * MS);
+    let db = node.busy_connection().expect("it was sent");
+    node.db_sends(db, "COMPLETE stamp-1\r\nIDLE I 3.9\r\n", 1);
+    node.configure(3, "");
+    // The feed of a control node may still hold the map of the withdrawn plan.
+    node.publish(map(2, 3));
+    node.send_line(client, "QUERY w2 WRITE l d");
+    node.advance(10 * MS);
+    expect_that!(node.statement_count("QUERY w2"), eq(1));
+    let db = node.busy_connection().expect("it was sent");
+    node.db_sends(db, "COMPLETE stamp-2\r\nIDLE I 3.10\r\n", 1);
+    node.configure(4, PLAN);
+    node.send_line(client, "QUERY w3 WRITE k d");
+    node.advance(10 * MS);
+    expect_that!(node.statement_count("QUERY w3"), eq(0));
+    expect_that!(report_serials(&mut node).len(), eq(1));
+}
--- a/crates/wv-control/src/admission.rs
+++ b/crates/wv-control/src/admission.rs
@@ -18,13 +18,15 @@
 pub(crate) struct PendingProposal {
     token: u64,
     body: Vec<u8>,
-    /// Shards whose plan it removes and whose slot maps are still being read; `None` until this node has caught up.
+    /// Shards whose plan it makes or removes and whose slot maps are still being reset; `None` until this node has caught
+    /// up.
     shards: Option<BTreeSet<String>>,
     deadline: u64,
 }
 
 impl Core {
-    /// Proposes a valid configuration, after reading the slot maps of shards whose plan it removes.
+    /// Proposes a valid configuration, after resetting the slot maps of shards whose plan it makes or removes: while a
+    /// shard has no plan, nodes write to it without reports, so nothing of an earlier plan may hold for a later one.
     pub(crate) fn admit_configuration(
         &mut self,
         token: u64,
@@ -39,15 +41,17 @@
         if !self.is_caught_up() {
             return self.pending_proposals.push(pending(None));
         }
-        let dropped = self.dropped_plans(configuration);
-        if dropped.is_empty() {
+        let mut changed = self.dropped_plans(configuration);
+        changed.extend(self.new_plans(configuration));
+        if changed.is_empty() {
             return self.propose(token, configuration.version, body);
         }
-        self.pending_proposals.push(pending(Some(dropped.clone())));
-        for shard in dropped {
-            let read = self.allocate_id();
-            self.operations.insert(read, Operation::CheckShardMap(token, shard.clone()));
-            self.proposer.start(read, &crate::shards::register_key("slots", &shard), None, self.now);
+        self.pending_proposals.push(pending(Some(changed.clone())));
+        for shard in changed {
+            let reset = self.allocate_id();
+            self.operations.insert(reset, Operation::ResetShardMap(token, shard.clone()));
+            let key = crate::shards::register_key("slots", &shard);
+            self.proposer.start(reset, &key, Some(crate::shard_registers::reset_unless_moved()), self.now);
         }
         self.run_proposer();
     }
@@ -61,12 +65,25 @@
         planned.chain(moved).filter(|shard| is_newer && !is_kept(shard)).cloned().collect()
     }
 
-    /// The slot map of a shard whose plan is removed was read from a majority.
-    pub(crate) fn shard_map_read(&mut self, token: u64, shard: &str, outcome: OperationOutcome) {
+    /// Shards that the configuration in force has no plan for and the proposed one has.
+    fn new_plans(&self, configuration: &wv_configuration::Configuration) -> BTreeSet<String> {
+        let Some(current) = self.configuration.as_ref() else { return BTreeSet::new() };
+        let is_new = |shard: &&String| current.shard_plans.iter().all(|plan| plan.shard != **shard);
+        let planned = configuration.shard_plans.iter().map(|plan| &plan.shard);
+        planned.filter(|shard| configuration.version > self.committed_version && is_new(shard)).cloned().collect()
+    }
+
+    /// The slot map of a shard whose plan is made or removed was reset on a majority.
+    pub(crate) fn shard_map_reset(&mut self, token: u64, shard: &str, outcome: OperationOutcome) {
+        if let OperationOutcome::Written(cell) = &outcome {
+            self.announce_slots(crate::shard_registers::reset_map(shard, cell.version));
+        }
         let Some(at) = self.pending_proposals.iter().position(|pending| pending.token == token) else { return };
         let map = match outcome {
-            OperationOutcome::Read(cell) if cell.bytes.is_empty() => Some(SlotMap::default()),
-            OperationOutcome::Read(cell) => nanoserde::DeBin::deserialize_bin(&cell.bytes).ok(),
+            OperationOutcome::Written(cell) | OperationOutcome::Unchanged(cell) if cell.bytes.is_empty() => {
+                Some(SlotMap::default())
+            }
+            OperationOutcome::Unchanged(cell) => nanoserde::DeBin::deserialize_bin(&cell.bytes).ok(),
             _ => None,
         };
         let Some(map) = map else {
--- a/crates/wv-control/src/committed.rs
+++ b/crates/wv-control/src/committed.rs
@@ -32,7 +32,14 @@
 
     /// Publishes the newest configuration if it is unpublished and the interval has passed.
     pub(crate) fn publish_configuration(&mut self) {
-        if !self.is_configuration_unpublished || self.now < self.configuration_published_at + PUBLISH_INTERVAL_US {
+        if self.now >= self.configuration_published_at + PUBLISH_INTERVAL_US {
+            self.publish_configuration_now();
+        }
+    }
+
+    /// Publishes the newest configuration if it is unpublished.
+    pub(crate) fn publish_configuration_now(&mut self) {
+        if !self.is_configuration_unpublished {
             return;
         }
         (self.configuration_published_at, self.is_configuration_unpublished, self.configuration_delta_base) =
--- a/crates/wv-control/src/configuration.rs
+++ b/crates/wv-control/src/configuration.rs
@@ -60,7 +60,8 @@
             Operation::ReadDuty(service, step) => return self.on_duty_read(service, step, completion.outcome),
             Operation::ConfirmDuty(service, step) => return self.on_duty_confirmed(service, step, completion.outcome),
             Operation::SweepRegister => return,
-            Operation::CheckShardMap(token, shard) => return self.shard_map_read(token, &shard, completion.outcome),
+            Operation::ResetShardMap(token, shard) => return self.shard_map_reset(token, &shard, completion.outcome),
+            Operation::ConfirmPlan(token, shard) => return self.plan_read(token, &shard, completion.outcome),
             Operation::WriteOwner(service) => return self.on_owner_written(&service, completion.outcome),
             Operation::ShardRegister(shard, op) => return self.register_op_done(shard, op, completion.outcome),
             operation => operation,
@@ -102,7 +103,7 @@
     fn proposal_decided(&mut self, token: u64, proposal: &Proposal, cell: &wv_internal_protocol::RegisterValue) {
         match DecidedConfiguration::read(cell).status(proposal) {
             // A proposal below the current version is acknowledged and has no effect.
-            ProposalStatus::Accepted | ProposalStatus::Superseded => self.respond(token, 200, "{}"),
+            ProposalStatus::Accepted | ProposalStatus::Superseded => self.acknowledge_configuration(token),
             ProposalStatus::Conflict => {
                 let text = format!("another configuration was accepted under number {}", proposal.number);
                 let body = serde_json::json!({ "cause": text, "issue": proposal.number, "newest": cell.version });
@@ -129,6 +130,9 @@
     pub(crate) fn apply_committed(&mut self, cell: &wv_internal_protocol::RegisterValue) {
         let decided = DecidedConfiguration::read(cell);
         let digest = decided.accepted.last().map_or(0, |proposal| proposal.digest);
+        if cell.version >= self.committed_version {
+            self.is_first_configuration = decided.accepted.len() == 1;
+        }
         if cell.version == self.committed_version && digest != self.committed_digest {
             // Violates the agreement of the register.
             log::error!(
--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use wv_change_feed::{Feed, InstanceTable};
 use wv_consensus::{Proposer, Store, VoterSetChange, VoterState};
-use wv_internal_protocol::{FeedUpdate, Message};
 use wv_membership::Membership;
 
 pub const CONFIGURATION_KEY: &str = "conf";
@@ -115,6 +114,10 @@
     pub(crate) is_maintenance_window: bool,
     /// Wall-clock time minus the process's monotonic time, in microseconds.
     pub(crate) epoch_offset: u64,
+    /// Whether the configuration in force is the first ever accepted, so that no node goes by an older one.
+    pub(crate) is_first_configuration: bool,
+    /// Acknowledgements of configurations with plans, by call.
+    pub(crate) plan_confirmations: BTreeMap<u64, crate::plan_confirmation::PlanConfirmation>,
     /// Planned shards managed by this node, and the latest status text of every planned shard.
     pub(crate) shards: BTreeMap<String, crate::shards::Shard>,
     pub(crate) shard_status: BTreeMap<String, String>,
@@ -201,6 +204,8 @@
             pings_since_sessions: 0,
             is_maintenance_window: true,
             epoch_offset: 0,
+            is_first_configuration: false,
+            plan_confirmations: BTreeMap::new(),
             shards: BTreeMap::new(),
             shard_status: BTreeMap::new(),
         };
@@ -217,34 +222,4 @@
         self.next_id += 1;
         self.next_id
     }
-
-    pub(crate) fn send(&mut self, link: u64, mut message: Message) {
-        self.leave_ages.stamp_ages(&mut message, self.now);
-        self.effects.push(Effect::Send { link, message });
-    }
-
-    pub(crate) fn send_peer(&mut self, addr: &str, message: Message) -> bool {
-        let link = self.peers.get(addr).filter(|peer| peer.is_up).and_then(|peer| peer.link);
-        link.into_iter().for_each(|link| self.send(link, message.clone()));
-        link.is_some()
-    }
-
-    pub(crate) fn send_peers(&mut self, message: &Message) -> usize {
-        let addrs: Vec<String> = self.peers.keys().cloned().collect();
-        addrs.iter().filter(|addr| self.send_peer(addr, message.clone())).count()
-    }
-
-    pub(crate) fn publish(&mut self, update: FeedUpdate) {
-        let message = self.feed.publish(update);
-        self.send_to_subscribers(&message);
-    }
-
-    pub(crate) fn send_to_subscribers(&mut self, message: &Message) {
-        let links: Vec<u64> = self.links.iter().filter(|(_, link)| link.is_subscriber).map(|(id, _)| *id).collect();
-        links.into_iter().for_each(|link| self.send(link, message.clone()));
-    }
-
-    pub(crate) fn respond(&mut self, token: u64, status: u16, body: impl Into<Vec<u8>>) {
-        self.effects.push(Effect::Respond { token, status, body: body.into() });
-    }
 }
--- a/crates/wv-control/src/diskless.rs
+++ b/crates/wv-control/src/diskless.rs
@@ -69,7 +69,10 @@
                 _ => continue,
             };
             match read {
-                Ok((version, packed, text)) => self.apply_configuration(version, packed, &text),
+                Ok((version, packed, text)) => {
+                    self.is_first_configuration = false;
+                    self.apply_configuration(version, packed, &text)
+                }
                 // The delta does not apply to the body held here, so the full configuration is requested.
                 Err(error) => {
                     log::error!("cannot decode a configuration from {addr}, requesting it in full: {error}");
--- a/crates/wv-control/src/shard_registers.rs
+++ b/crates/wv-control/src/shard_registers.rs
@@ -16,6 +16,8 @@
     ReadUsage,
     ReadKeys,
     ReadNewKeys,
+    /// Reads the configuration after the claim, so that no coordinator goes by a plan that was withdrawn before it.
+    ReadConfiguration,
     WriteSlots(SlotMap),
     WriteUsage,
     WriteKeys(usize),
@@ -27,6 +29,27 @@
     SlotMap { shard: map.shard.clone(), version: 1, term: u64::MAX, ..SlotMap::default() }
 }
 
+/// Whether the register holds a slot map that no longer waits for the first promotion under its plan.
+pub(crate) fn holds_complete_map(cell: &RegisterValue) -> bool {
+    <SlotMap as nanoserde::DeBin>::deserialize_bin(&cell.bytes).is_ok_and(|map| !map.is_awaiting_first_term())
+}
+
+/// The map of a shard without a stored map: all slots are at the shard, and no term is named yet.
+pub(crate) fn reset_map(shard: &str, version: u64) -> SlotMap {
+    SlotMap { shard: shard.to_owned(), version: version.max(1), ..SlotMap::default() }
+}
+
+/// Empties the register of a slot map and starts a new ballot, so that no coordinator of an earlier plan writes it
+/// again. A map with moved slots, or one that cannot be decoded, is kept.
+pub(crate) fn reset_unless_moved() -> UpdateFn {
+    Box::new(|current| {
+        let map = <SlotMap as nanoserde::DeBin>::deserialize_bin(&current.bytes);
+        let is_kept = !current.bytes.is_empty() && map.map_or(true, |map| !map.moved.is_empty());
+        let version = ((current.version >> 16) + 1) << 16;
+        (!is_kept && current.version > 0).then(|| RegisterValue { version, ..RegisterValue::default() })
+    })
+}
+
 /// Decompresses a stored list of key names.
 fn decompress_keys(cell: &RegisterValue) -> Vec<u8> {
     let list = wv_compression::decompress(&cell.bytes, wv_configuration::MAX_BODY_BYTES * 16);
@@ -65,6 +88,10 @@
     /// Reads the slot maps that are not known here yet; subscriptions wait for them.
     pub(crate) fn sync_slots(&mut self) {
         let Some(configuration) = self.configuration.as_ref().filter(|_| self.contact.is_established) else { return };
+        let planned: std::collections::BTreeSet<&str> =
+            configuration.shard_plans.iter().map(|plan| plan.shard.as_str()).collect();
+        // The map of a plan that was withdrawn is read again if the plan is made again.
+        self.contact.synced_shards.retain(|shard| planned.contains(shard.as_str()));
         let is_new = |shard: &String| {
             !self.contact.synced_shards.contains(shard) && !self.contact.syncing_shards.contains(shard)
         };
@@ -102,6 +129,10 @@
     pub(crate) fn register_op_done(&mut self, shard: String, op: ShardRegisterOp, outcome: OperationOutcome) {
         match (op, outcome) {
             (ShardRegisterOp::SyncSlots(period), OperationOutcome::Read(cell)) if cell.bytes.is_empty() => {
+                // A read from before contact was lost may have missed a map.
+                if period == self.contact.generation {
+                    self.publish_slots(reset_map(&shard, cell.version));
+                }
                 self.slots_synced(&shard, period)
             }
             (ShardRegisterOp::SyncSlots(period), OperationOutcome::Read(cell)) => {
@@ -121,6 +152,10 @@
             }
             (ShardRegisterOp::SyncSlots(_), _) => {}
             (ShardRegisterOp::ClaimSlots, OperationOutcome::Written(cell)) => self.slots_claimed(&shard, &cell),
+            (ShardRegisterOp::ReadConfiguration, OperationOutcome::Read(cell)) => {
+                self.apply_committed(&cell);
+                self.on_shard_register(&shard, |_| {});
+            }
             (ShardRegisterOp::ReadUsage, OperationOutcome::Written(cell)) => {
                 let usage = nanoserde::DeBin::deserialize_bin(&cell.bytes).ok();
                 self.on_shard_register(&shard, |read| read.usage = usage);
@@ -154,8 +189,12 @@
         let ballot = cell.version >> 16;
         let map = (!cell.bytes.is_empty()).then(|| nanoserde::DeBin::deserialize_bin(&cell.bytes).ok()).flatten();
         let state = self.shards.entry(shard.to_owned()).or_default();
-        (state.ballot, state.writes, state.pending_reads) = (ballot, 0, 2 + wv_shard_split::NAME_CHUNKS);
+        (state.ballot, state.writes, state.pending_reads) = (ballot, 0, 3 + wv_shard_split::NAME_CHUNKS);
         state.registers = crate::shards::ShardRegisters { map, ..Default::default() };
+        let token = self.allocate_id();
+        let read_configuration = Operation::ShardRegister(shard.to_owned(), ShardRegisterOp::ReadConfiguration);
+        self.operations.insert(token, read_configuration);
+        self.proposer.start(token, crate::core::CONFIGURATION_KEY, None, self.now);
         self.start_register_op(shard, "fill", ShardRegisterOp::ReadUsage, Some(advance_to_ballot(ballot)));
         self.start_register_op(shard, "fresh", ShardRegisterOp::ReadNewKeys, Some(advance_to_ballot(ballot)));
         let parts = (0..wv_shard_split::NAME_CHUNKS).map(|at| format!("things-{at}"));
@@ -176,8 +215,7 @@
     fn register_written(&mut self, shard: &str, op: ShardRegisterOp, is_ours: bool) {
         match op {
             ShardRegisterOp::WriteSlots(map) if is_ours => {
-                self.send_peers(&Message::Slots(map.clone()));
-                self.publish_slots(map.clone());
+                self.announce_slots(map.clone());
                 self.on_split_event(shard, wv_shard_split::Event::Written(Some(map)));
             }
             ShardRegisterOp::WriteSlots(_) => self.on_split_event(shard, wv_shard_split::Event::Written(None)),
@@ -185,6 +223,12 @@
         }
     }
 
+    /// Publishes a slot map that is stored on a majority, here and at the peers.
+    pub(crate) fn announce_slots(&mut self, map: SlotMap) {
+        self.send_peers(&Message::Slots(map.clone()));
+        self.publish_slots(map);
+    }
+
     /// Publishes a committed slot map if it is newer than the published one.
     pub(crate) fn publish_slots(&mut self, map: SlotMap) {
         let known_version = self.feed.slots().get(&map.shard).map_or(0, |known| known.version);
--- a/crates/wv-control/src/shards.rs
+++ b/crates/wv-control/src/shards.rs
@@ -95,6 +95,11 @@
 
     fn with_shard(&mut self, shard: &str, run: impl FnOnce(&mut Split, &View<'_>)) {
         let mut state = self.shards.remove(shard).unwrap_or_default();
+        // The map was reset under a higher ballot, for a plan made or withdrawn.
+        let published_ballot = self.feed.slots().get(shard).map_or(0, |map| map.version >> 16);
+        if state.split.has_ballot() && published_ballot > state.ballot {
+            state.split.drop_ballot(self.now);
+        }
         let plan = self.shard_plan(shard).map(|plan| Plan {
             shard: plan.shard.clone(),
             target: plan.upper.clone(),
@@ -117,6 +122,7 @@
             deadline_us: self.split_deadline_us(shard, &state),
             initial_slots,
             estimated_rows: self.shard_totals(shard, &state).0,
+            is_first_configuration: self.is_first_configuration,
         };
         run(&mut state.split, &view);
         // A released or lost ballot must not be used for further writes.
--- a/crates/wv-control/src/types.rs
+++ b/crates/wv-control/src/types.rs
@@ -138,8 +138,10 @@
     ReadConfiguration,
     /// Reads the configuration after contact was regained; carries the number of the contact period.
     SyncConfiguration(u64),
-    /// Reads the slot map of a shard whose plan a proposal removes.
-    CheckShardMap(u64, String),
+    /// Resets the slot map of a shard whose plan a proposal makes or removes.
+    ResetShardMap(u64, String),
+    /// Reads the slot map of a planned shard before a configuration with its plan is acknowledged.
+    ConfirmPlan(u64, String),
     /// Writes or reads a duty's register for the given step of the duty.
     ClaimDuty(String, u64),
     ReadDuty(String, u64),
--- a/crates/wv-internal-protocol/src/slots.rs
+++ b/crates/wv-internal-protocol/src/slots.rs
@@ -70,6 +70,11 @@
 }
 
 impl SlotMap {
+    /// Whether the map of a new plan waits for the promotion that ends the writes of nodes without the plan.
+    pub fn is_awaiting_first_term(&self) -> bool {
+        self.superseded_term > 0 && self.moving.is_none()
+    }
+
     pub fn is_moving(&self, slot: u16) -> bool {
         self.moving.as_ref().is_some_and(|range| range.contains(slot))
     }
--- a/crates/wv-shard-split/src/copy_states.rs
+++ b/crates/wv-shard-split/src/copy_states.rs
@@ -1,6 +1,7 @@
 //! The states in which rows are copied: before and after the moving slots are sealed.
 use crate::row_copier::{CopyContext, CopyOutcome};
-use crate::split::{AfterWrite, Goal, Split, State};
+use crate::split::Split;
+use crate::state::{AfterWrite, Goal, State};
 use crate::transitions::MIN_TIME_LEFT_US;
 use crate::{Reply, View};
 use wv_internal_protocol::{DirtyKeys, SlotMap, SplitPhase};
--- a/crates/wv-shard-split/src/lib.rs
+++ b/crates/wv-shard-split/src/lib.rs
@@ -8,6 +8,7 @@
 mod row_copier;
 mod slots;
 mod split;
+mod state;
 mod status;
 mod term_probe;
 mod transitions;
@@ -49,6 +50,8 @@
     /// The slots that the shard started with.
     pub initial_slots: (u16, u16),
     pub estimated_rows: u64,
+    /// Whether no configuration preceded the one in force, so that every access node knows the plan.
+    pub is_first_configuration: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Hash)]
--- a/crates/wv-shard-split/src/split.rs
+++ b/crates/wv-shard-split/src/split.rs
@@ -1,7 +1,7 @@
 //! The split state machine, from acquiring the ballot to writing the map that assigns the moved slots to the target.
+use crate::state::{AfterWrite, Goal, State, Writers};
 use crate::term_probe::TermProbe;
 use crate::{Command, Event, KeyNames, RowCopier, View};
-use std::collections::BTreeMap;
 use wv_internal_protocol::{SlotMap, SplitPhase};
 
 const OPERATION_TIMEOUT_US: u64 = 1_500_000;
@@ -13,60 +13,6 @@
 /// A split is not started sooner than this, so that all nodes know its plan.
 const MIN_PLAN_AGE_US: u64 = 10_000_000;
 
-/// The map to write once the databases have reached the required terms. The reason shown to operators contains the
-/// variant names.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(crate) enum Goal {
-    /// Bind the map to the current term of the source, which ends any attempt in progress.
-    Bind,
-    Begin,
-    Seal,
-    Finish,
-}
-
-#[derive(Clone, Debug)]
-pub(crate) enum State {
-    Resting {
-        until_us: u64,
-    },
-    Claiming {
-        deadline_us: u64,
-    },
-    /// Reading the current terms of source and target.
-    Probing {
-        goal: Goal,
-        deadline_us: u64,
-        probe: TermProbe,
-    },
-    /// Waiting until source and target have passed the terms that the map lists as superseded.
-    AwaitingTerms {
-        goal: Goal,
-        deadline_us: u64,
-        probe: TermProbe,
-    },
-    Writing {
-        then: AfterWrite,
-        deadline_us: u64,
-    },
-    Copying,
-    /// Waiting for the last write marks of all writers, then for the remaining copies.
-    Sealed {
-        since_us: u64,
-        has_last_marks: bool,
-    },
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(crate) enum AfterWrite {
-    Rest,
-    AwaitTerms(Goal),
-    Copy,
-    Seal,
-}
-
-/// Access nodes, by name and incarnation, that may write to moving slots, and whether their last marks have arrived.
-pub(crate) type Writers = BTreeMap<(String, u64), bool>;
-
 /// The split state machine of one shard.
 pub struct Split {
     pub(crate) state: State,
@@ -123,7 +69,7 @@
             State::Claiming { deadline_us } | State::Writing { deadline_us, .. } if *deadline_us <= now => {
                 self.drop_ballot(now)
             }
-            State::Probing { deadline_us, goal: Goal::Bind, .. } if *deadline_us <= now => {
+            State::Probing { deadline_us, goal: Goal::Bind | Goal::Fence, .. } if *deadline_us <= now => {
                 self.state = State::Resting { until_us: now }
             }
             State::Probing { deadline_us, .. } if *deadline_us <= now => {
@@ -146,12 +92,14 @@
     /// Claims the ballot, rebinds the map or begins an attempt, whichever is due.
     fn tick_resting(&mut self, view: &View<'_>) {
         let now = view.now_us;
-        if view.plan.is_none()
-            && self.map.as_ref().is_none_or(|map| map.phase == SplitPhase::Resting)
-            && !self.has_ballot
-        {
+        let is_map_resting = self.map.as_ref().is_none_or(|map| map.phase == SplitPhase::Resting);
+        if view.plan.is_none() && is_map_resting && !self.has_ballot {
             return;
         }
+        // The plan of an incomplete map was withdrawn.
+        if view.plan.is_none() && self.has_ballot && self.resting_goal(view) == Goal::Fence {
+            return self.drop_ballot(now);
+        }
         if !self.has_ballot {
             self.commands.push(Command::Claim);
             self.state = State::Claiming { deadline_us: now + OPERATION_TIMEOUT_US };
@@ -164,7 +112,7 @@
             .is_none_or(|map| map.phase != SplitPhase::Resting || map.superseded_term + map.superseded_target_term > 0);
         let leader = view.source_leader.map(|(id, term)| (id.to_owned(), term));
         if is_unfinished || self.needs_rewrite || (leader != self.bound_leader && leader.is_some()) {
-            return self.start_probe(Goal::Bind, now);
+            return self.start_probe(self.resting_goal(view), now);
         }
         let Some(deadline_us) = view.deadline_us.filter(|_| view.plan.is_some()) else {
             self.state = State::Resting { until_us: now + BIND_INTERVAL_US.min(100_000) };
@@ -186,6 +134,15 @@
         self.start_probe(Goal::Begin, now);
     }
 
+    /// What the map needs before an attempt may begin.
+    fn resting_goal(&self, view: &View<'_>) -> Goal {
+        match &self.map {
+            None if view.is_first_configuration => Goal::Bind,
+            Some(map) if !map.is_awaiting_first_term() => Goal::Bind,
+            _ => Goal::Fence,
+        }
+    }
+
     fn start_probe(&mut self, goal: Goal, now: u64) {
         self.state = State::Probing { goal, deadline_us: now + OPERATION_TIMEOUT_US, probe: TermProbe::default() };
     }
@@ -199,7 +156,7 @@
     }
 
     /// Resets the state machine after the ballot was lost or its holder is unknown.
-    pub(crate) fn drop_ballot(&mut self, now: u64) {
+    pub fn drop_ballot(&mut self, now: u64) {
         *self =
             Split { token: self.token, started_us: self.started_us, reason: self.reason.clone(), ..Split::default() };
         self.state = State::Resting { until_us: now + 300_000 };
@@ -211,7 +168,7 @@
         self.reason = reason.to_owned();
         self.copier.reset();
         self.writers.clear();
-        self.start_probe(Goal::Bind, view.now_us);
+        self.start_probe(self.resting_goal(view), view.now_us);
     }
 
     pub(crate) fn write(&mut self, map: SlotMap, then: AfterWrite, now: u64) {
--- a/crates/wv-shard-split/src/status.rs
+++ b/crates/wv-shard-split/src/status.rs
@@ -1,5 +1,6 @@
 //! Accessors to the state of a split.
-use crate::split::{Split, State};
+use crate::split::Split;
+use crate::state::State;
 use crate::Command;
 use wv_internal_protocol::SlotMap;
 
--- a/crates/wv-shard-split/src/transitions.rs
+++ b/crates/wv-shard-split/src/transitions.rs
@@ -1,5 +1,6 @@
 //! State transitions after terms were read and maps were written.
-use crate::split::{AfterWrite, Goal, Split, State, PROMOTION_TIMEOUT_US};
+use crate::split::{Split, PROMOTION_TIMEOUT_US};
+use crate::state::{AfterWrite, Goal, State};
 use crate::term_probe::TermProbe;
 use crate::{slots_to_move, Reply, RowCopier, View};
 use wv_internal_protocol::{SlotMap, SplitPhase};
@@ -29,6 +30,9 @@
         if probe.source_term == 0 || (goal == Goal::Begin && probe.target_term == 0) {
             return;
         }
+        if goal == Goal::Fence {
+            return self.start_fence(SlotMap { shard, ..current }, probe.source_term, now);
+        }
         if goal == Goal::Bind {
             self.bound_leader = view.source_leader.map(|(id, term)| (id.to_owned(), term));
             let is_same = current.term == probe.source_term
@@ -82,10 +86,18 @@
         self.write(map, AfterWrite::AwaitTerms(Goal::Begin), now);
     }
 
+    /// Publishes the map of a new plan under the current term, which the source has to leave. An earlier coordinator may
+    /// have done so already; then the term that it named remains.
+    fn start_fence(&mut self, map: SlotMap, term: u64, now: u64) {
+        let superseded_term = if map.superseded_term > 0 { map.superseded_term } else { term };
+        self.write(SlotMap { term, superseded_term, ..map }, AfterWrite::AwaitTerms(Goal::Fence), now);
+    }
+
     /// Writes the map for `goal` once both primaries have passed the superseded terms.
     fn on_terms_reported(&mut self, goal: Goal, probe: &TermProbe, view: &View<'_>) {
         let Some(current) = self.map.clone() else { return self.drop_ballot(view.now_us) };
-        if probe.source_term <= current.superseded_term || probe.target_term <= current.superseded_target_term {
+        let is_target_awaited = goal != Goal::Fence && probe.target_term <= current.superseded_target_term;
+        if probe.source_term <= current.superseded_term || is_target_awaited {
             return;
         }
         self.bound_leader = None;
@@ -110,6 +122,7 @@
                 };
                 self.write(map, AfterWrite::Rest, view.now_us);
             }
+            Goal::Fence => self.write(next, AfterWrite::Rest, view.now_us),
             Goal::Bind => {}
         }
     }
--- /dev/null
+++ b/crates/wv-simulation/tests/plan_versions.rs
@@ -0,0 +1,286 @@
+//! Split plans that are made, withdrawn and made again while nodes are behind: nothing that was acknowledged is missing
+//! after the split, whichever node took it, and nothing is refused for longer than the trouble lasts.
+mod split_test;
+
+use googletest::prelude::*;
+use split_test::{planned_configuration, SplitTest};
+use wv_simulation::{Simulation, MS, S};
+
+const STEP_US: u64 = 10 * MS;
+/// An order is sent again after this pause.
+const ORDER_PAUSE_US: u64 = 100 * MS;
+const WRITE_PAUSE_US: u64 = 60 * MS;
+
+/// A session that writes a new key each time.
+struct Writer {
+    client: usize,
+    node: usize,
+    key: Option<String>,
+    next_write_us: u64,
+    refused_since_us: Option<u64>,
+}
+
+struct Trial {
+    split: SplitTest,
+    writers: Vec<Writer>,
+    sent_keys: Vec<String>,
+    acknowledged: usize,
+    longest_refusal_us: u64,
+    next_id: u64,
+}
+
+fn plan(version: u64) -> Vec<u8> {
+    planned_configuration(version, |plan| plan["rowsPerS"] = 2_000.into())
+}
+
+fn unplanned_configuration(version: u64) -> Vec<u8> {
+    let planned = plan(version);
+    let mut value: serde_json::Value = serde_json::from_slice(&planned).expect("the configuration is valid JSON");
+    value.as_object_mut().expect("it is an object").remove("shardPlans");
+    value.to_string().into_bytes()
+}
+
+impl Trial {
+    fn start() -> Trial {
+        let mut sim = Simulation::with_services(3, 3, &["s".to_owned(), "t".to_owned()]);
+        sim.run(2 * S);
+        sim.call(0, "PUT", "/configuration", &unplanned_configuration(1));
+        sim.run(2 * S);
+        let open = |sim: &mut Simulation, node: usize| Writer {
+            client: sim.open_client(node, "p"),
+            node,
+            key: None,
+            next_write_us: 0,
+            refused_since_us: None,
+        };
+        let writers = (0..6).map(|at| open(&mut sim, at % 3)).collect();
+        let split = SplitTest { sim };
+        let mut trial =
+            Trial { split, writers, sent_keys: Vec::new(), acknowledged: 0, longest_refusal_us: 0, next_id: 0 };
+        trial.run(2 * S);
+        trial
+    }
+
+    fn run(&mut self, us: u64) {
+        let end = self.split.sim.now + us;
+        while self.split.sim.now < end {
+            self.split.sim.run(STEP_US);
+            (0..self.writers.len()).for_each(|at| self.drive(at));
+        }
+    }
+
+    /// Each writer sends its next key once the last one is acknowledged; a key that was refused unrun is sent again.
+    fn drive(&mut self, at: usize) {
+        let now = self.split.sim.now;
+        let writer = &mut self.writers[at];
+        let received = self.split.sim.take_lines(writer.client);
+        let is_answered = received.iter().any(|line| line.starts_with("IDLE"));
+        if (writer.key.is_some() && !is_answered) || (writer.key.is_none() && writer.next_write_us > now) {
+            return;
+        }
+        let is_promise = received.iter().any(|line| {
+            ["CONGESTED", "ABORTED", "READONLY"].iter().any(|code| line.starts_with(&format!("ERROR {code}")))
+        });
+        let key = match writer.key.take().filter(|_| is_promise) {
+            Some(key) => {
+                writer.refused_since_us.get_or_insert(now);
+                key
+            }
+            None => {
+                self.acknowledged += usize::from(received.iter().any(|line| line.starts_with("COMPLETE stamp")));
+                let since_us = writer.refused_since_us.take();
+                self.longest_refusal_us = self.longest_refusal_us.max(since_us.map_or(0, |since| now - since));
+                if is_answered && writer.next_write_us <= now {
+                    writer.next_write_us = now + WRITE_PAUSE_US;
+                    return;
+                }
+                format!("{{{}}}n{}", self.next_id, writer.node)
+            }
+        };
+        self.next_id += 1;
+        writer.key = Some(key.clone());
+        let (client, text) = (writer.client, format!("QUERY {:x} WRITE {key} of-{key}", self.next_id));
+        self.sent_keys.push(key);
+        self.split.sim.send_line(client, &text);
+    }
+
+    /// Sends an order to the control nodes in turn, or where it is redirected to, until it is answered by 200; `false` if
+    /// it is not within `us`.
+    fn insist(&mut self, (method, path): (&str, &str), body: &[u8], us: u64) -> bool {
+        let end = self.split.sim.now + us;
+        let mut control = 0;
+        while self.split.sim.now < end {
+            let token = self.split.sim.call(control, method, path, body);
+            let call_end = self.split.sim.now + S;
+            while self.split.sim.now < call_end && !self.split.sim.responses.contains_key(&token) {
+                self.run(STEP_US);
+            }
+            let (status, text) = self.split.sim.responses.get(&token).cloned().unwrap_or_default();
+            let text = String::from_utf8_lossy(&text).into_owned();
+            let is_named = |addr: &str| status == 307 && text.contains(&format!("//{addr}/"));
+            let next = self.split.sim.controls.iter().position(|node| is_named(&node.addr));
+            control = next.unwrap_or((control + 1) % 3);
+            match status {
+                200 => return true,
+                307 => {}
+                _ => self.run(ORDER_PAUSE_US),
+            }
+        }
+        false
+    }
+
+    fn configure(&mut self, body: &[u8], us: u64) -> bool {
+        self.insist(("PUT", "/configuration"), body, us)
+    }
+
+    /// Makes the plan; once it is acknowledged, lists all that was sent until then.
+    fn make_plan(&mut self, version: u64, us: u64) {
+        assert!(self.configure(&plan(version), us), "the plan is acknowledged");
+        let list = self.sent_keys.join("\n");
+        assert!(self.insist(("PUT", "/things/s"), list.as_bytes(), 20 * S), "the list is acknowledged");
+    }
+
+    fn split_and_check(&mut self) {
+        self.run(12 * S);
+        assert!(self.insist(("PUT", "/splits/s"), b"", 20 * S), "the request is acknowledged");
+        let end = self.split.sim.now + 60 * S;
+        while !self.split.has_moved() && self.split.sim.now < end {
+            self.run(100 * MS);
+        }
+        expect_that!(self.split.has_moved(), eq(true), "the split is done");
+        self.run(2 * S);
+    }
+
+    /// Keys that are not at the database that has their slot now.
+    fn missing(&mut self) -> Vec<String> {
+        self.split.sim.run(wv_simulation::SETTLE_US);
+        let moved = self.split.sim.slot_map("s").moved;
+        let mut found = self.split.sim.check_rows("s", "t", &moved);
+        found.extend(self.split.sim.check_rules());
+        found
+    }
+
+    fn expect_served(&mut self) {
+        let before = self.acknowledged;
+        self.run(S);
+        expect_that!(self.acknowledged, gt(before + 10), "writes are served");
+    }
+}
+
+/// Guards against things first written between the acknowledgement of a plan and the first slot map being left behind.
+#[gtest]
+fn given_writes_while_a_plan_is_made_then_a_split_moves_all_that_was_acknowledged() {
+    let mut trial = Trial::start();
+    trial.make_plan(2, 20 * S);
+    expect_that!(trial.longest_refusal_us, le(3 * S));
+    trial.split_and_check();
+    trial.expect_served();
+    expect_that!(trial.missing(), is_empty());
+}
+
+/// Guards against the same where the control node of some access nodes stands still, under the plan and after it.
+#[gtest]
+fn given_a_control_node_standing_still_under_a_new_plan_then_nothing_acknowledged_is_missing_after_the_split() {
+    for frozen in 0..3 {
+        let mut trial = Trial::start();
+        trial.split.sim.freeze_control(frozen);
+        trial.run(50 * MS);
+        trial.make_plan(2, 30 * S);
+        trial.run(3 * S);
+        trial.split.sim.thaw_control(frozen);
+        trial.split_and_check();
+        trial.expect_served();
+        expect_that!(trial.missing(), is_empty(), "c{frozen}");
+        expect_that!(trial.longest_refusal_us, le(8 * S), "c{frozen}");
+    }
+}
+
+/// Guards against writes of a node that has not heard of the plan: it is cut off from all control nodes, or stands still
+/// until the split is done, and its clients' writes arrive then.
+#[gtest]
+fn given_an_access_node_that_is_behind_until_after_the_plan_or_the_split_then_nothing_acknowledged_is_missing() {
+    for node in 0..3 {
+        for (is_frozen, is_behind_in_split) in [(true, true), (true, false), (false, false)] {
+            let mut trial = Trial::start();
+            let name = format!("a{node}");
+            match is_frozen {
+                true => trial.split.sim.freeze_access(node),
+                false => (0..3).for_each(|at| {
+                    trial.split.sim.dropped_links.insert((name.clone(), format!("c{at}")));
+                }),
+            }
+            trial.run(200 * MS);
+            trial.make_plan(2, 30 * S);
+            trial.run(2 * S);
+            if is_behind_in_split {
+                trial.split_and_check();
+            }
+            trial.split.sim.dropped_links.clear();
+            if is_frozen {
+                trial.split.sim.thaw_access(node);
+            }
+            trial.run(3 * S);
+            if !is_behind_in_split {
+                trial.split_and_check();
+            }
+            trial.expect_served();
+            expect_that!(trial.missing(), is_empty(), "a{node}, frozen: {is_frozen}, in split: {is_behind_in_split}");
+        }
+    }
+}
+
+/// Guards against a withdrawn plan leaving first writes refused once all control nodes have restarted, and against what
+/// was written meanwhile being unknown when the plan is made again.
+#[gtest]
+fn given_a_plan_withdrawn_and_made_again_then_writes_go_on_and_the_split_moves_what_was_written_meanwhile() {
+    let mut trial = Trial::start();
+    trial.make_plan(2, 20 * S);
+    trial.run(2 * S);
+    assert!(trial.configure(&unplanned_configuration(3), 10 * S), "the withdrawal is acknowledged");
+    for control in 0..3 {
+        trial.split.sim.kill_control(control);
+        trial.run(S);
+        trial.split.sim.start_control(control, false);
+        trial.run(3 * S);
+    }
+    trial.expect_served();
+    // After a failover too.
+    let primary = trial.split.sim.primary();
+    trial.split.sim.crash(primary);
+    trial.run(8 * S);
+    trial.split.sim.revive(primary);
+    trial.run(3 * S);
+    trial.expect_served();
+    trial.make_plan(4, 30 * S);
+    trial.split_and_check();
+    trial.expect_served();
+    expect_that!(trial.missing(), is_empty());
+}
+
+/// Guards against a coordinator that ends, or a database that fails, while a new plan waits for its first slot map.
+#[gtest]
+fn given_a_coordinator_killed_or_a_primary_crashed_while_a_plan_is_made_then_the_plan_comes_into_force() {
+    for delay_ms in [20, 250, 500, 900] {
+        for is_coordinator in [true, false] {
+            let mut trial = Trial::start();
+            let body = plan(2);
+            trial.split.sim.call(0, "PUT", "/configuration", &body);
+            trial.run(delay_ms * MS);
+            if is_coordinator {
+                let coordinator = trial.split.duty_holder();
+                trial.split.sim.kill_control(coordinator);
+                trial.run(2 * S);
+                trial.split.sim.start_control(coordinator, false);
+            } else {
+                let primary = trial.split.sim.primary();
+                trial.split.sim.crash(primary);
+                trial.run(4 * S);
+                trial.split.sim.revive(primary);
+            }
+            trial.make_plan(2, 40 * S);
+            trial.split_and_check();
+            trial.expect_served();
+            expect_that!(trial.missing(), is_empty(), "{delay_ms} ms, coordinator: {is_coordinator}");
+        }
+    }
+}
