--- a/crates/wv-access/src/client.rs
+++ b/crates/wv-access/src/client.rs
@@ -37,7 +37,7 @@
     }
 
     pub fn client_data(&mut self, id: u64, bytes: &[u8], now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         let Some(client) = self.clients.get_mut(&id) else { return };
         // Start time of the next statement.
         if client.inbuf.is_empty() {
--- a/crates/wv-access/src/control_session.rs
+++ b/crates/wv-access/src/control_session.rs
@@ -84,7 +84,7 @@
         last = next;
         if let Some(control) = next {
             let end = run_session(&node, control, &settings, incarnation, &mut control_nodes).await;
-            if end != SessionEnd::SameZoneAvailable {
+            if !matches!(end, SessionEnd::SameZoneAvailable | SessionEnd::Stalled) {
                 control_nodes.note_session_ended(control);
             }
             // Backs off only while control nodes do not respond.
@@ -106,6 +106,8 @@
     Closed,
     /// A control node in this node's zone can be used instead.
     SameZoneAvailable,
+    /// This process was stalled, so that messages of the session may be as old as the stall.
+    Stalled,
 }
 
 fn closed_or_no_response(has_received: bool) -> SessionEnd {
@@ -128,7 +130,7 @@
     let address = SocketAddr::new(control.ip(), port);
     let Ok(mut stream) = wv_http::connect(address, CONNECT_TIMEOUT).await else { return SessionEnd::NoResponse };
     wv_http::configure_stream(&stream, SILENCE_TIMEOUT);
-    let (feed_incarnation, position) = node.core.borrow().feed_position();
+    let (feed_incarnation, position) = node.with(|core, now| core.begin_control_session(now));
     let mut out = Vec::new();
     let hello = Message::Hello {
         node: name,
@@ -149,6 +151,9 @@
     let mut ticks = tokio::time::interval(HEARTBEAT_INTERVAL);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
+        if node.core.borrow().needs_new_session() {
+            return SessionEnd::Stalled;
+        }
         if !out.is_empty() {
             if stream.write_all(&out).await.is_err() {
                 return closed_or_no_response(has_received);
--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -40,6 +40,7 @@
     pub(crate) leaving_since: Option<u64>,
     pub(crate) grace_us: u64,
     pub(crate) drain: crate::drain::DrainState,
+    pub(crate) contact: crate::contact::ControlContact,
     /// Clients whose open request has no database to go to.
     pub(crate) unplaced: Vec<u64>,
     /// Services with a promotion in progress: until when to expect it, and the candidate.
@@ -83,6 +84,7 @@
             leaving_since: None,
             grace_us,
             drain: Default::default(),
+            contact: Default::default(),
             unplaced: Vec::new(),
             promoting: Map::default(),
             slow_start_config: wv_slow_start::SlowStartConfig::default(),
@@ -221,7 +223,7 @@
 
     /// A connection was closed or could not be opened.
     pub fn db_lost(&mut self, db: u64, loss: ConnectionLoss, now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         let Some(connection) = self.remove_db(db) else { return };
         // Without a connection, the reported health is out of date.
         self.is_health_report_due |= self.pools.get(&connection.key).is_some_and(|pool| pool.total == 0);
--- a/crates/wv-access/src/db.rs
+++ b/crates/wv-access/src/db.rs
@@ -11,7 +11,7 @@
 impl Core {
     /// The connection is open: sends `SETUP` with the expected instance id.
     pub fn db_opened(&mut self, db: u64, now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         let Some(connection) = self.connections.get_mut(&db) else { return };
         let service =
             self.health.service(connection.key.service).map(|checker| checker.service.clone()).unwrap_or_default();
@@ -21,7 +21,7 @@
     }
 
     pub fn db_data(&mut self, db: u64, bytes: &[u8], now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         let Some(connection) = self.connections.get_mut(&db) else { return };
         if let Some(pool) = self.pools.get_mut(&connection.key) {
             pool.last_data_at = self.now;
--- a/crates/wv-access/src/dispatch.rs
+++ b/crates/wv-access/src/dispatch.rs
@@ -30,6 +30,8 @@
             return;
         }
         match self.route_request(id) {
+            // After a stall, who leads is confirmed first; a read with a minimum position may go anywhere.
+            RouteDecision::Forward { min_position: None, .. } if self.contact.is_unconfirmed() => self.park(id),
             RouteDecision::Forward { key, min_position, wrap_in_txn } => {
                 self.place_request(id, key, min_position, wrap_in_txn)
             }
--- a/crates/wv-access/src/feed.rs
+++ b/crates/wv-access/src/feed.rs
@@ -10,18 +10,23 @@
 impl Core {
     /// Applies a feed message. On `Gap` the caller has to subscribe again from a snapshot.
     pub fn apply_feed_message(&mut self, message: Message, now: u64) -> Result<(), wv_change_feed::Gap> {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         self.drain.stall_detector.observe(self.now);
+        let mut is_snapshot = false;
         if let Message::Snapshot { updates, .. } = &message {
             let ids = updates.iter().filter_map(|update| match update {
                 FeedUpdate::Instance(instance) if !instance.gone => Some(instance.id.as_str()),
                 _ => None,
             });
             self.health.mark_missing(&ids.collect(), self.now);
+            is_snapshot = true;
         }
         let updates = self.follower.receive(message);
         let result =
             updates.and_then(|updates| updates.into_iter().try_for_each(|update| self.apply_feed_update(update)));
+        if is_snapshot && result.is_ok() {
+            self.contact.confirm();
+        }
         self.dispatch_unplaced();
         self.maintain_pools();
         // Requests one snapshot, not one for each update already in flight.
--- a/crates/wv-access/src/forward_response.rs
+++ b/crates/wv-access/src/forward_response.rs
@@ -20,7 +20,7 @@
 
     /// The link to an owner is connected; requests wait for its `Hello`.
     pub fn peer_link_up(&mut self, link: u64, now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         self.effects.push(Effect::SendToPeer { link, message: ForwardMessage::Hello });
     }
 
@@ -64,7 +64,7 @@
 
     /// A peer link was closed: resolves the requests forwarded on it and closes the sessions received on it.
     pub fn peer_link_down(&mut self, link: u64, now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         let mut waiting = Vec::new();
         if let Some(owner_link) = self.forwarding.owner_links.values_mut().find(|owner_link| owner_link.link == link) {
             waiting = std::mem::take(&mut owner_link.waiting);
--- a/crates/wv-access/src/forwarded_sessions.rs
+++ b/crates/wv-access/src/forwarded_sessions.rs
@@ -15,7 +15,7 @@
     }
 
     pub fn handle_forward_message(&mut self, link: u64, message: ForwardMessage, now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         match message {
             ForwardMessage::Open { session, host, user } => self.open_forwarded_session(link, session, host, user),
             ForwardMessage::UnversionedRequest { session, request, lines } => {
--- a/crates/wv-access/src/lib.rs
+++ b/crates/wv-access/src/lib.rs
@@ -1,5 +1,6 @@
 //! The access role: client sessions over pooled database connections. The core does no I/O; `run` executes its effects.
 mod client;
+mod contact;
 mod control_session;
 mod core;
 mod db;
--- a/crates/wv-access/src/maintenance.rs
+++ b/crates/wv-access/src/maintenance.rs
@@ -63,7 +63,7 @@
 
     /// Runs periodically: keeps warm connections, probes isolated databases, ends sessions during shutdown.
     pub fn run_maintenance(&mut self, now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         self.drain.stall_detector.observe(self.now);
         let settled = self.health.apply_fallback_leaders(now);
         settled.iter().for_each(|service| self.recheck_connections(service));
--- a/crates/wv-access/src/release.rs
+++ b/crates/wv-access/src/release.rs
@@ -67,7 +67,7 @@
 
     /// The client's connection was closed.
     pub fn client_closed(&mut self, id: u64, now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         self.record_close(id);
         self.slots.shards.values_mut().for_each(|shard| shard.dirty_keys.mark_outcome_unknown(id));
         let Some(client) = self.clients.remove(&id) else { return };
--- a/crates/wv-access/src/split_reports.rs
+++ b/crates/wv-access/src/split_reports.rs
@@ -195,7 +195,7 @@
 
     /// The coordinator has taken a dirty-key report: writes to moving slots may proceed for that attempt.
     pub fn dirty_keys_acked(&mut self, shard: &str, attempt: u64, (incarnation, serial): (u64, u64), now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         let Some(shard) = self.slots.shards.get_mut(shard) else { return };
         let is_own = incarnation == self.slots.incarnation;
         let in_flight = shard.dirty_keys.in_flight.as_ref();
@@ -209,7 +209,7 @@
 
     /// The coordinator has persisted the keys of a report: writes that waited for them proceed.
     pub fn shard_report_acked(&mut self, shard: &str, (incarnation, serial): (u64, u64), now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         if incarnation != self.slots.incarnation {
             return;
         }
--- a/crates/wv-access/src/timer.rs
+++ b/crates/wv-access/src/timer.rs
@@ -77,7 +77,7 @@
     }
 
     pub fn tick(&mut self, now: u64) {
-        self.now = self.now.max(now);
+        self.advance_clock(now);
         while let Some(timer) = self.timers.pop_due(self.now) {
             match timer {
                 Timer::Expiry { client, sequence } => self.expire_request(client, sequence),
--- a/crates/wv-access/tests/configuration_versions.rs
+++ b/crates/wv-access/tests/configuration_versions.rs
@@ -2,14 +2,20 @@
 //! before a stall, or does not know yet, is not acted on.
 mod common;
 
-use common::{TestNode, MS, NODE_INCARNATION};
+use common::{database, TestNode, MS, NODE_INCARNATION};
 use googletest::prelude::*;
-use wv_internal_protocol::{FeedUpdate, ForwardMessage, ForwardedSessionId, Message, SlotMap};
+use wv_internal_protocol::{FeedUpdate, ForwardMessage, ForwardedSessionId, Leader, Message, SlotMap};
 
 const PARTNERS: &str = r#","partners":[{"label":"all","portion":1,"nodes":["me","other"]}]"#;
 const PLAN: &str = r#","shardPlans":[{"shard":"s","upper":"t","rowsMax":1000,"quiet":"* * 1-4 * * *"}]"#;
 const SESSION: ForwardedSessionId = ForwardedSessionId { incarnation: NODE_INCARNATION + 1, number: 5 };
 
+fn snapshot() -> Message {
+    let leader = Leader { service: "s".to_owned(), id: "d1".to_owned(), term: 3 };
+    let updates = vec![FeedUpdate::Instance(database()), FeedUpdate::Leader(leader)];
+    Message::Snapshot { incarnation: 1, position: 9, updates }
+}
+
 /// The node under test as the owner in configuration version 2, with a session of another node.
 fn owner() -> (TestNode, u64) {
     let mut node = TestNode::new();
@@ -119,6 +125,29 @@
     expect_that!(node.peer_messages.iter().any(|(_, sent)| matches!(sent, ForwardMessage::Request { .. })), eq(false));
 }
 
+/// Guards against a node that stood still acting on what it knew before: its databases may have lost the lead and
+/// regained it in a split that it has not heard of.
+#[gtest]
+fn given_a_stall_then_requests_for_a_primary_wait_for_a_snapshot_of_a_new_session() {
+    for line in ["QUERY w1 WRITE k d", "QUERY w1 READ k", "QUERY t1 BEGIN\r\nQUERY w1 WRITE k d"] {
+        let mut node = TestNode::new();
+        let client = node.connect_client("shop");
+        node.now += 3_000 * MS;
+        node.send_line(client, line);
+        // A snapshot of the session before the stall may be as old as the stall.
+        let snapshot = snapshot();
+        node.core.apply_feed_message(snapshot.clone(), node.now).expect("snapshot is accepted");
+        node.apply_effects();
+        expect_that!(node.core.needs_new_session(), eq(true));
+        expect_that!(node.statement_count(" k"), eq(0), "{line}");
+        expect_that!(node.core.begin_control_session(node.now), eq((0, 0)));
+        node.core.apply_feed_message(snapshot, node.now).expect("snapshot is accepted");
+        node.apply_effects();
+        node.advance(20 * MS);
+        expect_that!(node.sent_statements.is_empty(), eq(false), "{line}");
+    }
+}
+
 fn report_serials(node: &mut TestNode) -> Vec<u64> {
     let serial = |message: Message| match message {
         Message::ShardReport(report) => Some(report.serial),
@@ -153,6 +182,26 @@
     expect_that!(node.statement_count("QUERY w1"), eq(1));
 }
 
+/// Guards against a request that waited when the plan came being sent without a report of its key.
+#[gtest]
+fn given_a_write_that_waits_when_its_shard_gets_a_plan_then_its_key_is_reported_first() {
+    for line in ["QUERY w1 WRITE k d", "QUERY d1 DEFINE mine WRITE q\r\nQUERY w1 EXECUTE mine k d"] {
+        let mut node = TestNode::new();
+        let client = node.connect_client("shop");
+        // Only the stall keeps it from being sent.
+        node.now += 3_000 * MS;
+        node.send_line(client, line);
+        node.configure(2, PLAN);
+        node.publish(map(1, 0));
+        node.core.begin_control_session(node.now);
+        node.core.apply_feed_message(snapshot(), node.now).expect("snapshot is accepted");
+        node.apply_effects();
+        node.advance(20 * MS);
+        expect_that!(node.statement_count("QUERY w1"), eq(0), "{line}");
+        expect_that!(report_serials(&mut node).len(), eq(1), "{line}");
+    }
+}
+
 /// Guards against a withdrawn plan leaving first writes refused for ever, and against names kept for an earlier plan
 /// being taken for kept when the plan is made again.
 #[gtest]
--- a/crates/wv-simulation/src/links.rs
+++ b/crates/wv-simulation/src/links.rs
@@ -11,8 +11,8 @@
         self.schedule(400 * MS, Event::AccessSession(at));
         let now = self.now;
         let Some(core) = self.access[at].core.as_mut() else { return };
-        let (position, node) = (core.feed_position(), &mut self.access[at]);
-        if let Some(end) = node.session.filter(|_| node.last_received_us + 1300 * MS > now) {
+        let (is_stalled, node) = (core.needs_new_session(), &mut self.access[at]);
+        if let Some(end) = node.session.filter(|_| !is_stalled && node.last_received_us + 1300 * MS > now) {
             node.heartbeats += 1;
             let scope = if node.heartbeats % 10 == 0 { ReportScope::Periodic } else { ReportScope::Heartbeat };
             let is_leaving = node.core.as_ref().is_some_and(|core| core.is_shutting_down());
@@ -43,6 +43,7 @@
         let end = LinkEnd::Control { at: to, link, incarnation: self.controls[to].incarnation };
         self.controls[to].peer_ends.insert(link, LinkEnd::Access { at, incarnation, attempt });
         (self.access[at].session, self.access[at].last_received_us) = (Some(end), now);
+        let position = self.access[at].core.as_mut().map_or((0, 0), |core| core.begin_control_session(now));
         self.schedule(
             LINK_DELAY_US,
             Event::LinkMessage {
