--- a/crates/wv-control/src/sweep.rs
+++ b/crates/wv-control/src/sweep.rs
@@ -22,8 +22,8 @@
 
 /// Moved slots can only be located through the slot map, so such a map is kept even without a plan.
 fn has_moved(key: &str, state: &AcceptorState) -> bool {
-    let map = <SlotMap as nanoserde::DeBin>::deserialize_bin(&state.value.bytes);
-    key.starts_with("slots/") && map.map_or(true, |map| !map.moved.is_empty())
+    let decode = || <SlotMap as nanoserde::DeBin>::deserialize_bin(&state.value.bytes);
+    key.starts_with("slots/") && decode().map_or(true, |map| !map.moved.is_empty())
 }
 
 impl Core {
