A split asks for a promotion until another leader is announced

What operators saw: a requested split never came after a late promotion, or ended each time right after it had sealed.

Cause: a leader may be announced under a term above the one it leads, which was taken for the promotion that the split waits for; and the two reports of one promotion were taken for two.

Change: a promotion is due while the leader is the one that was announced when the request became known, or the known term is not above the one to leave. Only another leader ends a running split, as copies check the terms.

--- a/crates/wv-control/src/core.rs
+++ b/crates/wv-control/src/core.rs
@@ -114,6 +114,8 @@
     pub(crate) is_maintenance_window: bool,
     /// Wall-clock time minus the process's monotonic time, in microseconds.
     pub(crate) epoch_offset: u64,
+    /// Terms to leave, by service.
+    pub(crate) term_raises: BTreeMap<String, crate::term_raises::TermRaise>,
     /// Whether the configuration in force is the first ever accepted, so that no node goes by an older one.
     pub(crate) is_first_configuration: bool,
     /// Acknowledgements of configurations with plans, by call.
@@ -204,6 +206,7 @@
             pings_since_sessions: 0,
             is_maintenance_window: true,
             epoch_offset: 0,
+            term_raises: BTreeMap::new(),
             is_first_configuration: false,
             plan_confirmations: BTreeMap::new(),
             shards: BTreeMap::new(),
--- a/crates/wv-control/src/health_reports.rs
+++ b/crates/wv-control/src/health_reports.rs
@@ -115,15 +115,4 @@
         let known_term = self.feed.leader(service).map_or(0, |leader| leader.term);
         seen.map(|position| position.term).max().unwrap_or(0).max(known_term)
     }
-
-    /// Whether a split requires a new term of this service, as its source or target.
-    pub(crate) fn is_term_raise_needed(&self, service: &str) -> bool {
-        let term = || self.known_term(service);
-        let target =
-            |map: &wv_internal_protocol::SlotMap| map.moving.as_ref().is_some_and(|range| range.target == service);
-        self.feed.slots().values().any(|map| {
-            (map.shard == service && map.superseded_term > 0 && term() <= map.superseded_term)
-                || (target(map) && map.superseded_target_term > 0 && term() <= map.superseded_target_term)
-        })
-    }
 }
--- a/crates/wv-control/src/lib.rs
+++ b/crates/wv-control/src/lib.rs
@@ -36,6 +36,7 @@
 mod statements;
 mod stored_table;
 mod sweep;
+mod term_raises;
 mod tick;
 mod types;
 mod voter_catch_up;
--- a/crates/wv-control/src/shard_registers.rs
+++ b/crates/wv-control/src/shard_registers.rs
@@ -240,6 +240,7 @@
                 map.term,
                 map.version
             );
+            self.update_term_raises(&map);
             self.publish(FeedUpdate::Slots(map));
         }
     }
--- a/crates/wv-shard-split/src/transitions.rs
+++ b/crates/wv-shard-split/src/transitions.rs
@@ -156,11 +156,11 @@
         }
     }
 
-    /// Whether the feed reports another primary of the source, or another term of it, than the map was bound to.
+    /// Whether the feed reports another primary of the source than the map was bound to. The reported term is no sign of
+    /// a change: the same promotion is reported first by the database and then with its term. Each copy checks the term
+    /// that the databases are in.
     pub(crate) fn has_leader_changed(&self, view: &View<'_>) -> bool {
-        view.source_leader.is_some_and(|(id, term)| {
-            self.bound_leader.as_ref().is_none_or(|leader| (leader.0.as_str(), leader.1) != (id, term))
-        })
+        view.source_leader.is_some_and(|(id, _)| self.bound_leader.as_ref().is_none_or(|leader| leader.0 != id))
     }
 
     fn bind(&mut self, view: &View<'_>) {
