--- a/crates/wv-access/src/split_reports.rs
+++ b/crates/wv-access/src/split_reports.rs
@@ -4,7 +4,7 @@
 use wv_internal_protocol::{DirtyKeys, Message, ShardReport, SplitPhase};
 use wv_shard_forecast::{hash, slot_for_key, KeySample, Sample};
 
-const RESEND_INTERVAL_US: u64 = 700_000;
+const RESEND_INTERVAL_US: u64 = 350_000;
 /// Maximum number of keys in one report.
 const MAX_KEYS_PER_REPORT: usize = 1024;
 /// Minimum time between two sample reports, unless a write waits for one.
--- a/crates/wv-simulation/src/load_clients.rs
+++ b/crates/wv-simulation/src/load_clients.rs
@@ -169,6 +169,7 @@
             load.tags.push(tag.clone());
             // With many keys, each write stores a distinct value.
             if let Some(start) = text.strip_suffix(" d").filter(|_| key_count > 0) {
+                self.written_keys.extend(start.strip_prefix("WRITE ").map(str::to_owned));
                 text = format!("{start} {tag}");
             }
             text.push_str(EMBEDDED_QUERY);
--- a/crates/wv-simulation/src/nemesis/check.rs
+++ b/crates/wv-simulation/src/nemesis/check.rs
@@ -12,7 +12,7 @@
 type Check = (&'static str, fn(&History) -> Option<String>);
 
 /// The checks over histories, by name. Findings of the oracle and of the recovery checks carry their own names.
-pub const CHECKS: [Check; 10] = [
+pub const CHECKS: [Check; 11] = [
     ("one-content", one_content),
     ("two-verdicts", two_verdicts),
     ("refused-without-rival", refused_without_rival),
@@ -21,6 +21,7 @@
     ("read-unknown", read_unknown),
     ("read-stale", read_stale),
     ("went-back", went_back),
+    ("route-went-back", super::route_check::route_went_back),
     ("one-lead", one_lead),
     ("fence", fence),
 ];
@@ -36,7 +37,7 @@
 }
 
 fn statement_check(text: &str) -> &'static str {
-    let checks = ["LOST", "TWICE", "REFUSED", "STALE", "PINNED", "MIXED", "DRAIN"];
+    let checks = ["LOST", "TWICE", "REFUSED", "STALE", "PINNED", "MIXED", "DRAIN", "ROW", "ASTRAY"];
     checks.into_iter().find(|name| text.starts_with(name)).unwrap_or("statement")
 }
 
--- a/crates/wv-simulation/src/nemesis/format.rs
+++ b/crates/wv-simulation/src/nemesis/format.rs
@@ -13,7 +13,7 @@
     MissingHeader,
 }
 
-const KINDS: [(&str, EventKind); 37] = [
+const KINDS: [(&str, EventKind); 41] = [
     ("isolate", EventKind::Isolate),
     ("deafen", EventKind::DropInbound),
     ("mute", EventKind::DropOutbound),
@@ -49,6 +49,10 @@
     ("storm", EventKind::UpdateBurst),
     ("repeat", EventKind::ResendUpdate),
     ("invalid", EventKind::InvalidUpdate),
+    ("route", EventKind::MoveRoute),
+    ("partners", EventKind::MovePartners),
+    ("plan", EventKind::MakePlan),
+    ("unplan", EventKind::WithdrawPlan),
     ("unheard", EventKind::LostResponses),
     ("echo", EventKind::DelayedDuplicates),
 ];
--- a/crates/wv-simulation/src/nemesis/generate.rs
+++ b/crates/wv-simulation/src/nemesis/generate.rs
@@ -3,7 +3,7 @@
 use crate::Rng;
 
 /// A core node counts as unavailable for this long after its fault ends.
-const CATCH_UP_MS: u64 = 4000;
+pub(super) const CATCH_UP_MS: u64 = 4000;
 
 const CORE_FAULTS: [EventKind; 19] = [
     EventKind::Isolate,
@@ -52,9 +52,9 @@
     pub(super) schedule: Schedule,
     pub(super) length_ms: u64,
     /// Unavailable core nodes, each with the start and end time.
-    unavailable: Vec<(String, u64, u64)>,
+    pub(super) unavailable: Vec<(String, u64, u64)>,
     /// How many core nodes may fail at once.
-    tolerated_faults: usize,
+    pub(super) tolerated_faults: usize,
     disks_lost: usize,
     /// Start and end times of database faults.
     database_faults: Vec<(u64, u64)>,
@@ -108,6 +108,7 @@
         generator.add_closing_fault();
     }
     generator.add_late_promotion(seed);
+    generator.add_version_changes(seed);
     generator.schedule.events.sort_by_key(|event| event.at_ms);
     generator.schedule
 }
--- a/crates/wv-simulation/src/nemesis/history.rs
+++ b/crates/wv-simulation/src/nemesis/history.rs
@@ -7,6 +7,8 @@
     pub body: Vec<u8>,
     pub is_valid: bool,
     pub first_sent_us: u64,
+    /// The service that the routes of the probes lead to.
+    pub probed_service: Option<String>,
 }
 
 /// The response to one request that sent an update; updates may be sent repeatedly.
@@ -29,6 +31,16 @@
     pub update: Option<usize>,
 }
 
+/// A read of a probe: the access node that took it, and the service that answered.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct RouteSighting {
+    pub node: String,
+    pub incarnation: u64,
+    pub sent_us: u64,
+    pub received_us: u64,
+    pub service: String,
+}
+
 /// The configuration version that an access node applies from a point in time on.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
 pub struct VersionObservation {
@@ -63,6 +75,8 @@
     pub responses: Vec<UpdateResponse>,
     pub reads: Vec<ConfigurationRead>,
     pub observed_versions: Vec<VersionObservation>,
+    /// In the order in which the answers arrived.
+    pub route_sightings: Vec<RouteSighting>,
     pub platform_calls: Vec<PlatformCall>,
     pub recovery_failures: Vec<RecoveryFailure>,
     /// Violations found in the statements of clients.
--- a/crates/wv-simulation/src/nemesis/mod.rs
+++ b/crates/wv-simulation/src/nemesis/mod.rs
@@ -1,5 +1,6 @@
 //! Randomized fault injection: schedules generated from a seed run against the real node logic, their histories are
 //! checked for violations, and failing schedules are shrunk.
+mod bodies;
 mod check;
 mod databases;
 mod faults;
@@ -7,18 +8,23 @@
 mod generate;
 mod generate_operations;
 mod generate_promotions;
+mod generate_versions;
 mod history;
 mod operator;
 mod platform;
 mod recovery;
+mod route_check;
+mod route_probes;
 mod run;
+mod shard_plan;
 mod shrink;
 
 pub use check::{check, Finding, CHECKS};
 pub use format::ScheduleError;
 pub use generate::generate;
 pub use history::{
-    ConfigurationRead, ConfigurationUpdate, History, PlatformCall, RecoveryFailure, UpdateResponse, VersionObservation,
+    ConfigurationRead, ConfigurationUpdate, History, PlatformCall, RecoveryFailure, RouteSighting, UpdateResponse,
+    VersionObservation,
 };
 pub use run::run;
 pub use shrink::{shrink, shrink_with};
@@ -93,6 +99,14 @@
     /// Sends an earlier update again.
     ResendUpdate,
     InvalidUpdate,
+    /// The routes of the probes lead to another service from now on.
+    MoveRoute,
+    /// Partners are named from now on, or no longer.
+    MovePartners,
+    /// The shard has a split plan from now on.
+    MakePlan,
+    /// The shard has no split plan from now on.
+    WithdrawPlan,
     /// Operators lose responses.
     LostResponses,
     /// Requests of operators are delivered a second time after a delay.
@@ -122,6 +136,12 @@
     pub events: Vec<Event>,
 }
 
+impl Schedule {
+    pub(crate) fn has_version_changes(&self) -> bool {
+        self.events.iter().any(|event| event.kind.is_version_change())
+    }
+}
+
 impl Event {
     pub fn end_ms(&self) -> u64 {
         self.at_ms + self.duration_ms
@@ -133,6 +153,13 @@
     pub fn is_operator_action(self) -> bool {
         use EventKind::{ConcurrentUpdates, InvalidUpdate, ResendUpdate, Update, UpdateBurst};
         matches!(self, Update | ConcurrentUpdates | UpdateBurst | ResendUpdate | InvalidUpdate)
+            || self.is_version_change()
+    }
+
+    /// Whether the event changes routes, partners or split plans.
+    pub fn is_version_change(self) -> bool {
+        use EventKind::{MakePlan, MovePartners, MoveRoute, WithdrawPlan};
+        matches!(self, MoveRoute | MovePartners | MakePlan | WithdrawPlan)
     }
 
     /// Whether the event affects databases or the platform, but no node.
--- a/crates/wv-simulation/src/nemesis/operator.rs
+++ b/crates/wv-simulation/src/nemesis/operator.rs
@@ -1,4 +1,5 @@
 //! Simulated operators and configuration readers: they follow redirects, and retry updates until a final response.
+use super::bodies::{invalid_body, valid_body, Sections};
 use super::{ConfigurationRead, ConfigurationUpdate, History, UpdateResponse};
 use crate::{Rng, Simulation, MS, S};
 use std::collections::BTreeSet;
@@ -43,32 +44,25 @@
     /// Duplicates to send: time, control node and update.
     duplicates: Vec<(u64, usize, usize)>,
     pub version: u64,
+    pub sections: Sections,
     pub is_losing_responses: bool,
     pub is_duplicating: bool,
 }
 
-fn valid_body(version: u64, variant: u64) -> Vec<u8> {
-    let text = String::from_utf8_lossy(&Simulation::configuration(version)).into_owned();
-    text.replace("\"targetMs\":800", &format!("\"targetMs\":{}", 800 + variant)).into_bytes()
-}
-
-/// Bodies that every node must reject, each for another reason.
-fn invalid_body(version: u64, variant: u64) -> Vec<u8> {
-    let text = String::from_utf8_lossy(&Simulation::configuration(version)).into_owned();
-    let text = match variant % 4 {
-        0 => text.replace("\"expiryMs\":1000", "\"expiryMs\":0"),
-        1 => text.replace("\"destination\":\"s\"", "\"destination\":\"nowhere\""),
-        2 => text.replace("\"host\":\"b\"", "\"host\":\"p\""),
-        _ => text[..text.len() / 2].to_owned(),
-    };
-    text.into_bytes()
-}
-
 impl OperatorClients {
     pub fn new(seed: u64) -> OperatorClients {
         let (calls, tasks, duplicates) = (Vec::new(), Vec::new(), Vec::new());
         let rng = Rng::new(seed ^ 0x0b5);
-        OperatorClients { rng, calls, tasks, duplicates, version: 0, is_losing_responses: false, is_duplicating: false }
+        OperatorClients {
+            rng,
+            calls,
+            tasks,
+            duplicates,
+            version: 0,
+            sections: Sections::default(),
+            is_losing_responses: false,
+            is_duplicating: false,
+        }
     }
 
     /// The version for the next valid update; versions may skip numbers.
@@ -78,8 +72,9 @@
     }
 
     pub fn create_update(&mut self, history: &mut History, version: u64, variant: u64, now: u64) -> usize {
-        let update =
-            ConfigurationUpdate { version, body: valid_body(version, variant), is_valid: true, first_sent_us: now };
+        let body = valid_body(version, variant, &self.sections);
+        let probed_service = self.sections.probed_service.map(str::to_owned);
+        let update = ConfigurationUpdate { version, body, is_valid: true, first_sent_us: now, probed_service };
         history.updates.push(update);
         history.updates.len() - 1
     }
@@ -91,6 +86,7 @@
             body: invalid_body(version, variant),
             is_valid: false,
             first_sent_us: now,
+            probed_service: None,
         });
         history.updates.len() - 1
     }
--- a/crates/wv-simulation/src/nemesis/recovery.rs
+++ b/crates/wv-simulation/src/nemesis/recovery.rs
@@ -59,6 +59,28 @@
                 let update = self.operators.create_invalid_update(&mut self.history, event.amount, now);
                 self.send_to(update, &target(0), 0);
             }
+            kind if kind.is_version_change() => self.change_sections(kind, &target(0)),
+            _ => {}
+        }
+    }
+
+    fn change_sections(&mut self, kind: EventKind, name: &str) {
+        let sections = &mut self.operators.sections;
+        match kind {
+            EventKind::MoveRoute => {
+                let is_moved = sections.probed_service == Some("u");
+                sections.probed_service = Some(if is_moved { "s" } else { "u" });
+            }
+            EventKind::MovePartners => sections.has_partners = !sections.has_partners,
+            EventKind::MakePlan => sections.has_plan = true,
+            _ => sections.has_plan = false,
+        }
+        let had_plan = self.plan_operator.has_plan();
+        let has_plan = sections.has_plan;
+        let update = self.send_update(name);
+        match (had_plan, has_plan) {
+            (false, true) => self.plan_operator.plan_made(update),
+            (true, false) => self.plan_operator.plan_withdrawn(),
             _ => {}
         }
     }
@@ -77,6 +99,7 @@
             running.into_iter().for_each(|index| self.operators.read_from(&mut self.sim, index));
             return self.advance(2 * S);
         }
+        self.check_plan();
         for index in &running {
             let name = self.sim.controls[*index].name.clone();
             let (started_us, update) = (self.sim.now, self.send_update(&name));
--- a/crates/wv-simulation/src/nemesis/run.rs
+++ b/crates/wv-simulation/src/nemesis/run.rs
@@ -1,9 +1,13 @@
 //! Runs a fault schedule against the simulated fleet, with operators and configuration reads in the background.
 use super::operator::OperatorClients;
-use super::{Event, History, PlatformCall, Schedule, VersionObservation};
+use super::route_probes::RouteProbes;
+use super::shard_plan::PlanOperator;
+use super::{Event, FaultBound, History, PlatformCall, Schedule, VersionObservation};
 use crate::{Rng, Simulation, MS, S};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Keys of schedules with plans: for some ten seconds, most writes are the first to their key.
+const KEY_COUNT: u64 = 2_000;
 /// How often responses to operators and the state of nodes are polled.
 const POLL_INTERVAL_US: u64 = 5 * MS;
 const READ_INTERVAL_US: u64 = 300 * MS;
@@ -27,6 +31,8 @@
     pub rng: Rng,
     pub history: History,
     pub operators: OperatorClients,
+    route_probes: RouteProbes,
+    pub plan_operator: PlanOperator,
     pub pending: BTreeMap<(u64, u64), Deferred>,
     sequence: u64,
     /// Directed links that each active event blocks, by its time and text form.
@@ -46,19 +52,26 @@
 /// Runs a schedule and the recovery checks after it, and returns the history.
 pub fn run(schedule: &Schedule) -> History {
     let tolerated_faults = (schedule.core_nodes.min(7) - 1) / 2;
-    let mut sim = Simulation::with_tolerance(
-        schedule.access_nodes,
-        schedule.core_nodes,
-        &["s".to_owned()],
-        tolerated_faults.max(1),
-    );
+    let has_version_changes = schedule.has_version_changes();
+    let services = if has_version_changes { vec!["s", "t", "u"] } else { vec!["s"] };
+    let services: Vec<String> = services.into_iter().map(str::to_owned).collect();
+    let mut sim =
+        Simulation::with_tolerance(schedule.access_nodes, schedule.core_nodes, &services, tolerated_faults.max(1));
+    let mut operators = OperatorClients::new(schedule.seed);
+    if has_version_changes {
+        sim.key_count = KEY_COUNT;
+        operators.sections.probed_service = Some("s");
+    }
+    let route_probes = if has_version_changes { RouteProbes::start(&mut sim) } else { RouteProbes::default() };
     sim.has_link_timeouts = true;
     sim.rng = Rng::new(schedule.seed ^ 0x5eed);
     (0..schedule.diskless_nodes).for_each(|_| {
         sim.add_diskless_control();
     });
     let mut runner = Runner {
-        operators: OperatorClients::new(schedule.seed),
+        operators,
+        route_probes,
+        plan_operator: PlanOperator::default(),
         rng: Rng::new(schedule.seed),
         history: History::default(),
         pending: BTreeMap::new(),
@@ -91,6 +104,9 @@
         runner.advance(remaining_us + POLL_INTERVAL_US);
     }
     runner.check_recovery(schedule.fault_bound);
+    if schedule.fault_bound != FaultBound::Unlimited {
+        runner.split_shard();
+    }
     runner.finish()
 }
 
@@ -119,6 +135,8 @@
     fn observe(&mut self) {
         let now = self.sim.now;
         self.operators.poll(&mut self.sim, &mut self.history, &self.removed_nodes);
+        self.route_probes.poll(&mut self.sim, &mut self.history);
+        self.poll_plan();
         if self.next_read_us <= now {
             self.next_read_us = now + READ_INTERVAL_US;
             self.operators.read(&mut self.sim, &self.removed_nodes);
@@ -185,6 +203,10 @@
             true => self.sim.check_rules(),
             false => std::mem::take(&mut self.sim.oracle.violations),
         };
+        let moved = self.sim.slot_map("s").moved;
+        if !moved.is_empty() {
+            self.history.statement_violations.extend(self.sim.check_rows("s", "t", &moved));
+        }
         let platform_calls = self.sim.promotion_calls.iter().zip(&self.sim.promotion_callers);
         let to_call =
             |((service, id, fence, code), (at, control, incarnation)): (&(String, String, u64, Option<u16>), &_)| {
--- a/crates/wv-simulation/src/simulation.rs
+++ b/crates/wv-simulation/src/simulation.rs
@@ -82,6 +82,8 @@
     pub epoch_us: u64,
     /// Number of keys that clients use; 0 for the single key `k`.
     pub key_count: u64,
+    /// The keys of all writes that load clients have sent, if they use many.
+    pub written_keys: BTreeSet<String>,
     /// Traffic over links from control nodes by receiving node, if it is recorded.
     pub traffic: Option<BTreeMap<String, LinkTraffic>>,
     pub(crate) drain_tracker: crate::drain_check::DrainTracker,
@@ -148,6 +150,7 @@
             copy_delay_us: 2 * MS,
             epoch_us: 0,
             key_count: 0,
+            written_keys: BTreeSet::new(),
             traffic: None,
             drain_tracker: Default::default(),
         };
--- a/crates/wv-simulation/tests/nemesis.rs
+++ b/crates/wv-simulation/tests/nemesis.rs
@@ -49,7 +49,7 @@
     let schedules: Vec<Schedule> = (0..400).map(generate).collect();
     let kinds: std::collections::BTreeSet<EventKind> =
         schedules.iter().flat_map(|schedule| schedule.events.iter().map(|event| event.kind)).collect();
-    expect_that!(kinds.len(), eq(36));
+    expect_that!(kinds.len(), eq(40));
     for fault_bound in [FaultBound::WithinTolerance, FaultBound::BeyondTolerance, FaultBound::Unlimited] {
         expect_that!(
             schedules.iter().filter(|schedule| schedule.fault_bound == fault_bound).count(),
--- a/crates/wv-simulation/tests/nemesis_checks.rs
+++ b/crates/wv-simulation/tests/nemesis_checks.rs
@@ -1,13 +1,14 @@
 //! Guards against checks that cannot fail: each one must report a matching history or unrecoverable fleet.
 use googletest::prelude::*;
 use wv_simulation::nemesis::{
-    check, run, ConfigurationRead, ConfigurationUpdate, FaultBound, History, PlatformCall, RecoveryFailure, Schedule,
-    UpdateResponse, VersionObservation, CHECKS,
+    check, run, ConfigurationRead, ConfigurationUpdate, FaultBound, History, PlatformCall, RecoveryFailure,
+    RouteSighting, Schedule, UpdateResponse, VersionObservation, CHECKS,
 };
 use wv_simulation::{LogEntry, Oracle, Write};
 
 fn update(version: u64, is_valid: bool, first_sent_us: u64) -> ConfigurationUpdate {
-    ConfigurationUpdate { version, body: version.to_string().into_bytes(), is_valid, first_sent_us }
+    let body = version.to_string().into_bytes();
+    ConfigurationUpdate { version, body, is_valid, first_sent_us, ..ConfigurationUpdate::default() }
 }
 
 fn response(update: usize, sent_us: u64, received_us: u64, status: u16) -> UpdateResponse {
@@ -52,6 +53,24 @@
     }
 }
 
+/// Two versions lead the routes of the probes to `s` and then to `u`; reads through one node, a second apart, are
+/// answered by these services.
+fn sight(history: &mut History, services: &[&str]) {
+    for (update, service) in [(0, "s"), (2, "u")] {
+        history.updates[update].probed_service = Some(service.to_owned());
+    }
+    for (at_s, service) in (1..).zip(services) {
+        let (sent_us, node, service) = (at_s * 1_000_000, "a0".to_owned(), (*service).to_owned());
+        history.route_sightings.push(RouteSighting {
+            node,
+            incarnation: 1,
+            sent_us,
+            received_us: sent_us + 5,
+            service,
+        });
+    }
+}
+
 fn failed_checks(history: &History, fault_bound: FaultBound) -> Vec<&'static str> {
     check(history, fault_bound).into_iter().map(|finding| finding.check).collect()
 }
@@ -65,6 +84,8 @@
     history.updates.extend([update(6, true, 80), update(6, true, 80)]);
     history.responses.extend([response(4, 80, 85, 200), response(5, 80, 85, 200)]);
     expect_that!(failed_checks(&history, FaultBound::WithinTolerance), is_empty());
+    sight(&mut history, &["s", "s", "u", "u"]);
+    expect_that!(failed_checks(&history, FaultBound::WithinTolerance), is_empty());
     // Retryable statuses are not rejections.
     history.responses.extend([response(2, 90, 91, 429), response(2, 90, 91, 408), response(2, 90, 91, 503)]);
     expect_that!(failed_checks(&history, FaultBound::WithinTolerance), is_empty());
@@ -89,6 +110,7 @@
         ("read-stale", check_edited(|history| history.reads.push(read(5, Some(0), 51, 55)))),
         ("read-stale", check_edited(|history| history.reads.push(read(5, Some(0), 56, 60)))),
         ("went-back", check_edited(|history| history.observed_versions.push(observed(1, 90, 5)))),
+        ("route-went-back", check_edited(|history| sight(history, &["s", "u", "s"]))),
         ("one-lead", check_edited(|history| history.primaries.push(("s".to_owned(), 2, "i-s2".to_owned())))),
         ("fence", check_edited(|history| history.platform_calls.push(platform_call(0, 1, Some(200))))),
         ("fence", check_edited(|history| history.platform_calls.push(platform_call(0, 2, Some(200))))),
@@ -124,7 +146,7 @@
     expect_that!(violations(&["q1"], &[], &[]), elements_are![eq(&"LOST")]);
     expect_that!(violations(&["q1"], &[], &["q1", "q1"]), elements_are![eq(&"TWICE")]);
     expect_that!(violations(&[], &["q2"], &["q2"]), elements_are![eq(&"REFUSED")]);
-    for check in ["STALE", "PINNED", "MIXED"] {
+    for check in ["STALE", "PINNED", "MIXED", "ROW", "ASTRAY"] {
         let history = History { statement_violations: vec![format!("{check}: q1")], ..History::default() };
         expect_that!(failed_checks(&history, FaultBound::Unlimited), elements_are![eq(&check)]);
     }
--- a/crates/wv-simulation/tests/nemesis_regressions.rs
+++ b/crates/wv-simulation/tests/nemesis_regressions.rs
@@ -59,3 +59,23 @@
         expect_that!(findings_of(schedule), is_empty(), "{schedule}");
     }
 }
+
+/// Guards against a term that was announced but never led being taken for a promotion that a split waits for, and against
+/// two reports of one promotion being taken for two.
+#[gtest]
+fn given_a_late_or_a_twice_reported_promotion_under_a_plan_then_the_shard_is_split_all_the_same() {
+    for schedule in [
+        "nemesis seed=32 access=2 core=3 thin=1 bound=within\n0.100 sluggish for 1.013 by 6695\n0.359 plan c2",
+        "nemesis seed=169 access=2 core=7 thin=0 bound=beyond\n0.100 slow c0 for 0.036 by 19\n0.276 plan c1",
+    ] {
+        expect_that!(findings_of(schedule), is_empty(), "{schedule}");
+    }
+}
+
+/// Guards against the sweep of a withdrawn plan's registers reading key lists as slot maps: a control node asked for 300
+/// petabytes of memory and ended.
+#[gtest]
+fn given_plans_withdrawn_on_a_drawn_day_then_the_sweep_ends_no_control_node() {
+    let schedule = wv_simulation::nemesis::generate(114);
+    expect_that!(check(&run(&schedule), schedule.fault_bound), is_empty(), "{schedule}");
+}
