--- a/crates/wv-access/src/core.rs
+++ b/crates/wv-access/src/core.rs
@@ -115,11 +115,6 @@
         std::mem::take(&mut self.effects)
     }
 
-    /// Whether health changes are not yet reported to the control node.
-    pub fn has_health_reports(&self) -> bool {
-        self.is_health_report_due || self.slots.is_report_due
-    }
-
     pub fn client_output(&mut self, client: u64) -> Option<&mut Vec<u8>> {
         self.clients.get_mut(&client).map(|client| &mut client.out)
     }
--- a/crates/wv-access/src/health_reports.rs
+++ b/crates/wv-access/src/health_reports.rs
@@ -20,6 +20,11 @@
 }
 
 impl Core {
+    /// Whether health changes are not yet reported to the control node.
+    pub fn has_health_reports(&self) -> bool {
+        self.is_health_report_due || self.slots.is_report_due
+    }
+
     pub fn take_health_reports(&mut self, scope: ReportScope) -> Vec<HealthReport> {
         if !std::mem::take(&mut self.is_health_report_due) && scope == ReportScope::Changes {
             return Vec::new();
